--- /dev/null
+++ b/banyanline/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The programs banyanline-balancer, banyanline-config and banyanline-status."""
--- /dev/null
+++ b/banyanline/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' library: services, upstreams, data centres and patience."""
--- /dev/null
+++ b/banyanline/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, timers and gRPC that run the effects which the core decides on."""
--- /dev/null
+++ b/banyanline/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Readers of the platform's configuration service."""
--- /dev/null
+++ b/banyanline/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Unit tests, one module for each module of the package."""
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiments that run outside the package."""
--- /dev/null
+++ b/bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the bench itself."""
--- /dev/null
+++ b/properties/__init__.py
@@ -0,0 +1,1 @@
+"""Property-based tests with hypothesis."""
