--- /dev/null
+++ b/banyanline/settings/__init__.py
@@ -0,0 +1,43 @@
+"""Settings of one balancer, read from an INI file and checked by one table of options."""
+
+from __future__ import annotations
+
+from banyanline.settings.errors import SettingsError
+from banyanline.settings.keys import Key, KeyRing, KeysError, parse_keys
+from banyanline.settings.load import load_settings
+from banyanline.settings.model import (
+    BalancerSettings,
+    Delivery,
+    FabricSettings,
+    HostSettings,
+    KeySettings,
+    LimitSettings,
+    LogSettings,
+    MembershipSettings,
+    PlatformSettings,
+    RetrySettings,
+    StopSettings,
+)
+
+__all__ = [
+    # Reading
+    "load_settings",
+    "parse_keys",
+    # Values
+    "BalancerSettings",
+    "Delivery",
+    "FabricSettings",
+    "HostSettings",
+    "Key",
+    "KeyRing",
+    "KeySettings",
+    "LimitSettings",
+    "LogSettings",
+    "MembershipSettings",
+    "PlatformSettings",
+    "RetrySettings",
+    "StopSettings",
+    # Errors
+    "KeysError",
+    "SettingsError",
+]
