--- a/banyanline/config/__init__.py
+++ b/banyanline/config/__init__.py
@@ -1,1 +1,56 @@
 """The operators' library: services, upstreams, data centres and patience."""
+
+from __future__ import annotations
+
+from banyanline.config.builders import (
+    caller_group,
+    cold_start,
+    data_centre,
+    document,
+    service,
+    upstream,
+    window,
+)
+from banyanline.config.document import (
+    MAX_DOCUMENT_BYTES,
+    SCHEMA_VERSION,
+    CallerGroupDocument,
+    ColdStartDocument,
+    ConfigurationDocument,
+    DataCentreDocument,
+    ServiceDocument,
+    UpstreamDocument,
+    WindowDocument,
+)
+from banyanline.config.errors import ConfigurationError, ConfigurationErrors
+from banyanline.config.parse import check_document, parse_document
+from banyanline.config.render import render_document, to_document
+
+__all__ = [
+    # Building
+    "caller_group",
+    "cold_start",
+    "data_centre",
+    "document",
+    "service",
+    "upstream",
+    "window",
+    # Reading and writing
+    "check_document",
+    "parse_document",
+    "render_document",
+    "to_document",
+    # Document shapes
+    "MAX_DOCUMENT_BYTES",
+    "SCHEMA_VERSION",
+    "CallerGroupDocument",
+    "ColdStartDocument",
+    "ConfigurationDocument",
+    "DataCentreDocument",
+    "ServiceDocument",
+    "UpstreamDocument",
+    "WindowDocument",
+    # Errors
+    "ConfigurationError",
+    "ConfigurationErrors",
+]
--- /dev/null
+++ b/banyanline/config/rules.py
@@ -0,0 +1,169 @@
+"""Rules for single values of the document: what is accepted, in words and in code."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import re
+import zoneinfo
+from typing import TYPE_CHECKING, Generic, NamedTuple, TypeVar
+
+from banyanline.core.types import Endpoint
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from enum import StrEnum
+
+T = TypeVar("T")
+EnumT = TypeVar("EnumT", bound="StrEnum")
+
+LARGEST_REVISION = 2**53 - 1
+"""The largest whole number that every JSON reader keeps exact (RFC 8259, section 6)."""
+
+LONGEST_PATIENCE_S = 45.0
+"""MAX_TRANSMIT_SPAN of CoAP (RFC 7252, section 4.8.2)."""
+
+LARGEST_PORT = 65535
+LARGEST_SLOTS = 10_000
+LARGEST_CONNECTIONS = 1_000_000
+LARGEST_RATE = 1_000_000.0
+LONGEST_COLD_START_S = 3_600.0
+LONGEST_IDLE_TIMEOUT_S = 86_400.0
+MINUTES_PER_HOUR = 60
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_IP = re.compile(r"[0-9]{1,3}(?:\.[0-9]{1,3}){3}")
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
+_CLOCK_TIME = re.compile(r"([01][0-9]|2[0-3]):([0-5][0-9])")
+_HEALTH_PATH = re.compile(r"[A-Za-z0-9._~-]{1,64}(?:/[A-Za-z0-9._~-]{1,64}){0,7}")
+
+
+class Rule(NamedTuple, Generic[T]):
+    """What a value may be.
+
+    ``read`` returns the typed value, or None if the value is not accepted;
+    ``placeholder`` then stands for it while the rest of the document is checked.
+    """
+
+    accepted: str
+    read: Callable[[object], T | None]
+    placeholder: T
+
+
+def _read_name(value: object) -> str | None:
+    return value if isinstance(value, str) and _NAME.fullmatch(value) else None
+
+
+NAME = Rule(
+    "a name of at most 63 letters, digits, '.', '_' or '-' that starts with a letter or digit",
+    _read_name,
+    "",
+)
+
+
+def integer(low: int, high: int) -> Rule[int]:
+    """Accept whole numbers from ``low`` to ``high``."""
+
+    def read(value: object) -> int | None:
+        if isinstance(value, bool) or not isinstance(value, int):
+            return None
+        return value if low <= value <= high else None
+
+    return Rule(f"a whole number from {low} to {high}", read, low)
+
+
+def number(low: float, high: float, *, low_included: bool = True) -> Rule[float]:
+    """Accept numbers from ``low`` to ``high``."""
+
+    def read(value: object) -> float | None:
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            return None
+        if not math.isfinite(value) or not low <= value <= high:
+            return None
+        return float(value) if low_included or value > low else None
+
+    start = f"from {low:g}" if low_included else f"above {low:g}"
+    words = "to" if low_included else "and at most"
+    return Rule(f"a number {start} {words} {high:g}", read, high)
+
+
+def choice(members: type[EnumT]) -> Rule[EnumT]:
+    """Accept the values of an enumeration."""
+    by_value = {member.value: member for member in members}
+
+    def read(value: object) -> EnumT | None:
+        return by_value.get(value) if isinstance(value, str) else None
+
+    accepted = " or ".join(repr(text) for text in by_value)
+    return Rule(accepted, read, next(iter(by_value.values())))
+
+
+def _read_endpoint(value: object) -> Endpoint | None:
+    if not isinstance(value, str):
+        return None
+    ip, _, port = value.partition(":")
+    if not _IP.fullmatch(ip) or not _PORT.fullmatch(port) or int(port) > LARGEST_PORT:
+        return None
+    try:
+        address = ipaddress.IPv4Address(ip)
+    except ValueError:
+        return None
+    return None if address.is_unspecified or address.is_multicast else Endpoint(ip, int(port))
+
+
+ENDPOINT = Rule(
+    "an IPv4 address and a port such as '192.0.2.1:5683'", _read_endpoint, Endpoint("0.0.0.0", 0)
+)
+
+
+def _read_network(value: object) -> str | None:
+    if not isinstance(value, str) or "/" not in value:
+        return None
+    try:
+        return str(ipaddress.IPv4Network(value, strict=True))
+    except ValueError:
+        return None
+
+
+NETWORK = Rule(
+    "an IPv4 network such as '192.0.2.0/24', without bits set past its prefix", _read_network, ""
+)
+
+
+def _read_time_zone(value: object) -> str | None:
+    if not isinstance(value, str) or not value.isascii():
+        return None
+    try:
+        zoneinfo.ZoneInfo(value)
+    except (zoneinfo.ZoneInfoNotFoundError, ValueError, OSError):
+        return None
+    return value
+
+
+TIME_ZONE = Rule("a time zone of the IANA database such as 'Europe/Zagreb'", _read_time_zone, "UTC")
+
+
+def _read_clock_time(value: object) -> int | None:
+    match = _CLOCK_TIME.fullmatch(value) if isinstance(value, str) else None
+    return int(match[1]) * MINUTES_PER_HOUR + int(match[2]) if match else None
+
+
+CLOCK_TIME = Rule("a time of day from '00:00' to '23:59'", _read_clock_time, 0)
+
+
+def _read_health_path(value: object) -> str | None:
+    return value if isinstance(value, str) and _HEALTH_PATH.fullmatch(value) else None
+
+
+HEALTH_PATH = Rule(
+    "1 to 8 path segments such as 'status/health', without a leading '/'", _read_health_path, ""
+)
+
+REVISION = integer(1, LARGEST_REVISION)
+PORT = integer(1, LARGEST_PORT)
+SLOTS = integer(1, LARGEST_SLOTS)
+CONNECTIONS = integer(1, LARGEST_CONNECTIONS)
+RATE = number(0, LARGEST_RATE, low_included=False)
+COLD_START_S = number(0, LONGEST_COLD_START_S)
+IDLE_TIMEOUT_S = number(1, LONGEST_IDLE_TIMEOUT_S)
+PATIENCE_S = number(0, LONGEST_PATIENCE_S, low_included=False)
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Configurations that operators can start from."""
