--- /dev/null
+++ b/banyanline/core/coap.py
@@ -0,0 +1,237 @@
+"""What the core needs of CoAP, on top of the codec of ``aiocoap``.
+
+Only the message codec is used. Retransmission, deduplication and matching are
+decisions of the core (RFC 7252, RFC 7641 and RFC 7959).
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypeAlias
+
+from aiocoap.error import Error as CodecError
+from aiocoap.message import Message
+from aiocoap.numbers.codes import Code
+from aiocoap.numbers.optionnumbers import OptionNumber
+from aiocoap.numbers.types import Type
+from aiocoap.optiontypes import OpaqueOption
+
+from banyanline.core.answers import (
+    DEADLINE_OPTION,
+    NOT_RUN_PREFIX,
+    UNKNOWN_PREFIX,
+)
+
+OBSERVE_REGISTER = 0
+OBSERVE_DEREGISTER = 1
+MAX_DATAGRAM_BYTES = 1400
+MAX_AGE_LIMIT_S = 300
+DEFAULT_MAX_AGE_S = 60
+"""Max-Age of a response without the option (RFC 7252, 5.10.5)."""
+
+_IDEMPOTENT_CODES = frozenset({Code.GET, Code.PUT, Code.DELETE, Code.FETCH, Code.iPATCH})
+_KNOWN_CRITICAL_OPTIONS = frozenset(
+    {
+        OptionNumber.IF_MATCH,
+        OptionNumber.URI_HOST,
+        OptionNumber.IF_NONE_MATCH,
+        OptionNumber.URI_PORT,
+        OptionNumber.URI_PATH,
+        OptionNumber.URI_QUERY,
+        OptionNumber.ACCEPT,
+        OptionNumber.BLOCK1,
+        OptionNumber.BLOCK2,
+    }
+)
+_EMPTY_CODE = Code.EMPTY
+
+
+class Malformed(NamedTuple):
+    """A datagram that is no CoAP message."""
+
+    reason: str
+
+
+class Request(NamedTuple):
+    """A caller's request. ``block`` is set for a part of a block-wise transfer."""
+
+    message: Message
+    confirmable: bool
+    message_id: int
+    token: bytes
+    idempotent: bool
+    observe: int | None
+    continues_transfer: bool
+    unknown_critical: int | None
+
+
+class Empty(NamedTuple):
+    """An empty message: an acknowledgement, a reset or a ping."""
+
+    kind: Type
+    message_id: int
+
+
+class Response(NamedTuple):
+    """A response of an upstream."""
+
+    message: Message
+    kind: Type
+    message_id: int
+    token: bytes
+
+
+Decoded: TypeAlias = Malformed | Request | Empty | Response
+
+
+def decode(datagram: bytes) -> Decoded:
+    """Read one datagram.
+
+    >>> decode(b"not coap at all")
+    Malformed(reason='unparsable')
+    """
+    if len(datagram) > MAX_DATAGRAM_BYTES:
+        return Malformed("oversized")
+    try:
+        message = Message.decode(datagram)
+    except (CodecError, ValueError, IndexError):
+        return Malformed("unparsable")
+    code = message.code
+    if code is _EMPTY_CODE:
+        return Empty(message.mtype, message.mid)
+    if code.is_response():
+        return Response(message, message.mtype, message.mid, message.token)
+    if not code.is_request() or message.mtype not in (Type.CON, Type.NON):
+        return Malformed("not a request")
+    return _request(message)
+
+
+def _request(message: Message) -> Request:
+    options = message.opt
+    block1 = options.block1
+    block2 = options.block2
+    continues = (block2 is not None and block2.block_number > 0) or (
+        block1 is not None and block1.block_number > 0
+    )
+    return Request(
+        message=message,
+        confirmable=message.mtype is Type.CON,
+        message_id=message.mid,
+        token=message.token,
+        idempotent=message.code in _IDEMPOTENT_CODES,
+        observe=options.observe if message.code is Code.GET else None,
+        continues_transfer=continues,
+        unknown_critical=_unknown_critical_option(message),
+    )
+
+
+def _unknown_critical_option(message: Message) -> int | None:
+    for option in message.opt.option_list():
+        number = option.number
+        if number.is_critical() and number not in _KNOWN_CRITICAL_OPTIONS:
+            return int(number)
+    return None
+
+
+def starts_transfer(message: Message) -> bool:
+    """Whether more blocks of a response or a request follow this message."""
+    block1 = message.opt.block1
+    block2 = message.opt.block2
+    return bool((block2 is not None and block2.more) or (block1 is not None and block1.more))
+
+
+def etag(message: Message) -> bytes | None:
+    """Return the version of the representation, if the response tells one."""
+    return message.opt.etag
+
+
+def for_upstream(message: Message, message_id: int, token: bytes, remaining_ms: int) -> bytes:
+    """Encode a caller's request anew as a confirmable request to an upstream."""
+    forwarded = message.copy()
+    forwarded.mtype = Type.CON
+    forwarded.mid = message_id
+    forwarded.token = token
+    number = OptionNumber(DEADLINE_OPTION)
+    forwarded.opt.delete_option(number)
+    forwarded.opt.add_option(OpaqueOption(number, _uint(remaining_ms)))
+    return bytes(forwarded.encode())
+
+
+def _uint(value: int) -> bytes:
+    return value.to_bytes((value.bit_length() + 7) // 8, "big")
+
+
+def for_caller(response: Message, request_id: int, token: bytes, confirmable: bool) -> bytes:
+    """Encode an upstream's response as the answer to a caller's request."""
+    response.mtype = Type.ACK if confirmable else Type.NON
+    response.mid = request_id
+    response.token = token
+    return bytes(response.encode())
+
+
+def notification_for_caller(response: Message, message_id: int, token: bytes) -> bytes:
+    """Encode an upstream's notification for a caller, as a non-confirmable message."""
+    response.mtype = Type.NON
+    response.mid = message_id
+    response.token = token
+    return bytes(response.encode())
+
+
+def empty(kind: Type, message_id: int) -> bytes:
+    """Encode an acknowledgement or a reset."""
+    message = Message(code=_EMPTY_CODE)
+    message.mtype = kind
+    message.mid = message_id
+    return bytes(message.encode())
+
+
+def deregistration(message_id: int, token: bytes, request: bytes) -> bytes:
+    """Encode the GET with Observe 1 that ends an observation (RFC 7641, 3.6)."""
+    message = Message.decode(request).copy()
+    message.mtype = Type.NON
+    message.mid = message_id
+    message.token = token
+    message.opt.observe = OBSERVE_DEREGISTER
+    return bytes(message.encode())
+
+
+def not_run(reason: str, retry_after_s: float) -> Message:
+    """Build the refusal that promises that no upstream ran the request."""
+    message = Message(code=Code.SERVICE_UNAVAILABLE, payload=(NOT_RUN_PREFIX + reason).encode())
+    message.opt.max_age = min(MAX_AGE_LIMIT_S, max(1, round(retry_after_s)))
+    return message
+
+
+def unknown_outcome(reason: str) -> Message:
+    """Build the answer to a request whose outcome cannot be told."""
+    return Message(code=Code.GATEWAY_TIMEOUT, payload=(UNKNOWN_PREFIX + reason).encode())
+
+
+def bad_option(number: int) -> Message:
+    """Build the answer to a request with an unknown critical option."""
+    return Message(code=Code.BAD_OPTION, payload=f"critical option {number}".encode())
+
+
+def transfer_restart() -> Message:
+    """Build the answer that makes a caller start a block-wise transfer anew."""
+    return Message(code=Code.REQUEST_ENTITY_INCOMPLETE, payload=b"restart the transfer")
+
+
+def max_age_s(message: Message) -> int:
+    """Return the Max-Age of a response in seconds."""
+    value = message.opt.max_age
+    return DEFAULT_MAX_AGE_S if value is None else int(value)
+
+
+def is_shed(message: Message) -> bool:
+    """Whether an upstream's response says that it has not run the request."""
+    return bool(message.code is Code.SERVICE_UNAVAILABLE)
+
+
+def is_success(message: Message) -> bool:
+    """Whether the response has a code of class 2."""
+    return bool(message.code.is_successful())
+
+
+def observe_sequence(message: Message) -> int | None:
+    """Return the sequence number of a notification (RFC 7641, 3.4)."""
+    return message.opt.observe
--- /dev/null
+++ b/banyanline/core/ledger.py
@@ -0,0 +1,227 @@
+"""Ledgers of requests: what a home and an owner remember of each request key.
+
+Both keep a key for the lifetime of a request after it was first seen, so that a
+retransmission gets the same answer and is never run again. A full ledger
+refuses; it does not forget.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from enum import Enum
+from typing import Generic, NamedTuple, TypeVar
+
+from banyanline.core.messages import (
+    NO_BALLOT,
+    Ballot,
+    Outcome,
+    Pending,
+    RequestKey,
+)
+from banyanline.core.types import HostName, Seconds, UpstreamName
+
+V = TypeVar("V")
+
+
+class LedgerFull(NamedTuple):
+    """The ledger holds as many keys as it may."""
+
+    limit: int
+
+
+class KeyTable(Generic[V]):
+    """Values by request key, each kept for ``lifetime_s`` after it was added.
+
+    >>> table = KeyTable(limit=1, lifetime_s=10.0)
+    >>> key = RequestKey("orders", "192.0.2.1", 40000, 7, b"t")
+    >>> table.add(key, "value", now=0.0)
+    >>> table.add(key._replace(message_id=8), "value", now=5.0)
+    LedgerFull(limit=1)
+    >>> table.expire(now=11.0), table.get(key)
+    (1, None)
+    """
+
+    def __init__(self, limit: int, lifetime_s: float) -> None:
+        self._limit = limit
+        self._lifetime_s = lifetime_s
+        self._values: dict[RequestKey, V] = {}
+        self._order: deque[tuple[float, RequestKey]] = deque()
+
+    @property
+    def lifetime_s(self) -> float:
+        """How long a key is kept, in seconds."""
+        return self._lifetime_s
+
+    def __len__(self) -> int:
+        """Return the number of keys kept."""
+        return len(self._values)
+
+    def __contains__(self, key: RequestKey) -> bool:
+        """Whether the key is kept."""
+        return key in self._values
+
+    def get(self, key: RequestKey) -> V | None:
+        """Return what is kept for the key."""
+        return self._values.get(key)
+
+    def items(self) -> Iterator[tuple[RequestKey, V]]:
+        """Iterate over keys and values in the order in which they came."""
+        return iter(self._values.items())
+
+    def add(self, key: RequestKey, value: V, now: Seconds) -> LedgerFull | None:
+        """Keep ``value`` for a new key, unless the table is full."""
+        if len(self._values) >= self._limit:
+            return LedgerFull(self._limit)
+        self._values[key] = value
+        self._order.append((now + self._lifetime_s, key))
+        return None
+
+    def expire(self, now: Seconds) -> int:
+        """Forget the keys whose lifetime has passed and return their number."""
+        order = self._order
+        forgotten = 0
+        while order and order[0][0] <= now:
+            key = order.popleft()[1]
+            del self._values[key]
+            forgotten += 1
+        return forgotten
+
+
+class KeyRecord:
+    """An owner's knowledge of one key.
+
+    ``outcome`` is ``None`` for a key that was only claimed, and :class:`Pending`
+    while the request is queued or runs. ``waiters`` are the dispatches that want
+    the outcome, as pairs of home and serial.
+    """
+
+    __slots__ = ("ballot", "outcome", "serial", "upstream", "waiters")
+
+    def __init__(self, ballot: Ballot) -> None:
+        self.ballot = ballot
+        self.outcome: Outcome | None = None
+        self.upstream: UpstreamName = ""
+        self.serial = 0
+        self.waiters: list[tuple[HostName, int]] = []
+
+    @property
+    def is_carried(self) -> bool:
+        """Whether the owner has taken the request on at some time."""
+        return self.outcome is not None
+
+    @property
+    def is_pending(self) -> bool:
+        """Whether the request is queued or runs."""
+        return isinstance(self.outcome, Pending)
+
+
+class Fenced(Enum):
+    """Why a dispatch is not taken on."""
+
+    SUPERSEDED = "superseded"
+    FULL = "full"
+
+
+class Admitted(NamedTuple):
+    """The dispatch is new for this owner and may be run."""
+
+    record: KeyRecord
+
+
+class Repeated(NamedTuple):
+    """The owner has carried the key before; ``record`` has the outcome."""
+
+    record: KeyRecord
+
+
+class OwnerLedger:
+    """The owner's fence: each key is run at most once, and only for the greatest ballot.
+
+    The order of a claim and a dispatch at one owner decides between two homes: a
+    dispatch that comes first is found by the claim, one that comes later has the
+    lower ballot and is refused.
+    """
+
+    def __init__(self, limit: int, lifetime_s: float) -> None:
+        self._table: KeyTable[KeyRecord] = KeyTable(limit, lifetime_s)
+
+    def __len__(self) -> int:
+        """Return the number of keys kept."""
+        return len(self._table)
+
+    def get(self, key: RequestKey) -> KeyRecord | None:
+        """Return what is known of the key."""
+        return self._table.get(key)
+
+    def items(self) -> Iterator[tuple[RequestKey, KeyRecord]]:
+        """Iterate over all keys."""
+        return self._table.items()
+
+    def expire(self, now: Seconds) -> int:
+        """Forget keys past their lifetime."""
+        return self._table.expire(now)
+
+    def claim(self, key: RequestKey, ballot: Ballot, now: Seconds) -> KeyRecord | Fenced:
+        """Record a claim; the record tells whether the key was carried before."""
+        record = self._table.get(key)
+        if record is None:
+            record = KeyRecord(ballot)
+            if self._table.add(key, record, now) is not None:
+                return Fenced.FULL
+            return record
+        if ballot < record.ballot:
+            return Fenced.SUPERSEDED
+        record.ballot = ballot
+        return record
+
+    def admit(
+        self, key: RequestKey, ballot: Ballot, upstream: UpstreamName, now: Seconds
+    ) -> Admitted | Repeated | Fenced:
+        """Take a dispatch on if nothing forbids it.
+
+        A key that this owner refused earlier as not run may be tried again by the
+        same or a greater ballot.
+        """
+        record = self._table.get(key)
+        if record is None:
+            record = KeyRecord(ballot)
+            if self._table.add(key, record, now) is not None:
+                return Fenced.FULL
+        elif record.is_carried:
+            return Repeated(record)
+        elif ballot < record.ballot:
+            return Fenced.SUPERSEDED
+        record.ballot = max(record.ballot, ballot)
+        record.upstream = upstream
+        record.outcome = Pending()
+        return Admitted(record)
+
+    def reopen(self, record: KeyRecord, ballot: Ballot, upstream: UpstreamName) -> bool:
+        """Let a key that was refused as not run be tried again; false if a claim forbids it."""
+        if ballot < record.ballot:
+            return False
+        record.ballot = ballot
+        record.upstream = upstream
+        record.outcome = Pending()
+        record.waiters.clear()
+        return True
+
+    def adopt(
+        self,
+        key: RequestKey,
+        upstream: UpstreamName,
+        outcome: Outcome,
+        ballot: Ballot = NO_BALLOT,
+        *,
+        now: Seconds,
+    ) -> None:
+        """Take a key over from the upstream's previous owner."""
+        record = self._table.get(key)
+        if record is None:
+            record = KeyRecord(ballot)
+            if self._table.add(key, record, now) is not None:
+                return
+        if not record.is_carried:
+            record.upstream = upstream
+            record.outcome = outcome
