--- /dev/null
+++ b/banyanline/core/gate/gate.py
@@ -0,0 +1,456 @@
+"""The owner's gate: all that is sent to one upstream passes here."""
+
+from __future__ import annotations
+
+from collections import Counter
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, NamedTuple
+
+from banyanline.core.answers import RefusalReason, UnknownReason
+from banyanline.core.gate.comeback import ComebackSchedule
+from banyanline.core.gate.connections import Connections
+from banyanline.core.gate.health import UpstreamHealth
+from banyanline.core.gate.messages import (
+    Abort,
+    Answered,
+    CloseConnection,
+    GateEffects,
+    GateStart,
+    HandOver,
+    HealthReport,
+    LoadWord,
+    Refuse,
+    Shed,
+    Start,
+    StartCold,
+    StartHandedOver,
+    StartWarm,
+    SuspicionReason,
+    TimedOut,
+    Work,
+    WorkOutcome,
+)
+from banyanline.core.gate.queue import DeadlineQueue, Pace
+from banyanline.core.gate.ramp import Ramp
+from banyanline.core.gate.service_time import ServiceTime
+from banyanline.core.invariants import require
+from banyanline.core.types import UpstreamState
+
+if TYPE_CHECKING:
+    import random
+
+    from banyanline.core.gate.messages import FlowId, RequestId
+    from banyanline.core.model import ColdStart, Upstream
+    from banyanline.core.types import Seconds
+
+MAX_SHED_PAUSE_S = 5.0
+
+
+class _Running(NamedTuple):
+    work: Work
+    started_at: Seconds
+
+
+class UpstreamGate:
+    """Slots, queue, connections, cold start and health of one upstream.
+
+    The owner of an upstream offers all requests for it to its gate and carries
+    out the effects that the methods return, in their order. Each offered
+    request ends exactly once: refused here, or started and then finished or
+    cancelled. Times are seconds of the owner's monotonic clock.
+
+    >>> import random
+    >>> from banyanline.core.model import ColdStart, Upstream
+    >>> from banyanline.core.types import Endpoint
+    >>> upstream = Upstream("orders-1", "orders", "north", Endpoint("203.0.113.1", 5683), slots=1)
+    >>> gate = UpstreamGate(upstream, ColdStart(), StartWarm(), 0.0, random.Random(1))
+    >>> gate.offer(Work("a", deadline=2.0), now=0.0)
+    [Start(work=Work(request_id='a', deadline=2.0, idempotent=False, is_stream=False))]
+    >>> gate.offer(Work("b", deadline=2.0), now=0.0)
+    []
+    >>> [effect.work.request_id for effect in gate.finished("a", Answered(), now=0.1)]
+    ['b']
+    """
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        cold_start: ColdStart,
+        start: GateStart,
+        now: Seconds,
+        rng: random.Random,
+    ) -> None:
+        self._upstream = upstream
+        self._state = upstream.state
+        self._is_ceded = False
+        self._is_abandoned = False
+        self._queue = DeadlineQueue()
+        self._running: dict[RequestId, _Running] = {}
+        self._cancelled: dict[RequestId, _Running] = {}
+        self._connections = Connections(upstream.connections)
+        self._ramp = Ramp(cold_start, upstream.slots)
+        self._service_time = ServiceTime()
+        self._health = UpstreamHealth(rng)
+        self._comeback = ComebackSchedule(rng)
+        self._rng = rng
+        self._paused_until: Seconds = now
+        self._next_start_at: Seconds = now
+        self._elsewhere = 0
+        self._elsewhere_until: Seconds = now
+        self._load_words = 0
+        self._refusals: Counter[RefusalReason] = Counter()
+        self._begin(start, now)
+
+    @property
+    def upstream(self) -> Upstream:
+        """The upstream that the gate stands before."""
+        return self._upstream
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that this owner has running at the upstream."""
+        return len(self._running) + len(self._cancelled)
+
+    @property
+    def in_flight_elsewhere(self) -> int:
+        """Requests that a previous owner may still have running."""
+        return self._elsewhere
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._queue)
+
+    @property
+    def connections(self) -> int:
+        """Streams and flows that are open."""
+        return len(self._connections)
+
+    @property
+    def service_time_s(self) -> Seconds:
+        """The mean service time in seconds."""
+        return self._service_time.mean_s
+
+    @property
+    def is_circuit_open(self) -> bool:
+        """Whether only trials pass, as the upstream leaves requests unanswered."""
+        return self._health.is_circuit_open
+
+    @property
+    def refusals(self) -> Counter[RefusalReason]:
+        """Requests and connections refused, by reason."""
+        return self._refusals
+
+    @property
+    def suspicions(self) -> Counter[SuspicionReason]:
+        """How often the upstream was suspected, by reason."""
+        return self._health.suspicions
+
+    def slots(self, now: Seconds) -> int:
+        """Return how many requests the upstream may have now, from all owners together."""
+        if self._health.is_draining:
+            return self._ramp.initial_slots
+        return self._ramp.slots(now)
+
+    def ramp_share(self, now: Seconds) -> float:
+        """Return how far the upstream's warm-up has got, from 0.0 to 1.0."""
+        return self._ramp.share(now)
+
+    def next_tick_at(self, now: Seconds) -> Seconds | None:
+        """Return when :meth:`tick` is due at the latest, or None if it is not."""
+        times = [running.work.deadline for running in self._cancelled.values()]
+        first_deadline = self._queue.first_deadline
+        if first_deadline is not None:
+            times.append(first_deadline - self._service_time.mean_s)
+            next_slot_at = self._ramp.next_slot_at(now)
+            times += [] if next_slot_at is None else [next_slot_at]
+            starts = (self._paused_until, self._next_start_at, self._elsewhere_until)
+            times += [time for time in starts if time > now]
+        return min(times, default=None)
+
+    def offer(self, work: Work, now: Seconds) -> GateEffects:
+        """Take in a request: it is started, queued or refused at once.
+
+        One that is known already is not taken in again.
+        """
+        request_id = work.request_id
+        if request_id in self._running or request_id in self._queue:
+            return []
+        effects = self._pump(now)
+        reason = self._admission(work, now)
+        if reason is not None:
+            return [*effects, self._refuse(work, reason, now)]
+        return effects + self._pump(now)
+
+    def finished(self, request_id: RequestId, outcome: WorkOutcome, now: Seconds) -> GateEffects:
+        """Take in how a started request ended; an unknown one changes nothing."""
+        running = self._running.pop(request_id, None)
+        is_cancelled = running is None
+        running = running or self._cancelled.pop(request_id, None)
+        if running is None:
+            return []
+        if running.work.is_stream and not isinstance(outcome, Answered):
+            self._connections.close(request_id)
+        elapsed_s = now - running.started_at
+        if not is_cancelled or isinstance(outcome, Answered):
+            self._note_outcome(outcome, elapsed_s, now)
+        if self.is_circuit_open:
+            return self._refuse_queue(RefusalReason.NO_UPSTREAM, now)
+        return self._pump(now)
+
+    def cancel(self, request_id: RequestId, now: Seconds) -> GateEffects:
+        """Take a request back, wherever it is.
+
+        While the upstream is cold a started one keeps its slot until its
+        deadline, as the cancellation may be lost on the way.
+        """
+        work = self._queue.remove(request_id)
+        if work is not None:
+            return [self._refuse(work, RefusalReason.CANCELLED, now)]
+        running = self._running.pop(request_id, None)
+        if running is None:
+            return []
+        if running.work.is_stream:
+            self._connections.close(request_id)
+        if self._ramp.share(now) < 1.0:
+            self._cancelled[request_id] = running
+        return [Abort(running.work), *self._pump(now)]
+
+    def tick(self, now: Seconds) -> GateEffects:
+        """Refuse what can no longer be answered in time and start what has become possible."""
+        return self._pump(now)
+
+    def open_connection(self, flow: FlowId, now: Seconds) -> RefusalReason | None:
+        """Open a stream or flow, or return why it is refused."""
+        reason = self._standing_refusal()
+        if reason is None:
+            reason = self._connections.open(flow, now, self._start_interval_s(now))
+        if reason is not None:
+            self._refusals[reason] += 1
+        return reason
+
+    def close_connection(self, flow: FlowId) -> bool:
+        """Close a stream or flow; tell whether it was open."""
+        return self._connections.close(flow)
+
+    def health(self, report: HealthReport, now: Seconds) -> GateEffects:
+        """Take in an answer of the health endpoint."""
+        self._suspect(self._health.report(report, now))
+        self._ramp.confirm(now)
+        return self._pump(now)
+
+    def health_missed(self, now: Seconds) -> GateEffects:
+        """Take in that the health endpoint did not answer."""
+        self._suspect(self._health.missed(now))
+        return self._pump(now)
+
+    def set_state(self, state: UpstreamState, now: Seconds) -> GateEffects:
+        """Take in what the operators want. A leaving upstream gets no new work."""
+        if state is self._state:
+            return []
+        self._state = state
+        if state is UpstreamState.LEAVING:
+            return self._refuse_queue(RefusalReason.NO_UPSTREAM, now)
+        self._suspect(SuspicionReason.RETURNED)
+        return []
+
+    def abandon(self, now: Seconds) -> GateEffects:
+        """Give up all work and connections: the data centre is out of service."""
+        self._is_abandoned = True
+        effects = self._refuse_queue(RefusalReason.NO_UPSTREAM, now)
+        effects += [
+            Abort(running.work, UnknownReason.DATA_CENTRE_OUT) for running in self._running.values()
+        ]
+        self._running.clear()
+        self._cancelled.clear()
+        effects += [CloseConnection(flow) for flow in self._connections.clear()]
+        return effects
+
+    def cede(self, now: Seconds) -> GateEffects:
+        """Stop starting work, as another owner follows. What runs goes on."""
+        self._is_ceded = True
+        return self._refuse_queue(RefusalReason.OWNER_MOVED, now)
+
+    def hand_over(self, now: Seconds) -> HandOver:
+        """Return what the next owner has to know, after :meth:`cede`."""
+        require(self._is_ceded, "only a gate that has ceded is handed over")
+        occupied = [*self._running.values(), *self._cancelled.values()]
+        latest = max((running.work.deadline for running in occupied), default=now)
+        return HandOver(
+            in_flight=self.in_flight + self._elsewhere,
+            connections=len(self._connections) + self._connections.elsewhere,
+            latest_deadline_in_s=max(latest, self._elsewhere_until, now) - now,
+            ramp_elapsed_s=self._ramp.elapsed_s(now),
+            next_start_in_s=max(self._next_start_at, self._paused_until, now) - now,
+            service_time_s=self._service_time.mean_s,
+            boot=self._health.boot,
+        )
+
+    def set_elsewhere(self, in_flight: int, connections: int, now: Seconds) -> GateEffects:
+        """Take in what a ceding owner still has running and open."""
+        self._elsewhere = min(in_flight, self._elsewhere)
+        self._connections.set_elsewhere(connections)
+        return self._pump(now)
+
+    def load_word(self, now: Seconds) -> LoadWord:
+        """Return the word on load that the next reply to a home carries."""
+        self._load_words += 1
+        takes_work = self._standing_refusal() is None and not self.is_circuit_open
+        takes_work = takes_work and now >= self._paused_until
+        pace = self._pace(now)
+        wait_s = pace.ready_in_s + len(self._queue) * pace.interval_s
+        return LoadWord(
+            in_flight=self.in_flight + self._elsewhere,
+            queued=len(self._queue),
+            slots=self.slots(now) if takes_work else 0,
+            expected_wait_ms=int(1000.0 * wait_s),
+            service_ms=int(1000.0 * pace.service_s),
+            cold=self._ramp.share(now) < 1.0,
+            sequence=self._load_words,
+        )
+
+    @singledispatchmethod
+    def _begin(self, start: GateStart, now: Seconds) -> None:
+        raise TypeError(f"no such start: {start!r}")
+
+    @_begin.register(StartCold)
+    def _(self, start: StartCold, now: Seconds) -> None:
+        self._paused_until = now + start.takeover_wait_s
+
+    @_begin.register(StartWarm)
+    def _(self, start: StartWarm, now: Seconds) -> None:
+        self._ramp.complete(now)
+
+    @_begin.register(StartHandedOver)
+    def _(self, start: StartHandedOver, now: Seconds) -> None:
+        hand_over = start.hand_over
+        self._elsewhere = hand_over.in_flight
+        self._elsewhere_until = now + hand_over.latest_deadline_in_s
+        self._connections.set_elsewhere(hand_over.connections)
+        self._next_start_at = now + hand_over.next_start_in_s
+        self._service_time = ServiceTime(hand_over.service_time_s)
+        self._health = UpstreamHealth(self._rng, hand_over.boot)
+        if hand_over.ramp_elapsed_s is not None:
+            self._ramp.resume(now, hand_over.ramp_elapsed_s)
+
+    def _standing_refusal(self) -> RefusalReason | None:
+        if self._is_ceded:
+            return RefusalReason.OWNER_MOVED
+        if self._is_abandoned or self._state is UpstreamState.LEAVING:
+            return RefusalReason.NO_UPSTREAM
+        return None
+
+    def _admission(self, work: Work, now: Seconds) -> RefusalReason | None:
+        reason = self._standing_refusal()
+        if reason is not None:
+            return reason
+        if now >= work.deadline:
+            return RefusalReason.DEADLINE_PASSED
+        if self.is_circuit_open and not self._may_try(work, now):
+            return RefusalReason.NO_UPSTREAM
+        if work.is_stream:
+            reason = self._connections.open(work.request_id, now, self._start_interval_s(now))
+        if reason is None:
+            reason = self._queue.admit(work, now, self._admission_pace(now))
+            if reason is not None and work.is_stream:
+                self._connections.close(work.request_id)
+        return reason
+
+    def _may_try(self, work: Work, now: Seconds) -> bool:
+        is_idle = not self._running and not self._queue
+        return is_idle and self._may_start(now) and self._health.may_try(work.idempotent, now)
+
+    def _start_interval_s(self, now: Seconds) -> Seconds:
+        return self._ramp.start_interval_s(now, self._service_time.mean_s)
+
+    def _pace(self, now: Seconds) -> Pace:
+        slots = self.slots(now)
+        service_s = self._service_time.mean_s
+        slot_interval_s = service_s / slots
+        interval_s = max(slot_interval_s, self._start_interval_s(now))
+        busy = self.in_flight + self._elsewhere - slots + 1
+        ready_in_s = max(0, busy) * slot_interval_s
+        ready_in_s = max(ready_in_s, self._paused_until - now, self._next_start_at - now)
+        return Pace(ready_in_s, interval_s, service_s)
+
+    def _admission_pace(self, now: Seconds) -> Pace:
+        pace = self._pace(now)
+        if self.in_flight + len(self._queue) == 0 and pace.ready_in_s == 0.0:
+            # An idle upstream takes whatever comes, or an estimate that has grown too
+            # long would keep out the requests that could correct it.
+            return pace._replace(service_s=0.0)
+        return pace
+
+    def _pump(self, now: Seconds) -> GateEffects:
+        self._release(now)
+        effects: GateEffects = []
+        while self._queue and self._may_start(now):
+            work = self._queue.pop()
+            if self._is_too_late(work, now):
+                effects.append(self._refuse(work, RefusalReason.DEADLINE_PASSED, now))
+            else:
+                effects.append(self._start(work, now))
+        return effects + self._expire(now)
+
+    def _is_too_late(self, work: Work, now: Seconds) -> bool:
+        service_s = self._service_time.mean_s if self.in_flight else 0.0
+        return now + service_s >= work.deadline
+
+    def _release(self, now: Seconds) -> None:
+        if self._elsewhere and now >= self._elsewhere_until:
+            self._elsewhere = 0
+        if self._cancelled:
+            self._cancelled = {
+                request_id: running
+                for request_id, running in self._cancelled.items()
+                if running.work.deadline > now
+            }
+
+    def _may_start(self, now: Seconds) -> bool:
+        is_due = now >= self._paused_until and now >= self._next_start_at
+        return is_due and self.in_flight + self._elsewhere < self.slots(now)
+
+    def _start(self, work: Work, now: Seconds) -> Start:
+        require(self._standing_refusal() is None, "a gate that takes no work starts none")
+        require(now < work.deadline, "work is started before its deadline")
+        self._running[work.request_id] = _Running(work, now)
+        occupied = self.in_flight + self._elsewhere
+        require(occupied <= self.slots(now), "no more requests run than slots are in force")
+        self._next_start_at = now + self._start_interval_s(now)
+        if self.is_circuit_open:
+            self._health.tried(now)
+        return Start(work)
+
+    def _note_outcome(self, outcome: WorkOutcome, elapsed_s: Seconds, now: Seconds) -> None:
+        mean_s = self._service_time.mean_s
+        suspicion = self._health.outcome(outcome, elapsed_s, mean_s, now)
+        self._suspect(suspicion)
+        if isinstance(outcome, Answered):
+            self._service_time.add(elapsed_s)
+            self._ramp.confirm(now)
+        elif isinstance(outcome, TimedOut):
+            self._service_time.add_at_least(elapsed_s)
+        elif isinstance(outcome, Shed):
+            self._ramp.confirm(now)
+            pause_s = min(outcome.retry_after_s, MAX_SHED_PAUSE_S)
+            self._paused_until = max(self._paused_until, now + pause_s)
+
+    def _suspect(self, reason: SuspicionReason | None) -> None:
+        if reason is not None:
+            self._ramp.restart()
+
+    def _expire(self, now: Seconds) -> GateEffects:
+        expired = self._queue.expire(now + self._service_time.mean_s)
+        return [self._refuse(work, RefusalReason.DEADLINE_PASSED, now) for work in expired]
+
+    def _refuse_queue(self, reason: RefusalReason, now: Seconds) -> GateEffects:
+        return [self._refuse(work, reason, now) for work in self._queue.clear()]
+
+    def _refuse(self, work: Work, reason: RefusalReason, now: Seconds) -> Refuse:
+        if work.is_stream:
+            self._connections.close(work.request_id)
+        self._refusals[reason] += 1
+        pace = self._pace(now)
+        earliest_in_s = pace.ready_in_s + len(self._queue) * pace.interval_s
+        retry_after_s = self._comeback.retry_after_s(now, earliest_in_s, pace.interval_s)
+        return Refuse(work, reason, retry_after_s)
