--- /dev/null
+++ b/banyanline/net/control.py
@@ -0,0 +1,292 @@
+"""Control calls between balancers: unary gRPC with sealed MessagePack bodies.
+
+The methods are registered by name as generic handlers, so no code is generated.
+Each request and each answer is one sealed frame (:mod:`banyanline.net.seal`); a
+call whose frame does not open is refused before its handler sees it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Mapping
+from enum import StrEnum
+from typing import TYPE_CHECKING, Any, NamedTuple, TypeAlias, TypeVar
+
+import grpc
+import msgspec
+
+from banyanline.net.seal import Opened, Rejected, RejectionReason, Sealer
+
+if TYPE_CHECKING:
+    from banyanline.core.types import Endpoint, Host, HostName
+
+SERVICE = "banyanline.Control"
+MAX_MESSAGE_BYTES = 2 * 1024 * 1024
+MAX_CHANNELS = 32
+MAX_CONCURRENT_CALLS = 64
+KEEPALIVE_MS = 60_000
+KEEPALIVE_TIMEOUT_MS = 5_000
+IDLE_TIMEOUT_MS = 120_000
+MIN_RECONNECT_MS = 200
+MAX_RECONNECT_MS = 2_000
+
+_SHARED_OPTIONS: list[tuple[str, int | str]] = [
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_metadata_size", 4 * 1024),
+    ("grpc.keepalive_time_ms", KEEPALIVE_MS),
+    ("grpc.keepalive_timeout_ms", KEEPALIVE_TIMEOUT_MS),
+    ("grpc.keepalive_permit_without_calls", 0),
+]
+_CHANNEL_OPTIONS = [
+    *_SHARED_OPTIONS,
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.enable_retries", 0),
+    ("grpc.service_config_disable_resolution", 1),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.client_idle_timeout_ms", IDLE_TIMEOUT_MS),
+    ("grpc.min_reconnect_backoff_ms", MIN_RECONNECT_MS),
+    ("grpc.initial_reconnect_backoff_ms", MIN_RECONNECT_MS),
+    ("grpc.max_reconnect_backoff_ms", MAX_RECONNECT_MS),
+]
+_SERVER_OPTIONS = [
+    *_SHARED_OPTIONS,
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_concurrent_streams", MAX_CONCURRENT_CALLS),
+    ("grpc.max_connection_idle_ms", IDLE_TIMEOUT_MS),
+]
+
+ResponseT = TypeVar("ResponseT")
+ControlHandler: TypeAlias = "Callable[[HostName, Any], Awaitable[msgspec.Struct]]"
+"""Takes the calling host and the request, and returns the answer."""
+
+
+class ControlMethod(NamedTuple):
+    """The type that a method's requests decode to, and who answers them."""
+
+    request_type: type[msgspec.Struct]
+    handler: ControlHandler
+
+
+class CallFailure(StrEnum):
+    """Why a control call brought no answer.
+
+    The callee may have run the call in every case but ``UNREACHABLE`` and
+    ``REFUSED``.
+    """
+
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    REFUSED = "refused"
+    BAD_RESPONSE = "bad_response"
+    CALLEE_ERROR = "callee_error"
+
+
+class CallFailed(NamedTuple):
+    """A control call that brought no answer."""
+
+    reason: CallFailure
+    detail: str = ""
+
+
+RejectionCounter: TypeAlias = "Callable[[RejectionReason], None]"
+
+
+class ControlServer:
+    """Answers the control calls of other balancers.
+
+    ``count_rejection`` is told of every call that was refused because its body
+    is not a genuine frame; such a call changes nothing else.
+    """
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        sealer: Sealer,
+        methods: Mapping[str, ControlMethod],
+        *,
+        count_rejection: RejectionCounter,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._endpoint = endpoint
+        self._sealer = sealer
+        self._count_rejection = count_rejection
+        self._wall_clock = wall_clock
+        self._methods = {
+            name: _BoundMethod(method.handler, msgspec.msgpack.Decoder(method.request_type))
+            for name, method in methods.items()
+        }
+        self._server: Any = None
+        self._port = 0
+
+    @property
+    def port(self) -> int:
+        """The bound TCP port, once started."""
+        return self._port
+
+    async def start(self) -> None:
+        """Bind the endpoint and begin to answer; raises OSError if it cannot be bound."""
+        server = grpc.aio.server(
+            options=_SERVER_OPTIONS, maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS
+        )
+        handlers = {
+            name: grpc.unary_unary_rpc_method_handler(self._answerer(name))
+            for name in self._methods
+        }
+        server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, handlers),))
+        try:
+            self._port = server.add_insecure_port(_listen_address(self._endpoint))
+        except RuntimeError as error:
+            raise OSError(f"cannot bind control endpoint {self._endpoint}") from error
+        self._server = server
+        await server.start()
+
+    async def stop(self, grace_s: float) -> None:
+        """Take no new calls, and cancel those that run longer than ``grace_s``."""
+        if self._server is not None:
+            await self._server.stop(grace_s)
+
+    def _answerer(self, name: str) -> Callable[[bytes, Any], Awaitable[bytes]]:
+        method = self._methods[name]
+
+        async def answer(body: bytes, context: Any) -> bytes:
+            opened = self._sealer.open(body, self._wall_clock())
+            if isinstance(opened, Rejected):
+                self._count_rejection(opened.reason)
+                await context.abort(grpc.StatusCode.UNAUTHENTICATED, opened.reason.value)
+                raise AssertionError("abort returned")
+            try:
+                request = method.decoder.decode(opened.payload)
+            except msgspec.MsgspecError:
+                self._count_rejection(RejectionReason.BAD_PAYLOAD)
+                await context.abort(grpc.StatusCode.INVALID_ARGUMENT, "bad payload")
+            response = await method.handler(opened.sender, request)
+            return self._sealer.seal(opened.sender, msgspec.msgpack.encode(response))
+
+        return answer
+
+
+class _BoundMethod(NamedTuple):
+    handler: ControlHandler
+    decoder: msgspec.msgpack.Decoder[Any]
+
+
+class ControlClient:
+    """Calls other balancers; keeps at most ``max_channels`` connections open."""
+
+    def __init__(
+        self,
+        sealer: Sealer,
+        *,
+        max_channels: int = MAX_CHANNELS,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._sealer = sealer
+        self._max_channels = max_channels
+        self._wall_clock = wall_clock
+        self._channels: OrderedDict[str, _Channel] = OrderedDict()
+
+    @property
+    def channels(self) -> int:
+        """Number of channels kept."""
+        return len(self._channels)
+
+    async def call(
+        self,
+        host: Host,
+        method: str,
+        request: msgspec.Struct,
+        response_type: type[ResponseT],
+        timeout_s: float,
+    ) -> ResponseT | CallFailed:
+        """Call ``method`` of ``host`` and wait at most ``timeout_s`` for the answer."""
+        channel = self._channel(_target(host.control_endpoint))
+        frame = self._sealer.seal(host.name, msgspec.msgpack.encode(request))
+        channel.calls += 1
+        try:
+            call = channel.grpc_channel.unary_unary(f"/{SERVICE}/{method}")
+            body = await call(frame, timeout=timeout_s)
+        except grpc.aio.AioRpcError as error:
+            return CallFailed(
+                _FAILURES.get(error.code(), CallFailure.CALLEE_ERROR), error.details()
+            )
+        except grpc.aio.UsageError as error:
+            return CallFailed(CallFailure.UNREACHABLE, str(error))
+        finally:
+            channel.calls -= 1
+        return self._read_response(host, body, response_type)
+
+    async def close(self) -> None:
+        """Close all channels; calls that run are cancelled."""
+        channels = list(self._channels.values())
+        self._channels.clear()
+        for channel in channels:
+            await channel.grpc_channel.close()
+
+    def _read_response(
+        self, host: Host, body: bytes, response_type: type[ResponseT]
+    ) -> ResponseT | CallFailed:
+        opened = self._sealer.open(body, self._wall_clock())
+        if not isinstance(opened, Opened):
+            return CallFailed(CallFailure.BAD_RESPONSE, opened.reason)
+        if opened.sender != host.name:
+            return CallFailed(CallFailure.BAD_RESPONSE, f"answered by {opened.sender!r}")
+        try:
+            return msgspec.msgpack.decode(opened.payload, type=response_type)
+        except msgspec.MsgspecError as error:
+            return CallFailed(CallFailure.BAD_RESPONSE, str(error))
+
+    def _channel(self, target: str) -> _Channel:
+        channel = self._channels.get(target)
+        if channel is None:
+            self._make_room()
+            channel = _Channel(grpc.aio.insecure_channel(target, options=_CHANNEL_OPTIONS))
+            self._channels[target] = channel
+        self._channels.move_to_end(target)
+        return channel
+
+    def _make_room(self) -> None:
+        """Close the least recently used channel that carries no call, if the bound is reached."""
+        if len(self._channels) < self._max_channels:
+            return
+        for target, channel in self._channels.items():
+            if channel.calls == 0:
+                del self._channels[target]
+                task = asyncio.ensure_future(channel.grpc_channel.close())
+                _closing.add(task)
+                task.add_done_callback(_closing.discard)
+                return
+
+
+class _Channel:
+    """A gRPC channel and the number of calls that it carries."""
+
+    __slots__ = ("calls", "grpc_channel")
+
+    def __init__(self, grpc_channel: Any) -> None:
+        self.grpc_channel = grpc_channel
+        self.calls = 0
+
+
+_closing: set[asyncio.Future[None]] = set()
+
+_FAILURES = {
+    grpc.StatusCode.UNAVAILABLE: CallFailure.UNREACHABLE,
+    grpc.StatusCode.DEADLINE_EXCEEDED: CallFailure.TIMEOUT,
+    grpc.StatusCode.UNAUTHENTICATED: CallFailure.REFUSED,
+    grpc.StatusCode.INVALID_ARGUMENT: CallFailure.REFUSED,
+    grpc.StatusCode.UNIMPLEMENTED: CallFailure.REFUSED,
+    grpc.StatusCode.RESOURCE_EXHAUSTED: CallFailure.REFUSED,
+}
+
+
+def _listen_address(endpoint: Endpoint) -> str:
+    return f"[{endpoint.ip}]:{endpoint.port}" if ":" in endpoint.ip else str(endpoint)
+
+
+def _target(endpoint: Endpoint) -> str:
+    """Return a target that needs no name resolution."""
+    scheme = "ipv6" if ":" in endpoint.ip else "ipv4"
+    return f"{scheme}:{_listen_address(endpoint)}"
--- /dev/null
+++ b/banyanline/net/seal.py
@@ -0,0 +1,315 @@
+"""The sealed envelope of frames between balancers: who sent it, for whom, and once only.
+
+A frame is a fixed header, the sender's name, the payload and a MAC. The MAC is
+keyed BLAKE2b (RFC 7693) over the receiver's name and all that stands before it,
+so a frame cannot be changed, sent on to another host, or made without a key.
+The payload is not encrypted.
+
+The header carries the wall-clock time at which the sending process started, a
+counter for each receiver that grows by one a frame, and the wall-clock time of
+sealing. The receiver remembers the counters that it took (the sliding window of
+RFC 4303, section 3.4.3) and refuses frames outside ``FRESHNESS_S``, so that a
+window which was forgotten cannot be used to replay old frames.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from enum import StrEnum
+from hmac import compare_digest
+from struct import Struct
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from banyanline.core.keys import Key, KeyRing
+    from banyanline.core.types import HostName
+
+VERSION = 1
+MAC_BYTES = 16
+MAX_NAME_BYTES = 64
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+"""Largest frame, control calls included; the datagram path sets a smaller limit."""
+
+WINDOW_FRAMES = 4096
+FRESHNESS_S = 30.0
+START_SKEW_S = 2.0
+"""How far behind the receiver's clock a sender's may be when the receiver has just started."""
+
+MAX_SENDERS = 2048
+MAX_RECEIVERS = 2048
+
+_HEADER = Struct("!BBIIQQQ")
+"""Version, length of the sender's name, key tag, receiver tag, start, counter, time of sealing.
+
+The start and the time of sealing are microseconds of the Unix epoch. The tags are
+short hashes of the key's identity and of the receiver's name, so that a frame for
+another host is told apart from one with a bad MAC.
+"""
+
+_MIN_FRAME_BYTES = _HEADER.size + 1 + MAC_BYTES
+_unpack_header = _HEADER.unpack_from
+_US_PER_S = 1_000_000
+_FRESHNESS_US = int(FRESHNESS_S * _US_PER_S)
+_START_SKEW_US = int(START_SKEW_S * _US_PER_S)
+_WINDOW_MASK = (1 << WINDOW_FRAMES) - 1
+_PERSONALISATION = b"banyanline frame"
+
+
+class RejectionReason(StrEnum):
+    """Why a frame that claims to come from a balancer was dropped."""
+
+    TRUNCATED = "truncated"
+    OVERSIZED = "oversized"
+    UNKNOWN_VERSION = "unknown_version"
+    UNKNOWN_KEY = "unknown_key"
+    BAD_MAC = "bad_mac"
+    WRONG_RECEIVER = "wrong_receiver"
+    STALE = "stale"
+    REPLAYED = "replayed"
+    TOO_MANY_SENDERS = "too_many_senders"
+    BAD_PAYLOAD = "bad_payload"
+
+
+class Opened(NamedTuple):
+    """A genuine frame: the host that sealed it and what it holds."""
+
+    sender: HostName
+    payload: bytes
+
+
+class Rejected(NamedTuple):
+    """A frame that changes nothing but a counter."""
+
+    reason: RejectionReason
+
+
+OpenResult: TypeAlias = Opened | Rejected
+
+_REJECTED = {reason: Rejected(reason) for reason in RejectionReason}
+
+
+class _Receiver:
+    """What a sender keeps for one receiver: the keyed hash state and the counter."""
+
+    __slots__ = ("counter", "hasher", "tag")
+
+    def __init__(self, hasher: hashlib.blake2b, tag: int, counter: int) -> None:
+        self.hasher = hasher
+        self.tag = tag
+        self.counter = counter
+
+
+class _Window:
+    """The frames taken from one start of one sender.
+
+    Bit ``i`` of ``taken`` tells whether the counter ``greatest - i`` was taken.
+    """
+
+    __slots__ = ("greatest", "latest_us", "started_us", "taken")
+
+    def __init__(self, started_us: int) -> None:
+        self.started_us = started_us
+        self.greatest = 0
+        self.taken = 0
+        self.latest_us = 0
+
+    def take(self, counter: int, sealed_us: int) -> bool:
+        """Take the counter, or return False if it was taken before or lies below the window."""
+        ahead = counter - self.greatest
+        if ahead > 0:
+            shifted = self.taken << ahead if ahead < WINDOW_FRAMES else 0
+            self.taken = shifted & _WINDOW_MASK | 1
+            self.greatest = counter
+        else:
+            if -ahead >= WINDOW_FRAMES or self.taken >> -ahead & 1:
+                return False
+            self.taken |= 1 << -ahead
+        if sealed_us > self.latest_us:
+            self.latest_us = sealed_us
+        return True
+
+
+def _keyed_hasher(key: Key, receiver: bytes) -> hashlib.blake2b:
+    hasher = hashlib.blake2b(key=key.secret, digest_size=MAC_BYTES, person=_PERSONALISATION)
+    hasher.update(bytes((len(receiver),)) + receiver)
+    return hasher
+
+
+def _tag(name: str) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=4).digest(), "big")
+
+
+def _encode_name(name: HostName) -> bytes:
+    encoded = name.encode()
+    if not 1 <= len(encoded) <= MAX_NAME_BYTES:
+        raise ValueError(f"host name has {len(encoded)} bytes, expected 1 to {MAX_NAME_BYTES}")
+    return encoded
+
+
+class Sealer:
+    """Seals frames for other balancers and opens theirs.
+
+    ``wall_clock`` returns seconds of the Unix epoch. Balancers' clocks have to
+    agree within ``FRESHNESS_S``.
+
+    >>> from banyanline.core.keys import Key, KeyRing
+    >>> ring = KeyRing((Key("1", b"k" * 32),))
+    >>> north = Sealer(ring, "north-1", lambda: 1000.0)
+    >>> south = Sealer(ring, "south-1", lambda: 1000.0)
+    >>> frame = north.seal("south-1", b"hello")
+    >>> south.open(frame, 1000.1)
+    Opened(sender='north-1', payload=b'hello')
+    >>> south.open(frame, 1000.2)
+    Rejected(reason=<RejectionReason.REPLAYED: 'replayed'>)
+    """
+
+    def __init__(
+        self,
+        keys: KeyRing,
+        local: HostName,
+        wall_clock: Callable[[], float],
+        *,
+        max_senders: int = MAX_SENDERS,
+    ) -> None:
+        self._keys = keys
+        self._local = local
+        self._local_bytes = _encode_name(local)
+        self._local_tag = _tag(local)
+        self._wall_clock = wall_clock
+        self._max_senders = max_senders
+        self._started_us = int(wall_clock() * _US_PER_S)
+        self._receivers: dict[HostName, _Receiver] = {}
+        self._counter_floor = 0
+        self._windows: dict[HostName, _Window] = {}
+        self._verifiers: dict[int, hashlib.blake2b] = {}
+        self.set_keys(keys)
+
+    @property
+    def senders(self) -> int:
+        """Number of senders whose replay window is remembered."""
+        return len(self._windows)
+
+    @property
+    def overhead_bytes(self) -> int:
+        """Bytes that the envelope adds to a payload."""
+        return _HEADER.size + len(self._local_bytes) + MAC_BYTES
+
+    def set_keys(self, keys: KeyRing) -> None:
+        """Replace the keys; counters and windows go on."""
+        self._keys = keys
+        self._signing_tag = _tag(keys.signing.identity)
+        self._verifiers = {
+            _tag(key.identity): _keyed_hasher(key, self._local_bytes) for key in keys.keys
+        }
+        self._forget_receivers()
+
+    def seal(self, receiver: HostName, payload: bytes) -> bytes:
+        """Return the frame that carries ``payload`` to ``receiver``."""
+        state = self._receivers.get(receiver)
+        if state is None:
+            state = self._add_receiver(receiver)
+        state.counter += 1
+        body = (
+            _HEADER.pack(
+                VERSION,
+                len(self._local_bytes),
+                self._signing_tag,
+                state.tag,
+                self._started_us,
+                state.counter,
+                int(self._wall_clock() * _US_PER_S),
+            )
+            + self._local_bytes
+            + payload
+        )
+        hasher = state.hasher.copy()
+        hasher.update(body)
+        return body + hasher.digest()
+
+    def open(self, frame: bytes, now_wall: float) -> OpenResult:
+        """Return the sender and payload of a genuine frame, else the reason to drop it.
+
+        ``now_wall`` is in seconds of the Unix epoch. A frame opens once.
+        """
+        size = len(frame)
+        if size < _MIN_FRAME_BYTES:
+            return _REJECTED[RejectionReason.TRUNCATED]
+        if size > MAX_FRAME_BYTES:
+            return _REJECTED[RejectionReason.OVERSIZED]
+        version, name_bytes, key_tag, receiver_tag, started_us, counter, sealed_us = _unpack_header(
+            frame
+        )
+        if version != VERSION:
+            return _REJECTED[RejectionReason.UNKNOWN_VERSION]
+        payload_at = _HEADER.size + name_bytes
+        if size < payload_at + MAC_BYTES:
+            return _REJECTED[RejectionReason.TRUNCATED]
+        if receiver_tag != self._local_tag:
+            return _REJECTED[RejectionReason.WRONG_RECEIVER]
+        verifier = self._verifiers.get(key_tag)
+        if verifier is None:
+            return _REJECTED[RejectionReason.UNKNOWN_KEY]
+        hasher = verifier.copy()
+        hasher.update(frame[:-MAC_BYTES])
+        if not compare_digest(hasher.digest(), frame[-MAC_BYTES:]):
+            return _REJECTED[RejectionReason.BAD_MAC]
+        sender = frame[_HEADER.size : payload_at].decode(errors="replace")
+        reason = self._admit(sender, started_us, counter, sealed_us, int(now_wall * _US_PER_S))
+        if reason is not None:
+            return _REJECTED[reason]
+        return Opened(sender, frame[payload_at:-MAC_BYTES])
+
+    def _admit(
+        self, sender: HostName, started_us: int, counter: int, sealed_us: int, now_us: int
+    ) -> RejectionReason | None:
+        """Check a genuine frame's time and counter, and remember the counter."""
+        if not now_us - _FRESHNESS_US <= sealed_us <= now_us + _FRESHNESS_US:
+            return RejectionReason.STALE
+        if sealed_us < self._started_us - _START_SKEW_US:
+            return RejectionReason.STALE
+        window = self._windows.get(sender)
+        if window is None:
+            if not self._make_room(now_us):
+                return RejectionReason.TOO_MANY_SENDERS
+            window = self._windows[sender] = _Window(started_us)
+        elif window.started_us != started_us:
+            # An earlier start is a replay, unless the sender's clock went back and nothing of
+            # the remembered start is fresh any more.
+            if started_us < window.started_us and window.latest_us >= now_us - 2 * _FRESHNESS_US:
+                return RejectionReason.REPLAYED
+            window = self._windows[sender] = _Window(started_us)
+        if not window.take(counter, sealed_us):
+            return RejectionReason.REPLAYED
+        return None
+
+    def _make_room(self, now_us: int) -> bool:
+        """Forget silent senders if the bound is reached; return whether one more fits.
+
+        A window may go once every frame that it took would be refused as stale.
+        """
+        if len(self._windows) < self._max_senders:
+            return True
+        oldest_us = now_us - 2 * _FRESHNESS_US
+        self._windows = {
+            sender: window
+            for sender, window in self._windows.items()
+            if window.latest_us >= oldest_us
+        }
+        return len(self._windows) < self._max_senders
+
+    def _add_receiver(self, receiver: HostName) -> _Receiver:
+        if len(self._receivers) >= MAX_RECEIVERS:
+            self._forget_receivers()
+        name = _encode_name(receiver)
+        hasher = _keyed_hasher(self._keys.signing, name)
+        state = _Receiver(hasher, _tag(receiver), self._counter_floor)
+        self._receivers[receiver] = state
+        return state
+
+    def _forget_receivers(self) -> None:
+        """Forget all receivers; counters go on above the greatest one used so far."""
+        used = [state.counter for state in self._receivers.values()]
+        self._counter_floor = max(used, default=self._counter_floor)
+        self._receivers.clear()
