--- /dev/null
+++ b/banyanline/core/counters.py
@@ -0,0 +1,139 @@
+"""Counts that the core keeps as plain integers; :mod:`banyanline.net.metrics` publishes them."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+from enum import StrEnum
+from typing import TYPE_CHECKING, Final, TypeAlias
+
+if TYPE_CHECKING:
+    from banyanline.core.answers import RefusalReason, UnknownReason
+    from banyanline.core.types import Seconds, ServiceName
+
+LATENCY_BOUNDS_S: Final = (
+    0.0005,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+)
+"""Upper bounds of the latency buckets in seconds; one more bucket has no bound."""
+
+
+class DropReason(StrEnum):
+    """Why a datagram was dropped without an answer."""
+
+    MALFORMED = "malformed"
+    OVERSIZED = "oversized"
+    UNKNOWN_SERVICE = "unknown_service"
+    NO_HOME = "no_home"
+    NO_OWNER = "no_owner"
+    HOP_LIMIT = "hop_limit"
+    FLOW_TABLE_FULL = "flow_table_full"
+    DATA_CENTRE_OUT = "data_centre_out"
+    LATE_ANSWER = "late_answer"
+    UNMATCHED_ANSWER = "unmatched_answer"
+    SEND_BUFFER_FULL = "send_buffer_full"
+    STANDING_BACK = "standing_back"
+
+
+class RetryReason(StrEnum):
+    """Why a request was sent again."""
+
+    UPSTREAM_SHED = "upstream_shed"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    OWNER_MOVED = "owner_moved"
+    OWNER_LOST = "owner_lost"
+    QUEUE_FULL = "queue_full"
+
+
+class LatencyHistogram:
+    """Counts of durations by bucket, at a cost that does not grow with them.
+
+    >>> histogram = LatencyHistogram()
+    >>> histogram.observe(0.003)
+    >>> histogram.count, histogram.buckets[3]
+    (1, 1)
+    """
+
+    __slots__ = ("buckets", "count", "sum_s")
+
+    def __init__(self) -> None:
+        self.buckets = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        self.count = 0
+        self.sum_s = 0.0
+
+    def observe(self, duration_s: Seconds) -> None:
+        """Count one duration."""
+        self.buckets[bisect_left(LATENCY_BOUNDS_S, duration_s)] += 1
+        self.count += 1
+        self.sum_s += duration_s
+
+
+ByService: TypeAlias = "defaultdict[tuple[StrEnum, ServiceName], int]"
+
+
+class Counters:
+    """What a balancer has refused, retried, dropped and answered since it started.
+
+    >>> from banyanline.core.answers import RefusalReason
+    >>> counters = Counters()
+    >>> counters.refuse(RefusalReason.QUEUE_FULL, "orders")
+    >>> dict(counters.refusals)
+    {(<RefusalReason.QUEUE_FULL: 'queue_full'>, 'orders'): 1}
+    """
+
+    __slots__ = (
+        "answers",
+        "drops",
+        "flows_given_up",
+        "latency",
+        "refusals",
+        "retries",
+        "unknown_outcomes",
+    )
+
+    def __init__(self) -> None:
+        self.refusals: ByService = defaultdict(int)
+        self.unknown_outcomes: ByService = defaultdict(int)
+        self.retries: ByService = defaultdict(int)
+        self.drops: defaultdict[StrEnum, int] = defaultdict(int)
+        self.answers: defaultdict[ServiceName, int] = defaultdict(int)
+        self.flows_given_up: defaultdict[ServiceName, int] = defaultdict(int)
+        self.latency: defaultdict[ServiceName, LatencyHistogram] = defaultdict(LatencyHistogram)
+
+    def refuse(self, reason: RefusalReason, service: ServiceName) -> None:
+        """Count a request that was refused before any upstream ran it."""
+        self.refusals[reason, service] += 1
+
+    def lose_outcome(self, reason: UnknownReason, service: ServiceName) -> None:
+        """Count a request whose outcome cannot be told."""
+        self.unknown_outcomes[reason, service] += 1
+
+    def retry(self, reason: RetryReason, service: ServiceName) -> None:
+        """Count a request that was sent to an upstream again."""
+        self.retries[reason, service] += 1
+
+    def drop(self, reason: StrEnum) -> None:
+        """Count a datagram that was dropped without an answer."""
+        self.drops[reason] += 1
+
+    def answer(self, service: ServiceName, latency_s: Seconds) -> None:
+        """Count an upstream's answer and the time from the request's arrival to it."""
+        self.answers[service] += 1
+        self.latency[service].observe(latency_s)
+
+    def give_up_flow(self, service: ServiceName) -> None:
+        """Count a flow that ended because its data centre was taken out."""
+        self.flows_given_up[service] += 1
--- /dev/null
+++ b/banyanline/net/http.py
@@ -0,0 +1,128 @@
+"""A small HTTP/1.1 client for one GET at a time, with every outer fault as a value."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+
+import h11
+
+if TYPE_CHECKING:
+    from banyanline.core.types import Endpoint
+
+CONNECT_TIMEOUT_S = 2.0
+MAX_HEADER_BYTES = 16 * 1024
+READ_BYTES = 64 * 1024
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3
+"""A peer that vanished without a word is noticed after the idle time and these probes."""
+
+
+class HttpFailure(StrEnum):
+    """Why a request brought no answer."""
+
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    CLOSED_EARLY = "closed_early"
+    MALFORMED = "malformed"
+    BODY_TOO_LARGE = "body_too_large"
+
+
+class HttpFailed(NamedTuple):
+    """A request that brought no answer."""
+
+    reason: HttpFailure
+    detail: str = ""
+
+
+class HttpResponse(NamedTuple):
+    """An answer whose whole body was read; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+HttpResult: TypeAlias = HttpResponse | HttpFailed
+
+
+async def http_get(
+    endpoint: Endpoint, target: str, *, timeout_s: float, max_body_bytes: int
+) -> HttpResult:
+    """Get ``target`` from ``endpoint`` within ``timeout_s``, on a connection of its own.
+
+    The target has to be a valid request target in ASCII. Only cancellation is raised.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _get(endpoint, target, max_body_bytes)
+    except TimeoutError:
+        return HttpFailed(HttpFailure.TIMEOUT, f"no whole answer within {timeout_s} s")
+
+
+async def _get(endpoint: Endpoint, target: str, max_body_bytes: int) -> HttpResult:
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(endpoint.ip, endpoint.port)
+    except TimeoutError:
+        return HttpFailed(HttpFailure.UNREACHABLE, "connecting timed out")
+    except OSError as error:
+        return HttpFailed(HttpFailure.UNREACHABLE, str(error))
+    _set_keepalive(writer)
+    try:
+        return await _exchange(endpoint, target, reader, writer, max_body_bytes)
+    except h11.ProtocolError as error:
+        return HttpFailed(HttpFailure.MALFORMED, str(error))
+    except OSError as error:
+        return HttpFailed(HttpFailure.CLOSED_EARLY, str(error))
+    finally:
+        writer.transport.abort()
+
+
+async def _exchange(
+    endpoint: Endpoint,
+    target: str,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    max_body_bytes: int,
+) -> HttpResult:
+    connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+    host = f"[{endpoint.ip}]:{endpoint.port}" if ":" in endpoint.ip else str(endpoint)
+    headers = [("Host", host), ("Connection", "close"), ("Accept-Encoding", "identity")]
+    writer.write(connection.send(h11.Request(method="GET", target=target, headers=headers)) or b"")
+    writer.write(connection.send(h11.EndOfMessage()) or b"")
+    await writer.drain()
+    response: h11.Response | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            response = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > max_body_bytes:
+                return HttpFailed(HttpFailure.BODY_TOO_LARGE, f"more than {max_body_bytes} bytes")
+        elif isinstance(event, h11.EndOfMessage) and response is not None:
+            return HttpResponse(response.status_code, _header_map(response), bytes(body))
+        elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+            return HttpFailed(HttpFailure.CLOSED_EARLY, "connection closed before the answer")
+
+
+def _header_map(response: h11.Response) -> dict[str, str]:
+    return {
+        name.decode("ascii", "replace"): value.decode("ascii", "replace")
+        for name, value in response.headers
+    }
+
+
+def _set_keepalive(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
--- /dev/null
+++ b/banyanline/net/logs.py
@@ -0,0 +1,103 @@
+"""Logs: one line of key=value pairs for each event, bounded for what packets can cause."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import time
+from typing import TYPE_CHECKING, Any, TextIO
+
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LEVELS = ("debug", "info", "warning", "error")
+BURST_LINES = 10
+REFILL_LINES_PER_S = 1.0
+MAX_EVENTS = 256
+"""Event names whose rate is bounded apart; the names beyond it share one allowance."""
+
+_LEADING_KEYS = ["timestamp", "level", "event", "host"]
+_OTHER_EVENTS = ""
+
+
+class _Allowance:
+    """A token bucket for the lines of one event name."""
+
+    __slots__ = ("suppressed", "tokens", "updated_s")
+
+    def __init__(self, now_s: float) -> None:
+        self.tokens = float(BURST_LINES)
+        self.updated_s = now_s
+        self.suppressed = 0
+
+    def take(self, now_s: float) -> bool:
+        refill = (now_s - self.updated_s) * REFILL_LINES_PER_S
+        self.tokens = min(float(BURST_LINES), self.tokens + refill)
+        self.updated_s = now_s
+        if self.tokens < 1.0:
+            self.suppressed += 1
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class RateBound:
+    """A structlog processor that lets a burst of each event name through, then a steady rate.
+
+    The next line that passes says in ``suppressed`` how many of its event were
+    left out before it. ``clock`` is monotonic, in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._allowances: dict[str, _Allowance] = {}
+
+    def __call__(self, _logger: Any, _method: str, event_dict: Any) -> Any:
+        """Pass the event on, or drop it."""
+        allowance = self._allowance(str(event_dict.get("event")))
+        if not allowance.take(self._clock()):
+            raise structlog.DropEvent
+        if allowance.suppressed:
+            event_dict["suppressed"] = allowance.suppressed
+            allowance.suppressed = 0
+        return event_dict
+
+    def _allowance(self, event: str) -> _Allowance:
+        if event not in self._allowances and len(self._allowances) >= MAX_EVENTS:
+            event = _OTHER_EVENTS
+        allowance = self._allowances.get(event)
+        if allowance is None:
+            allowance = self._allowances[event] = _Allowance(self._clock())
+        return allowance
+
+
+def configure_logs(
+    level: str = "info",
+    *,
+    host: str = "",
+    output: TextIO | None = None,
+    clock: Callable[[], float] = time.monotonic,
+) -> None:
+    """Send structlog's events at ``level`` and above to ``output`` (stderr) as logfmt lines.
+
+    Raises KeyError for a level that is not one of ``LEVELS``.
+    """
+    numeric = logging.getLevelNamesMapping()[level.upper()]
+    logging.basicConfig(level=logging.ERROR, stream=output or sys.stderr)
+    if host:
+        structlog.contextvars.bind_contextvars(host=host)
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            RateBound(clock),
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(key_order=_LEADING_KEYS, drop_missing=True),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(numeric),
+        logger_factory=structlog.PrintLoggerFactory(output or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
--- /dev/null
+++ b/banyanline/net/metrics.py
@@ -0,0 +1,202 @@
+"""The metrics of a balancer, rendered by aioprometheus from counts that are kept as integers.
+
+Nothing is converted until a scrape asks: :meth:`Metrics.render` copies the
+counts into the registry, so counting stays cheap where packets are handled.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import aioprometheus
+from aioprometheus.histogram import Histogram as BucketCounts
+
+from banyanline.core.counters import LATENCY_BOUNDS_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+    from enum import StrEnum
+
+    from banyanline.core.counters import Counters, LatencyHistogram
+
+PREFIX = "banyanline"
+
+
+class Gauges(NamedTuple):
+    """Present sizes of what a balancer holds.
+
+    ``leases`` counts the peers that acknowledged a probe within the lease time.
+    A configuration revision of 0 means that none was read yet.
+    """
+
+    view_hosts: int = 0
+    configuration_revision: int = 0
+    home_slots: int = 0
+    owned_upstreams: int = 0
+    flows: int = 0
+    ledger_requests: int = 0
+    queued_requests: int = 0
+    busy_slots: int = 0
+    upstream_connections: int = 0
+    leases: int = 0
+
+
+class GaugeDoc(NamedTuple):
+    """The help text of one gauge."""
+
+    name: str
+    doc: str
+
+
+GAUGE_DOCS = (
+    GaugeDoc("view_hosts", "Live balancers in the view."),
+    GaugeDoc("configuration_revision", "Revision of the configuration in force, 0 for none."),
+    GaugeDoc("home_slots", "Flow slots that this balancer is home of."),
+    GaugeDoc("owned_upstreams", "Upstreams that this balancer owns."),
+    GaugeDoc("flows", "Flows in the flow table."),
+    GaugeDoc("ledger_requests", "Requests in the ledger."),
+    GaugeDoc("queued_requests", "Requests that wait for a slot of an upstream."),
+    GaugeDoc("busy_slots", "Slots of owned upstreams that are in use."),
+    GaugeDoc("upstream_connections", "Open connections to owned upstreams."),
+    GaugeDoc("leases", "Peers that acknowledged a probe within the lease time."),
+)
+
+
+class IoCounts:
+    """Counts that the transport keeps beside those of the core."""
+
+    __slots__ = ("config_refusals", "control_failures", "peer_rejections", "platform_failures")
+
+    def __init__(self) -> None:
+        self.peer_rejections: defaultdict[StrEnum, int] = defaultdict(int)
+        self.config_refusals: defaultdict[str, int] = defaultdict(int)
+        self.control_failures: defaultdict[StrEnum, int] = defaultdict(int)
+        self.platform_failures: defaultdict[StrEnum, int] = defaultdict(int)
+
+    def reject_frame(self, reason: StrEnum) -> None:
+        """Count a frame that claimed to come from a balancer and was dropped."""
+        self.peer_rejections[reason] += 1
+
+    def refuse_config(self, reason: str) -> None:
+        """Count a configuration that was read and not accepted."""
+        self.config_refusals[reason] += 1
+
+    def fail_call(self, reason: StrEnum) -> None:
+        """Count a control call to another balancer that brought no answer."""
+        self.control_failures[reason] += 1
+
+    def fail_platform_read(self, reason: StrEnum) -> None:
+        """Count a call of the platform that brought no value."""
+        self.platform_failures[reason] += 1
+
+
+class DatagramTotals(NamedTuple):
+    """Sums over the sockets of one kind, such as ``caller``, ``peer`` or ``upstream``."""
+
+    received: int
+    sent: int
+    send_drops: int
+    unreachable: int
+
+
+class Sources(NamedTuple):
+    """Where a scrape takes its values from; the callables are asked at each scrape."""
+
+    counters: Counters
+    io_counts: IoCounts
+    gauges: Callable[[], Gauges]
+    platform_calls: Callable[[], int] = lambda: 0
+    datagrams: Callable[[], Mapping[str, DatagramTotals]] = dict
+
+
+class Metrics:
+    """The registry of one balancer."""
+
+    def __init__(self, sources: Sources) -> None:
+        self._sources = sources
+        self._registry = aioprometheus.Registry()
+        self._refusals = self._counter("refusals_total", "Requests refused before they ran.")
+        self._unknown = self._counter(
+            "unknown_outcomes_total", "Requests whose outcome is unknown."
+        )
+        self._retries = self._counter("retries_total", "Requests sent to an upstream again.")
+        self._drops = self._counter("drops_total", "Datagrams dropped without an answer.")
+        self._answers = self._counter("answers_total", "Answers of upstreams given to callers.")
+        self._given_up = self._counter(
+            "flows_given_up_total", "Flows ended because their data centre was taken out."
+        )
+        self._rejections = self._counter(
+            "peer_frame_rejections_total", "Frames dropped that claimed to come from a balancer."
+        )
+        self._config = self._counter("config_refusals_total", "Configurations not accepted.")
+        self._control = self._counter("control_failures_total", "Control calls without an answer.")
+        self._platform = self._counter("platform_failures_total", "Platform reads that failed.")
+        self._platform_calls = self._counter("platform_calls_total", "Calls of the platform.")
+        self._datagrams = self._counter("datagrams_total", "Datagrams by socket kind and fate.")
+        self._gauges = {
+            gauge.name: aioprometheus.Gauge(
+                f"{PREFIX}_{gauge.name}", gauge.doc, registry=self._registry
+            )
+            for gauge in GAUGE_DOCS
+        }
+        self._latency = aioprometheus.Histogram(
+            f"{PREFIX}_answer_latency_seconds",
+            "Time from a request's arrival to its upstream's answer, in seconds.",
+            registry=self._registry,
+            buckets=LATENCY_BOUNDS_S,
+        )
+
+    def render(self, accepts: Sequence[str] = ()) -> tuple[bytes, Mapping[str, str]]:
+        """Return the body and headers of a scrape for the ``Accept`` values given."""
+        self._copy_core_counts(self._sources.counters)
+        self._copy_io_counts(self._sources.io_counts)
+        for name, value in self._sources.gauges()._asdict().items():
+            self._gauges[name].set({}, value)
+        content, headers = aioprometheus.render(self._registry, list(accepts))
+        return content, headers
+
+    def _counter(self, name: str, doc: str) -> Any:
+        return aioprometheus.Counter(f"{PREFIX}_{name}", doc, registry=self._registry)
+
+    def _copy_core_counts(self, counters: Counters) -> None:
+        _copy_by_service(self._refusals, counters.refusals)
+        _copy_by_service(self._unknown, counters.unknown_outcomes)
+        _copy_by_service(self._retries, counters.retries)
+        _copy(self._drops, "reason", counters.drops)
+        _copy(self._answers, "service", counters.answers)
+        _copy(self._given_up, "service", counters.flows_given_up)
+        for service, histogram in counters.latency.items():
+            self._latency.set_value({"service": service}, _bucket_counts(histogram))
+
+    def _copy_io_counts(self, counts: IoCounts) -> None:
+        _copy(self._rejections, "reason", counts.peer_rejections)
+        _copy(self._config, "reason", counts.config_refusals)
+        _copy(self._control, "reason", counts.control_failures)
+        _copy(self._platform, "reason", counts.platform_failures)
+        self._platform_calls.set({}, self._sources.platform_calls())
+        for kind, totals in self._sources.datagrams().items():
+            for fate, count in totals._asdict().items():
+                self._datagrams.set({"socket": kind, "fate": fate}, count)
+
+
+def _copy(collector: Any, label: str, counts: Mapping[Any, int]) -> None:
+    for value, count in counts.items():
+        collector.set({label: str(value)}, count)
+
+
+def _copy_by_service(collector: Any, counts: Mapping[tuple[StrEnum, str], int]) -> None:
+    for (reason, service), count in counts.items():
+        collector.set({"reason": reason.value, "service": service}, count)
+
+
+def _bucket_counts(histogram: LatencyHistogram) -> BucketCounts:
+    """Return the histogram with cumulative buckets, as the text format wants them."""
+    cumulative = BucketCounts(*LATENCY_BOUNDS_S)
+    total = 0
+    for bound, count in zip(cumulative.buckets, histogram.buckets, strict=True):
+        total += count
+        cumulative.buckets[bound] = total
+    cumulative.observations = histogram.count
+    cumulative.sum = histogram.sum_s
+    return cumulative
--- /dev/null
+++ b/banyanline/platform/consul.py
@@ -0,0 +1,147 @@
+"""A reader of Consul's key-value store over its HTTP API, by blocking queries.
+
+The rules for the index are those of Consul's page on blocking queries: an index
+that goes backwards is reset to 0, an index below 1 counts as 1, and a server may
+lengthen the wait by a sixteenth.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+from urllib.parse import quote
+
+from banyanline.net.http import HttpFailed, HttpResponse, http_get
+from banyanline.platform.reader import (
+    MAX_VALUE_BYTES,
+    PlatformReader,
+    PlatformValue,
+    ReadFailed,
+    ReadFailure,
+    ReadResult,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import AsyncIterator, Mapping, Sequence
+
+    from banyanline.core.types import Endpoint
+
+BODY_SLACK_BYTES = 4 * 1024
+ANSWER_TIMEOUT_S = 3.0
+"""Time for an answer beyond the time that the server may wait."""
+
+WAIT_JITTER_SHARE = 1 / 16
+MIN_CALL_INTERVAL_S = 0.1
+"""Bounds the rate of calls if the platform answers blocking queries at once."""
+
+MAX_BACKOFF_DOUBLINGS = 4
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+INDEX_HEADER = "x-consul-index"
+MAX_INDEX_DIGITS = 19
+
+
+class Watch(NamedTuple):
+    """How long calls wait: ``wait_s`` for a change, about ``retry_interval_s`` after a fault."""
+
+    wait_s: float = 60.0
+    retry_interval_s: float = 1.0
+
+
+class ConsulReader(PlatformReader):
+    """Reads keys from the first of several addresses that answers.
+
+    ``rng`` spreads the retries of many readers. After a fault the next address
+    is tried; the delay doubles with each further fault up to a bound.
+    """
+
+    def __init__(
+        self, addresses: Sequence[Endpoint], rng: random.Random, watch: Watch | None = None
+    ) -> None:
+        if not addresses:
+            raise ValueError("no platform address given")
+        self._addresses = tuple(addresses)
+        self._rng = rng
+        self._watch = watch or Watch()
+        self._position = rng.randrange(len(addresses))
+        self._calls = 0
+        self._failures: Counter[ReadFailure] = Counter()
+
+    @property
+    def calls(self) -> int:
+        """Number of calls made so far, a waiting one included."""
+        return self._calls
+
+    @property
+    def failures(self) -> Mapping[ReadFailure, int]:
+        """Number of calls that brought no value, by reason."""
+        return self._failures
+
+    async def read(self, key: str) -> ReadResult:
+        """Read the present value of ``key`` once, from the address last used."""
+        result = await self._call(key, 0)
+        if isinstance(result, ReadFailed):
+            self._failures[result.reason] += 1
+            self._position += 1
+        return result
+
+    async def watch(self, key: str) -> AsyncIterator[PlatformValue]:
+        """Yield the value of ``key`` now and after each change, without end."""
+        index = 0
+        failed = 0
+        while True:
+            result = await self._call(key, index)
+            if isinstance(result, ReadFailed):
+                self._failures[result.reason] += 1
+                self._position += 1
+                failed += 1
+                await asyncio.sleep(self._backoff_s(failed))
+                continue
+            failed = 0
+            if result.modify_index < index:
+                self._failures[ReadFailure.INDEX_RESET] += 1
+                index = 0
+            elif result.modify_index > index:
+                index = result.modify_index
+                yield result
+            await asyncio.sleep(MIN_CALL_INTERVAL_S)
+
+    def _backoff_s(self, failed: int) -> float:
+        doublings = min(failed - 1, MAX_BACKOFF_DOUBLINGS)
+        return self._watch.retry_interval_s * 2.0**doublings * self._rng.uniform(0.5, 1.5)
+
+    async def _call(self, key: str, index: int) -> ReadResult:
+        target = f"/v1/kv/{quote(key)}?raw"
+        timeout_s = ANSWER_TIMEOUT_S
+        if index > 0:
+            wait_s = self._watch.wait_s
+            target += f"&index={index}&wait={max(1, round(wait_s * 1000))}ms"
+            timeout_s += wait_s * (1 + WAIT_JITTER_SHARE)
+        self._calls += 1
+        response = await http_get(
+            self._addresses[self._position % len(self._addresses)],
+            target,
+            timeout_s=timeout_s,
+            max_body_bytes=MAX_VALUE_BYTES + BODY_SLACK_BYTES,
+        )
+        if isinstance(response, HttpFailed):
+            return ReadFailed(ReadFailure(response.reason.value), response.detail)
+        return parse_response(response)
+
+
+def parse_response(response: HttpResponse) -> ReadResult:
+    """Return the value and index of an answer to a read of a key.
+
+    >>> parse_response(HttpResponse(200, {"x-consul-index": "7"}, b"value"))
+    PlatformValue(value=b'value', modify_index=7)
+    """
+    if response.status == HTTP_NOT_FOUND:
+        return ReadFailed(ReadFailure.NO_SUCH_KEY)
+    if response.status != HTTP_OK:
+        return ReadFailed(ReadFailure.BAD_STATUS, str(response.status))
+    digits = response.headers.get(INDEX_HEADER, "")
+    if not (digits.isascii() and digits.isdecimal() and len(digits) <= MAX_INDEX_DIGITS):
+        return ReadFailed(ReadFailure.NO_INDEX, f"{INDEX_HEADER}: {digits[:40]!r}")
+    return PlatformValue(response.body, max(1, int(digits)))
