--- a/banyanline/core/counters.py
+++ b/banyanline/core/counters.py
@@ -1,12 +1,35 @@
-"""Counts of what the core decided, by reason.
-
-The core only adds to plain integers; the metrics copy them when they are read.
-"""
+"""Counts that the core keeps as plain integers; :mod:`banyanline.net.metrics` publishes them."""
 
 from __future__ import annotations
 
-from collections import Counter
+from bisect import bisect_left
+from collections import defaultdict
 from enum import StrEnum
+from typing import TYPE_CHECKING, Final, TypeAlias
+
+if TYPE_CHECKING:
+    from banyanline.core.answers import RefusalReason, UnknownReason
+    from banyanline.core.retry import RetryReason
+    from banyanline.core.types import Seconds, ServiceName
+
+LATENCY_BOUNDS_S: Final = (
+    0.0005,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+)
+"""Upper bounds of the latency buckets in seconds; one more bucket has no bound."""
 
 
 class DropReason(StrEnum):
@@ -15,32 +38,23 @@
     MALFORMED = "malformed"
     OVERSIZED = "oversized"
     UNKNOWN_SERVICE = "unknown_service"
-    NO_CONFIGURATION = "no_configuration"
     NO_HOME = "no_home"
-    TOO_MANY_HOPS = "too_many_hops"
-    STRAY_EMPTY = "stray_empty"
-    STRAY_RESPONSE = "stray_response"
+    NO_OWNER = "no_owner"
+    HOP_LIMIT = "hop_limit"
+    FLOW_TABLE_FULL = "flow_table_full"
+    DATA_CENTRE_OUT = "data_centre_out"
     LATE_ANSWER = "late_answer"
     LATE_RESULT = "late_result"
+    UNMATCHED_ANSWER = "unmatched_answer"
+    STRAY_EMPTY = "stray_empty"
+    STRAY_RESPONSE = "stray_response"
     STALE_NOTIFICATION = "stale_notification"
     UNKNOWN_STREAM = "unknown_stream"
-    WRONG_SERVICE = "wrong_service"
     HELD_TOO_MANY = "held_too_many"
-    FLOW_REFUSED = "flow_refused"
-    NOT_OWNER = "not_owner"
+    SEND_BUFFER_FULL = "send_buffer_full"
     STANDING_BACK = "standing_back"
 
 
-class RetryCause(StrEnum):
-    """Why a request was sent to an upstream a second time, or to another one."""
-
-    NOT_RUN = "not_run"
-    OWNER_MOVED = "owner_moved"
-    OWNER_LOST = "owner_lost"
-    UPSTREAM_TIMEOUT = "upstream_timeout"
-    DATA_CENTRE_OUT = "data_centre_out"
-
-
 class FlowEnd(StrEnum):
     """Why an open flow or stream came to its end."""
 
@@ -49,22 +63,95 @@
     UPSTREAM_ENDED = "upstream_ended"
     DATA_CENTRE_OUT = "data_centre_out"
     UPSTREAM_REMOVED = "upstream_removed"
-    SERVICE_REMOVED = "service_removed"
-    REFUSED = "refused"
     RECOVERY_FAILED = "recovery_failed"
 
 
+class LatencyHistogram:
+    """Counts of durations by bucket, at a cost that does not grow with them.
+
+    >>> histogram = LatencyHistogram()
+    >>> histogram.observe(0.003)
+    >>> histogram.count, histogram.buckets[3]
+    (1, 1)
+    """
+
+    __slots__ = ("buckets", "count", "sum_s")
+
+    def __init__(self) -> None:
+        self.buckets = [0] * (len(LATENCY_BOUNDS_S) + 1)
+        self.count = 0
+        self.sum_s = 0.0
+
+    def observe(self, duration_s: Seconds) -> None:
+        """Count one duration."""
+        self.buckets[bisect_left(LATENCY_BOUNDS_S, duration_s)] += 1
+        self.count += 1
+        self.sum_s += duration_s
+
+
+ByService: TypeAlias = "defaultdict[tuple[StrEnum, ServiceName], int]"
+
+
 class Counters:
-    """All counts of one balancer, by reason and, where it matters, by service."""
+    """What a balancer has refused, retried, dropped and answered since it started.
+
+    >>> from banyanline.core.answers import RefusalReason
+    >>> counters = Counters()
+    >>> counters.refuse(RefusalReason.QUEUE_FULL, "orders")
+    >>> dict(counters.refusals)
+    {(<RefusalReason.QUEUE_FULL: 'queue_full'>, 'orders'): 1}
+    """
+
+    __slots__ = (
+        "answers",
+        "claims",
+        "drops",
+        "duplicates",
+        "flow_ends",
+        "flows_given_up",
+        "latency",
+        "recovered",
+        "refusals",
+        "retries",
+        "unknown_outcomes",
+    )
 
     def __init__(self) -> None:
-        self.refusals: Counter[tuple[str, str]] = Counter()
-        self.unknown_outcomes: Counter[tuple[str, str]] = Counter()
-        self.retries: Counter[tuple[str, str]] = Counter()
-        self.drops: Counter[str] = Counter()
-        self.flow_ends: Counter[tuple[str, str]] = Counter()
-        self.answers: Counter[str] = Counter()
-        self.duplicates: Counter[str] = Counter()
-        self.claims: Counter[str] = Counter()
-        self.recovered: Counter[str] = Counter()
-        self.datagrams: Counter[str] = Counter()
+        self.refusals: ByService = defaultdict(int)
+        self.unknown_outcomes: ByService = defaultdict(int)
+        self.retries: ByService = defaultdict(int)
+        self.drops: defaultdict[StrEnum, int] = defaultdict(int)
+        self.answers: defaultdict[ServiceName, int] = defaultdict(int)
+        self.duplicates: defaultdict[str, int] = defaultdict(int)
+        self.claims: defaultdict[str, int] = defaultdict(int)
+        self.recovered: defaultdict[str, int] = defaultdict(int)
+        self.flow_ends: ByService = defaultdict(int)
+        self.flows_given_up: defaultdict[ServiceName, int] = defaultdict(int)
+        self.latency: defaultdict[ServiceName, LatencyHistogram] = defaultdict(LatencyHistogram)
+
+    def refuse(self, reason: RefusalReason, service: ServiceName) -> None:
+        """Count a request that was refused before any upstream ran it."""
+        self.refusals[reason, service] += 1
+
+    def lose_outcome(self, reason: UnknownReason | RefusalReason, service: ServiceName) -> None:
+        """Count a request whose outcome cannot be told."""
+        self.unknown_outcomes[reason, service] += 1
+
+    def retry(self, reason: RetryReason, service: ServiceName) -> None:
+        """Count a request that was sent to an upstream again."""
+        self.retries[reason, service] += 1
+
+    def drop(self, reason: StrEnum) -> None:
+        """Count a datagram that was dropped without an answer."""
+        self.drops[reason] += 1
+
+    def answer(self, service: ServiceName, latency_s: Seconds) -> None:
+        """Count an upstream's answer and the time from the request's arrival to it."""
+        self.answers[service] += 1
+        self.latency[service].observe(latency_s)
+
+    def end_flow(self, reason: FlowEnd, service: ServiceName) -> None:
+        """Count a flow or stream that ended; one whose data centre was taken out is given up."""
+        self.flow_ends[reason, service] += 1
+        if reason is FlowEnd.DATA_CENTRE_OUT:
+            self.flows_given_up[service] += 1
--- a/banyanline/core/invariants.py
+++ b/banyanline/core/invariants.py
@@ -1,16 +1,16 @@
-"""Checks whose failure stops the process."""
+"""The one error that stops a process: an invariant of the program does not hold."""
 
 from __future__ import annotations
 
 
 class InvariantError(AssertionError):
-    """A rule that must always hold was broken; the process has to stop."""
+    """A rule that the program relies on was broken by the program itself."""
 
 
-def ensure(condition: bool, broken: str) -> None:
-    """Raise :class:`InvariantError` with the text ``broken`` unless ``condition`` holds.
+def require(is_met: bool, rule: str) -> None:
+    """Raise :class:`InvariantError` with ``rule`` unless ``is_met``.
 
-    >>> ensure(1 + 1 == 2, "arithmetic")
+    >>> require(1 + 1 == 2, "sums are right")
     """
-    if not condition:
-        raise InvariantError(broken)
+    if not is_met:
+        raise InvariantError(rule)
