--- a/banyanline/config/rules.py
+++ b/banyanline/config/rules.py
@@ -32,8 +32,9 @@
 MINUTES_PER_HOUR = 60
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
-_IP = re.compile(r"[0-9]{1,3}(?:\.[0-9]{1,3}){3}")
-_PORT = re.compile(r"[1-9][0-9]{0,4}")
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_UNICAST_FIRST_OCTET = r"(?:22[0-3]|2[01][0-9]|1[0-9]{2}|[1-9][0-9]?)"
+_ENDPOINT = re.compile(rf"({_UNICAST_FIRST_OCTET}(?:\.{_OCTET}){{3}}):([1-9][0-9]{{0,4}})")
 _CLOCK_TIME = re.compile(r"([01][0-9]|2[0-3]):([0-5][0-9])")
 _HEALTH_PATH = re.compile(r"[A-Za-z0-9._~-]{1,64}(?:/[A-Za-z0-9._~-]{1,64}){0,7}")
 
@@ -99,20 +100,17 @@
 
 
 def _read_endpoint(value: object) -> Endpoint | None:
-    if not isinstance(value, str):
+    match = _ENDPOINT.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
         return None
-    ip, _, port = value.partition(":")
-    if not _IP.fullmatch(ip) or not _PORT.fullmatch(port) or int(port) > LARGEST_PORT:
-        return None
-    try:
-        address = ipaddress.IPv4Address(ip)
-    except ValueError:
-        return None
-    return None if address.is_unspecified or address.is_multicast else Endpoint(ip, int(port))
+    port = int(match[2])
+    return Endpoint(match[1], port) if port <= LARGEST_PORT else None
 
 
 ENDPOINT = Rule(
-    "an IPv4 address and a port such as '192.0.2.1:5683'", _read_endpoint, Endpoint("0.0.0.0", 0)
+    "a unicast IPv4 address and a port such as '192.0.2.1:5683'",
+    _read_endpoint,
+    Endpoint("0.0.0.0", 0),
 )
 
 
--- a/banyanline/settings/__init__.py
+++ b/banyanline/settings/__init__.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from banyanline.settings.errors import SettingsError
-from banyanline.settings.keys import Key, KeyRing, KeysError, parse_keys
+from banyanline.settings.keys import KeysError, parse_keys
 from banyanline.settings.load import load_settings
 from banyanline.settings.model import (
     BalancerSettings,
@@ -28,8 +28,6 @@
     "Delivery",
     "FabricSettings",
     "HostSettings",
-    "Key",
-    "KeyRing",
     "KeySettings",
     "LimitSettings",
     "LogSettings",
--- a/banyanline/settings/keys.py
+++ b/banyanline/settings/keys.py
@@ -4,41 +4,18 @@
 
 import re
 from dataclasses import dataclass
-from typing import NamedTuple
 
-SHORTEST_KEY_BYTES = 16
-LONGEST_KEY_BYTES = 64
+from banyanline.core.keys import MAX_SECRET_BYTES, MIN_SECRET_BYTES, Key, KeyRing
+
 MOST_KEYS = 8
 
 _IDENTITY = re.compile(r"[A-Za-z0-9._-]{1,32}")
 _HEX = re.compile(r"(?:[0-9A-Fa-f]{2})+")
 _ACCEPTED_LINE = (
-    f"an identity and a key of {SHORTEST_KEY_BYTES} to {LONGEST_KEY_BYTES} bytes in hexadecimal"
+    f"an identity and a key of {MIN_SECRET_BYTES} to {MAX_SECRET_BYTES} bytes in hexadecimal"
 )
 
 
-class Key(NamedTuple):
-    """A shared secret and the identity that frames name it by."""
-
-    identity: str
-    secret: bytes
-
-    def __repr__(self) -> str:
-        """Return the key without its secret, as logs may show it."""
-        return f"Key(identity={self.identity!r}, secret=...)"
-
-
-class KeyRing(NamedTuple):
-    """The keys in force: the first signs, all verify."""
-
-    keys: tuple[Key, ...]
-
-    @property
-    def signing(self) -> Key:
-        """The key that seals what this balancer sends."""
-        return self.keys[0]
-
-
 @dataclass(frozen=True)
 class KeysError:
     """A line of a key file that is not accepted; line 0 stands for the whole file.
@@ -60,7 +37,7 @@
     if len(words) != 2 or not _IDENTITY.fullmatch(words[0]) or not _HEX.fullmatch(words[1]):
         return None
     secret = bytes.fromhex(words[1])
-    if not SHORTEST_KEY_BYTES <= len(secret) <= LONGEST_KEY_BYTES:
+    if not MIN_SECRET_BYTES <= len(secret) <= MAX_SECRET_BYTES:
         return None
     return Key(words[0], secret)
 
@@ -69,12 +46,12 @@
     """Return the keys in the text of a key file: lines of an identity and a key.
 
     Empty lines and lines that start with ``#`` count for nothing. To replace a
-    key without a stop, add the new one as second line on all hosts, then swap the
-    lines on all hosts, then remove the old one.
+    key without a stop, add the new one as second line on all hosts, then put it
+    first on all hosts, then remove the old one.
 
     >>> ring = parse_keys("2026-12 00112233445566778899aabbccddeeff")
-    >>> ring.signing
-    Key(identity='2026-12', secret=...)
+    >>> ring.signing.identity
+    '2026-12'
     >>> print(parse_keys("2026-12 0011"))
     line 1: not accepted; accepted: an identity and a key of 16 to 64 bytes in hexadecimal
     """
--- a/banyanline/tests/test_config_parse.py
+++ b/banyanline/tests/test_config_parse.py
@@ -60,6 +60,9 @@
         case(f"{UPSTREAM}.address", "a.example:1", "host name"),
         case(f"{UPSTREAM}.address", "192.0.2.1:65536", "port range"),
         case(f"{UPSTREAM}.address", "192.0.2.256:1", "ip range"),
+        case(f"{UPSTREAM}.address", "192.0.2.01:1", "leading zero"),
+        case(f"{UPSTREAM}.address", "224.0.0.1:1", "multicast"),
+        case(f"{UPSTREAM}.address", "0.0.0.0:1", "unspecified address"),
         case(f"{UPSTREAM}.data_centre", "split-otok", "unknown data centre"),
         case("services[1].upstreams[0].name", "stup-napajanje-1", "upstream name twice"),
         case(
--- a/banyanline/tests/test_settings.py
+++ b/banyanline/tests/test_settings.py
@@ -5,8 +5,9 @@
 import pytest
 
 import banyanline
+from banyanline.core.keys import KeyRing
 from banyanline.core.types import Endpoint
-from banyanline.settings import BalancerSettings, Delivery, KeyRing, SettingsError, load_settings
+from banyanline.settings import BalancerSettings, Delivery, SettingsError, load_settings
 from banyanline.settings.example import render_example
 from banyanline.settings.keys import KeysError, parse_keys
 
