Add the difference between two configurations

Cause: operators want to see what a change does before it goes out, and which upstreams leave, which data centre goes out and whose patience changes.

--- a/banyanline/config/__init__.py
+++ b/banyanline/config/__init__.py
@@ -11,6 +11,9 @@
     upstream,
     window,
 )
+from banyanline.config.changes import Change
+from banyanline.config.describe import describe
+from banyanline.config.difference import diff
 from banyanline.config.document import (
     MAX_DOCUMENT_BYTES,
     SCHEMA_VERSION,
@@ -40,6 +43,10 @@
     "parse_document",
     "render_document",
     "to_document",
+    # Comparing
+    "Change",
+    "describe",
+    "diff",
     # Document shapes
     "MAX_DOCUMENT_BYTES",
     "SCHEMA_VERSION",
--- /dev/null
+++ b/banyanline/config/difference.py
@@ -0,0 +1,180 @@
+"""Compares two configurations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol, TypeVar
+
+from banyanline.config.changes import (
+    CallerGroupAdded,
+    CallerGroupRemoved,
+    Change,
+    DataCentreAdded,
+    DataCentreIn,
+    DataCentreOut,
+    DataCentreRemoved,
+    LimitChanged,
+    NetworkMoved,
+    PatienceChanged,
+    ServiceAdded,
+    ServiceChanged,
+    ServiceRemoved,
+    TimeZoneChanged,
+    UpstreamAdded,
+    UpstreamLeaving,
+    UpstreamMoved,
+    UpstreamRemoved,
+    UpstreamReturned,
+)
+from banyanline.core.types import DataCentreState, UpstreamState
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Mapping
+
+    from banyanline.core.model import CallerGroup, Configuration, DataCentre, Service, Upstream
+
+MINUTES_PER_DAY = 24 * 60
+
+_SERVICE_FIELDS = (
+    "address",
+    "host_port",
+    "protocol",
+    "idle_timeout_s",
+    "health_path",
+    "cold_start",
+)
+_LIMITS = ("slots", "connections")
+_PLACE_FIELDS = ("data_centre", "endpoint")
+
+
+class _Named(Protocol):
+    @property
+    def name(self) -> str: ...
+
+
+_NamedT = TypeVar("_NamedT", bound=_Named)
+
+
+def _by_name(items: Iterable[_NamedT]) -> Mapping[str, _NamedT]:
+    return {item.name: item for item in items}
+
+
+def _data_centre_changes(old: Configuration, new: Configuration) -> Iterator[Change]:
+    old_by_name, new_by_name = _by_name(old.data_centres), _by_name(new.data_centres)
+    for name, data_centre in new_by_name.items():
+        if name not in old_by_name:
+            yield DataCentreAdded(name, data_centre.state)
+        elif data_centre.state is not old_by_name[name].state:
+            yield _data_centre_moved(data_centre, new)
+    for name in old_by_name:
+        if name not in new_by_name:
+            yield DataCentreRemoved(name)
+
+
+def _data_centre_moved(data_centre: DataCentre, new: Configuration) -> Change:
+    count = sum(
+        upstream.data_centre == data_centre.name
+        for service in new.services
+        for upstream in service.upstreams
+    )
+    if data_centre.state is DataCentreState.OUT:
+        return DataCentreOut(data_centre.name, count)
+    return DataCentreIn(data_centre.name, count)
+
+
+def _service_changes(old: Configuration, new: Configuration) -> Iterator[Change]:
+    old_by_name, new_by_name = _by_name(old.services), _by_name(new.services)
+    for name, service in new_by_name.items():
+        if name not in old_by_name:
+            yield ServiceAdded(name, service.address, len(service.upstreams))
+        elif service != old_by_name[name]:
+            yield from _changes_within(old_by_name[name], service)
+    for name in old_by_name:
+        if name not in new_by_name:
+            yield ServiceRemoved(name)
+
+
+def _changes_within(old: Service, new: Service) -> Iterator[Change]:
+    for field in _SERVICE_FIELDS:
+        before, after = getattr(old, field), getattr(new, field)
+        if before != after:
+            yield ServiceChanged(new.name, field, before, after)
+    old_by_name, new_by_name = _by_name(old.upstreams), _by_name(new.upstreams)
+    for name, upstream in new_by_name.items():
+        if name not in old_by_name:
+            yield UpstreamAdded(new.name, name, upstream.data_centre, upstream.endpoint)
+        yield from _upstream_changes(old_by_name.get(name, upstream), upstream)
+    for name, upstream in old_by_name.items():
+        if name not in new_by_name:
+            yield UpstreamRemoved(new.name, name, upstream.state is UpstreamState.LEAVING)
+
+
+def _upstream_changes(old: Upstream, new: Upstream) -> Iterator[Change]:
+    if new.state is not old.state:
+        moved = UpstreamLeaving if new.state is UpstreamState.LEAVING else UpstreamReturned
+        yield moved(new.service, new.name)
+    for field in _PLACE_FIELDS:
+        before, after = getattr(old, field), getattr(new, field)
+        if before != after:
+            yield UpstreamMoved(new.service, new.name, field, before, after)
+    for limit in _LIMITS:
+        before, after = getattr(old, limit), getattr(new, limit)
+        if before != after:
+            yield LimitChanged(new.service, new.name, limit, before, after)
+
+
+def _group_changes(old: Configuration, new: Configuration) -> Iterator[Change]:
+    old_by_name, new_by_name = _by_name(old.caller_groups), _by_name(new.caller_groups)
+    for name, group in new_by_name.items():
+        if name not in old_by_name:
+            yield CallerGroupAdded(name, group.networks)
+        elif group != old_by_name[name]:
+            yield from _changes_within_group(old_by_name[name], group)
+    for name in old_by_name:
+        if name not in new_by_name:
+            yield CallerGroupRemoved(name)
+
+
+def _changes_within_group(old: CallerGroup, new: CallerGroup) -> Iterator[Change]:
+    for network in old.networks:
+        if network not in new.networks:
+            yield NetworkMoved(new.name, network, joins=False)
+    for network in new.networks:
+        if network not in old.networks:
+            yield NetworkMoved(new.name, network, joins=True)
+    if old.time_zone != new.time_zone:
+        yield TimeZoneChanged(new.name, old.time_zone, new.time_zone)
+    yield from _patience_changes(old, new)
+
+
+def patience_by_minute(group: CallerGroup) -> list[float]:
+    """Return the patience of a group, in seconds, for each minute of the local day."""
+    by_minute = [group.default_patience_s] * MINUTES_PER_DAY
+    for window in group.windows:
+        length = (window.end_minute - window.start_minute) % MINUTES_PER_DAY
+        for offset in range(length):
+            by_minute[(window.start_minute + offset) % MINUTES_PER_DAY] = window.patience_s
+    return by_minute
+
+
+def _patience_changes(old: CallerGroup, new: CallerGroup) -> Iterator[Change]:
+    pairs = list(zip(patience_by_minute(old), patience_by_minute(new), strict=True))
+    start = 0
+    for minute in range(1, MINUTES_PER_DAY + 1):
+        if minute < MINUTES_PER_DAY and pairs[minute] == pairs[start]:
+            continue
+        before, after = pairs[start]
+        if before != after:
+            yield PatienceChanged(new.name, start, minute % MINUTES_PER_DAY, before, after)
+        start = minute
+
+
+def diff(old: Configuration, new: Configuration) -> list[Change]:
+    """Return what ``new`` changes in ``old``: data centres, services, caller groups.
+
+    The order of entries and the revision count for nothing.
+    """
+    return [
+        *_data_centre_changes(old, new),
+        *_service_changes(old, new),
+        *_group_changes(old, new),
+    ]
