--- a/banyanline/config/reading.py
+++ b/banyanline/config/reading.py
@@ -64,7 +64,7 @@
 
     def path_of(self, key: str) -> str:
         """Where the value of ``key`` stands in the document."""
-        return self._prefix + key
+        return f"{self._prefix}{key}"
 
     def value(self, key: str, rule: Rule[T], default: T | None = None) -> T:
         """Return the value of ``key``, or ``default`` if it is absent and there is one."""
