Check a new revision at the cost of what changed in it

Change: IncrementalParser remembers accepted services by the digest of their text and checks the others alone; anything wrong leads to the whole parse, so that errors are the same.

--- a/banyanline/config/__init__.py
+++ b/banyanline/config/__init__.py
@@ -26,6 +26,7 @@
     WindowDocument,
 )
 from banyanline.config.errors import ConfigurationError, ConfigurationErrors
+from banyanline.config.incremental import IncrementalParser
 from banyanline.config.parse import check_document, parse_document
 from banyanline.config.render import render_document, to_document
 
@@ -39,6 +40,7 @@
     "upstream",
     "window",
     # Reading and writing
+    "IncrementalParser",
     "check_document",
     "parse_document",
     "render_document",
--- a/banyanline/tests/test_config_parse.py
+++ b/banyanline/tests/test_config_parse.py
@@ -9,6 +9,7 @@
 from banyanline.config import (
     MAX_DOCUMENT_BYTES,
     ConfigurationErrors,
+    IncrementalParser,
     check_document,
     parse_document,
     render_document,
@@ -204,3 +205,26 @@
     assert service.host_port == 5683
     assert (service.upstreams[0].slots, service.upstreams[0].connections) == (2, 2000)
     assert configuration.caller_groups[0].windows == (PatienceWindow(1320, 360, 2.0),)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        pytest.param("services[0].upstreams[0].slots", 7, id="service changed"),
+        pytest.param("services[0].upstreams[0].slots", 0, id="wrong value"),
+        pytest.param("services[1].upstreams[0].name", "stup-napajanje-1", id="name twice"),
+        pytest.param("services[1].host_port", 15683, id="host_port twice"),
+        pytest.param("services[1].name", "stup-napajanje", id="service name twice"),
+        pytest.param("services[1].address", "203.0.113.11:5683", id="address twice"),
+        pytest.param("data_centres[0].name", "split-otok", id="data centre gone, services as were"),
+        pytest.param("data_centres[0].state", "out", id="data centre out"),
+        pytest.param("services[2]", split.configuration()["services"][0], id="service twice"),
+        pytest.param("caller_groups", DELETE, id="no caller groups"),
+        pytest.param("extra", 1, id="unknown key"),
+    ],
+)
+def test_incremental_parser_agrees_with_the_whole_parse(path, value):
+    parser = IncrementalParser()
+    first = msgspec.json.encode(split.configuration())
+    for text in (first, msgspec.json.encode(changed(path, value)), first):
+        assert parser.parse(text) == parse_document(text)
