Leave defaults out of printed configurations, and measure what one costs

Cause: each watching balancer reads the whole document at each change. Change: render_document in one line leaves out the defaults of services and upstreams, which belong to the schema version; with an indent it is complete. bench/measure_configuration.py measures bytes, processor time and memory at three sizes.

--- a/banyanline/cli/config.py
+++ b/banyanline/cli/config.py
@@ -104,10 +104,11 @@
     if configuration is None:
         return ExitCode.PROBLEM
     upstreams = sum(len(service.upstreams) for service in configuration.services)
+    size = len(render_document(configuration))
     print(
         f"{path}: accepted: revision {configuration.revision}, "
         f"services: {len(configuration.services)}, upstreams: {upstreams}, "
-        f"{len(render_document(configuration))} of {MAX_DOCUMENT_BYTES} bytes"
+        f"{size} of {MAX_DOCUMENT_BYTES} bytes as printed"
     )
     return ExitCode.OK
 
--- a/banyanline/config/render.py
+++ b/banyanline/config/render.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, cast
+
 import msgspec
 
 from banyanline.config.document import (
     SCHEMA_VERSION,
     CallerGroupDocument,
+    ColdStartDocument,
     ConfigurationDocument,
     DataCentreDocument,
     ServiceDocument,
@@ -16,12 +19,17 @@
 from banyanline.config.rules import MINUTES_PER_HOUR
 from banyanline.core.model import (
     CallerGroup,
+    ColdStart,
     Configuration,
     DataCentre,
     PatienceWindow,
     Service,
     Upstream,
 )
+from banyanline.core.types import Protocol, UpstreamState
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 
 def clock_time(minute: int) -> str:
@@ -67,6 +75,14 @@
     }
 
 
+def _cold_start_document(cold_start: ColdStart) -> ColdStartDocument:
+    return {
+        "duration_s": cold_start.duration_s,
+        "initial_slots": cold_start.initial_slots,
+        "initial_rate": cold_start.initial_rate,
+    }
+
+
 def _service_document(service: Service) -> ServiceDocument:
     return {
         "name": service.name,
@@ -75,11 +91,7 @@
         "protocol": service.protocol.value,
         "idle_timeout_s": service.idle_timeout_s,
         "health_path": service.health_path,
-        "cold_start": {
-            "duration_s": service.cold_start.duration_s,
-            "initial_slots": service.cold_start.initial_slots,
-            "initial_rate": service.cold_start.initial_rate,
-        },
+        "cold_start": _cold_start_document(service.cold_start),
         "upstreams": [_upstream_document(upstream) for upstream in service.upstreams],
     }
 
@@ -95,10 +107,44 @@
     }
 
 
+_UPSTREAM_DEFAULTS = {
+    "state": UpstreamState.IN_SERVICE.value,
+    "slots": Upstream._field_defaults["slots"],
+    "connections": Upstream._field_defaults["connections"],
+}
+_SERVICE_DEFAULTS = {
+    "protocol": Protocol.COAP.value,
+    "idle_timeout_s": Service._field_defaults["idle_timeout_s"],
+    "health_path": Service._field_defaults["health_path"],
+    "cold_start": _cold_start_document(ColdStart()),
+}
+
+
+def _without(entry: Mapping[str, object], defaults: Mapping[str, object]) -> dict[str, object]:
+    return {
+        key: value for key, value in entry.items() if key not in defaults or defaults[key] != value
+    }
+
+
+def _compact_service(service: Service) -> dict[str, object]:
+    upstreams = [
+        _without(cast("dict[str, object]", _upstream_document(upstream)), _UPSTREAM_DEFAULTS)
+        for upstream in service.upstreams
+    ]
+    entry = cast("dict[str, object]", _service_document(service))
+    return _without({**entry, "upstreams": upstreams}, _SERVICE_DEFAULTS)
+
+
 def render_document(configuration: Configuration, indent: int = 0) -> bytes:
-    """Return the JSON text of a configuration, in one line unless ``indent`` is set.
+    """Return the JSON text of a configuration.
 
-    :func:`banyanline.config.parse_document` reads it back to an equal value.
+    With an ``indent`` it is spread over lines and complete. Without, it is one line
+    that leaves out the defaults of services and upstreams, as each watching balancer
+    reads all of it at each change. The defaults belong to the schema version.
+    :func:`banyanline.config.parse_document` reads either back to an equal value.
     """
-    text = msgspec.json.encode(to_document(configuration))
-    return msgspec.json.format(text, indent=indent) if indent else text
+    document = to_document(configuration)
+    if indent:
+        return msgspec.json.format(msgspec.json.encode(document), indent=indent)
+    services = [_compact_service(service) for service in configuration.services]
+    return msgspec.json.encode({**document, "services": services})
--- /dev/null
+++ b/bench/measure_configuration.py
@@ -0,0 +1,190 @@
+"""Measures what a configuration costs: bytes, processor time and memory, at three sizes.
+
+Run as ``python -m bench.measure_configuration``.
+"""
+
+from __future__ import annotations
+
+import statistics
+import time
+import tracemalloc
+from typing import TYPE_CHECKING, NamedTuple
+
+import msgspec
+
+from banyanline.cli.table import render_table
+from banyanline.config import (
+    ConfigurationErrors,
+    IncrementalParser,
+    check_document,
+    parse_document,
+    render_document,
+)
+from banyanline.core.patience import PatienceTable
+from banyanline.core.revisions import RevisionHistory
+from banyanline.core.updates import Delta, FullDocument
+from examples import large
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from banyanline.core.model import Configuration
+
+SIZES = ((85, 825), (170, 1_650), (340, 3_300))
+REPEATS = 7
+CHANGES_PER_DAY = 1_300
+SECONDS_PER_DAY = 86_400
+LOOKUPS = 20_000
+US_PER_S = 1_000_000.0
+MS_PER_S = 1_000.0
+
+
+class Row(NamedTuple):
+    """The figures of one size."""
+
+    services: int
+    upstreams: int
+    document_bytes: int
+    full_update_bytes: int
+    delta_bytes: int
+    out_delta_bytes: int
+    parse_ms: float
+    parse_change_ms: float
+    accept_change_ms: float
+    apply_delta_ms: float
+    apply_full_ms: float
+    held_kib: float
+
+
+def _configuration(revision: int, size: tuple[int, int], slots: int = 2) -> Configuration:
+    document = large.configuration(revision, *size)
+    document["services"][0]["upstreams"][0]["slots"] = slots
+    return _checked(check_document(document))
+
+
+def _checked(result: Configuration | ConfigurationErrors) -> Configuration:
+    if isinstance(result, ConfigurationErrors):
+        raise AssertionError(str(result))
+    return result
+
+
+def _median_ms(action: Callable[[int], object]) -> float:
+    """Return the median processor time of ``action``, called with 1, 2, ..."""
+    times = []
+    for number in range(1, REPEATS + 1):
+        start = time.process_time()
+        action(number)
+        times.append(time.process_time() - start)
+    return statistics.median(times) * MS_PER_S
+
+
+def _history(configuration: Configuration) -> RevisionHistory:
+    history = RevisionHistory()
+    history.accept(configuration)
+    return history
+
+
+def _deltas(size: tuple[int, int]) -> list[Delta]:
+    """Return deltas that each change one service."""
+    sender = _history(_configuration(1, size))
+    deltas = []
+    for number in range(1, REPEATS + 1):
+        sender.accept(_configuration(number + 1, size, slots=number + 2))
+        delta = sender.update_since(number)
+        if not isinstance(delta, Delta):
+            raise AssertionError("a delta is expected")
+        deltas.append(delta)
+    return deltas
+
+
+def _out_delta(size: tuple[int, int]) -> bytes:
+    """Return the encoded delta that takes one data centre out."""
+    before = large.configuration(1, *size)
+    sender = _history(_checked(check_document(before)))
+    after = large.configuration(2, *size)
+    after["data_centres"][0]["state"] = "out"
+    sender.accept(_checked(check_document(after)))
+    return msgspec.msgpack.encode(sender.update_since(1))
+
+
+def _held_kib(data: bytes) -> float:
+    """Return the memory of a balancer that watches: values, parts and parser."""
+    tracemalloc.start()
+    parser = IncrementalParser()
+    history = _history(_checked(parser.parse(data)))
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    if history.in_force is None:
+        raise AssertionError("a configuration is expected")
+    return held / 1024
+
+
+def measure(size: tuple[int, int]) -> Row:
+    """Return the figures at ``size`` (services, upstreams)."""
+    first = _configuration(1, size)
+    texts = [
+        render_document(_configuration(number, size, slots=number))
+        for number in range(1, REPEATS + 2)
+    ]
+    parser = IncrementalParser()
+    parser.parse(texts[0])
+    accepting = _history(first)
+    configurations = [_checked(parse_document(text)) for text in texts]
+    deltas = _deltas(size)
+    applying = _history(first)
+    full = _history(first).update_since(0)
+    if not isinstance(full, FullDocument):
+        raise AssertionError("a whole document is expected")
+    return Row(
+        services=size[0],
+        upstreams=size[1],
+        document_bytes=len(texts[0]),
+        full_update_bytes=len(msgspec.msgpack.encode(full)),
+        delta_bytes=len(msgspec.msgpack.encode(deltas[0])),
+        out_delta_bytes=len(_out_delta(size)),
+        parse_ms=_median_ms(lambda number: parse_document(texts[number])),
+        parse_change_ms=_median_ms(lambda number: parser.parse(texts[number])),
+        accept_change_ms=_median_ms(lambda number: accepting.accept(configurations[number])),
+        apply_delta_ms=_median_ms(lambda number: applying.apply(deltas[number - 1])),
+        apply_full_ms=_median_ms(lambda _: RevisionHistory().apply(full)),
+        held_kib=_held_kib(texts[0]),
+    )
+
+
+def _lookup_us() -> float:
+    table = PatienceTable(_configuration(1, SIZES[0]).caller_groups)
+    callers = [f"10.{number % 20}.{number % 256}.7" for number in range(LOOKUPS)]
+    now_s = float(SECONDS_PER_DAY)
+    start = time.process_time()
+    for caller in callers:
+        table.patience_s(caller, now_s)
+    return (time.process_time() - start) / LOOKUPS * US_PER_S
+
+
+def main() -> None:
+    """Print the figures."""
+    rows = [measure(size) for size in SIZES]
+    cells: list[list[object]] = [
+        [f"{value:.1f}" if isinstance(value, float) else value for value in row] for row in rows
+    ]
+    print(render_table(("figure", *map(str, range(len(rows)))), _transposed(cells)))
+    last = rows[-1]
+    per_day_s = CHANGES_PER_DAY / SECONDS_PER_DAY
+    relayed = last.delta_bytes * per_day_s
+    read = last.document_bytes * per_day_s
+    reader_cpu_ms = last.parse_change_ms + last.accept_change_ms
+    print(f"deltas received, {CHANGES_PER_DAY} changes a day: {relayed:.1f} bytes/s a node")
+    print(f"documents read, {CHANGES_PER_DAY} changes a day: {read:.0f} bytes/s a reader")
+    print(f"processor time of a reader: {reader_cpu_ms / MS_PER_S * per_day_s:.4%} of a core")
+    print(f"processor time of others: {last.apply_delta_ms / MS_PER_S * per_day_s:.4%} of a core")
+    print(f"patience lookup: {_lookup_us():.2f} us")
+
+
+def _transposed(cells: list[list[object]]) -> list[list[object]]:
+    return [
+        [name, *column] for name, column in zip(Row._fields, zip(*cells, strict=True), strict=True)
+    ]
+
+
+if __name__ == "__main__":
+    main()
--- a/examples/large.py
+++ b/examples/large.py
@@ -44,20 +44,21 @@
 )
 
 
-def _upstream(idx: int) -> UpstreamDocument:
-    where = DATA_CENTRES[idx // SERVICE_COUNT % len(DATA_CENTRES)]
+def _upstream(idx: int, service_count: int) -> UpstreamDocument:
+    service_idx, number = idx % service_count, idx // service_count
+    where = DATA_CENTRES[number % len(DATA_CENTRES)]
     return upstream(
-        f"service-{idx % SERVICE_COUNT:03}-target-{idx // SERVICE_COUNT:02}",
+        f"service-{service_idx:03}-target-{number:02}",
         where,
         f"{FIRST_UPSTREAM_ADDRESS + idx}:{COAP_PORT}",
     )
 
 
-def _service(idx: int) -> ServiceDocument:
+def _service(idx: int, service_count: int, upstream_count: int) -> ServiceDocument:
     return service(
         f"service-{idx:03}",
         f"{FIRST_SERVICE_ADDRESS + idx}:{COAP_PORT}",
-        [_upstream(number) for number in range(idx, UPSTREAM_COUNT, SERVICE_COUNT)],
+        [_upstream(number, service_count) for number in range(idx, upstream_count, service_count)],
         host_port=FIRST_HOST_PORT + idx,
         cold_start=cold_start(10.0, initial_slots=1, initial_rate=5.0),
     )
@@ -73,11 +74,13 @@
     )
 
 
-def configuration(revision: int = 1) -> ConfigurationDocument:
-    """Return the configuration."""
+def configuration(
+    revision: int = 1, service_count: int = SERVICE_COUNT, upstream_count: int = UPSTREAM_COUNT
+) -> ConfigurationDocument:
+    """Return the configuration, by default at its full size."""
     return document(
         revision,
         data_centres=[data_centre(name) for name in DATA_CENTRES],
         caller_groups=[_caller_group(idx) for idx in range(GROUP_COUNT)],
-        services=[_service(idx) for idx in range(SERVICE_COUNT)],
+        services=[_service(idx, service_count, upstream_count) for idx in range(service_count)],
     )
