Add the failure detector, home slots and ownership of upstreams

Cause: balancers need a live view, and homes and owners that follow from it alone. Change: core/membership (SWIM probes on a ring and at random, suspicion, incarnations, a lease from recent contact with a majority), core/placement (rendezvous slots, owners with a bound on their load), and a bus in memory for their tests.

--- /dev/null
+++ b/banyanline/core/membership/effects.py
@@ -0,0 +1,33 @@
+"""What the failure detector asks its caller to do."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, TypeAlias
+
+from banyanline.core.membership.messages import MembershipMessage
+from banyanline.core.membership.view import View
+from banyanline.core.types import Endpoint, HostName
+
+
+class SendProbeMessage(NamedTuple):
+    """Send ``message`` to the balancer ``host`` at ``endpoint``."""
+
+    host: HostName
+    endpoint: Endpoint
+    message: MembershipMessage
+
+
+class ViewChanged(NamedTuple):
+    """A host joined, left, died, came back or moved; ``view`` is what holds now."""
+
+    view: View
+
+
+class RevisionSeen(NamedTuple):
+    """The balancer ``host`` holds a greater configuration revision than this one."""
+
+    host: HostName
+    revision: int
+
+
+MembershipEffect: TypeAlias = SendProbeMessage | ViewChanged | RevisionSeen
--- /dev/null
+++ b/banyanline/core/membership/settings.py
@@ -0,0 +1,46 @@
+"""Intervals and bounds of the failure detector."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from banyanline.core.types import Seconds
+
+
+class MembershipSettings(NamedTuple):
+    """Intervals in seconds, sizes in bytes.
+
+    A host that has crashed is suspected ``probe_interval_s * 2 + probe_failed_s``
+    after the crash at the latest, and declared dead after at least
+    ``suspicion_min_s`` and at most ``suspicion_max_s`` more.
+    """
+
+    probe_interval_s: Seconds = 0.25
+    ack_timeout_s: Seconds = 0.15
+    probe_failed_s: Seconds = 0.4
+    indirect_probes: int = 3
+    suspicion_min_s: Seconds = 0.5
+    suspicion_max_s: Seconds = 0.9
+    suspicion_confirmations: int = 2
+    reconnect_interval_s: Seconds = 1.0
+    forget_after_s: Seconds = 60.0
+    lease_s: Seconds = 2.5
+    clock_margin_s: Seconds = 0.1
+    stall_s: Seconds = 0.5
+    max_health_penalty: int = 2
+    update_bytes: int = 240
+    state_bytes: int = 1000
+    state_answers: int = 3
+    contact_entries: int = 20
+    transmit_factor: int = 3
+
+    @property
+    def takeover_wait_s(self) -> Seconds:
+        """How long after a host's removal its lease may still be fresh.
+
+        No one removes a host sooner than ``suspicion_min_s`` after a probe to it has
+        failed, and that is ``probe_failed_s`` after the probe. A host that was cut off
+        from the majority before that probe was lost has no lease ``lease_s`` later.
+        """
+        earliest_removal_s = self.probe_failed_s + self.suspicion_min_s
+        return max(0.0, self.lease_s - earliest_removal_s) + self.clock_margin_s
--- /dev/null
+++ b/banyanline/core/membership/view.py
@@ -0,0 +1,99 @@
+"""The hosts that one balancer holds to be members, at one moment."""
+
+from __future__ import annotations
+
+from functools import cached_property
+from typing import NamedTuple
+
+from banyanline.core.membership.messages import MemberStatus
+from banyanline.core.types import DataCentreName, Host, HostName
+
+
+class Member(NamedTuple):
+    """A host, what is held of it, and whether it takes no new work.
+
+    ``is_leaving`` stands apart from ``status``, since a leaving host can be
+    suspected or dead as well.
+    """
+
+    host: Host
+    status: MemberStatus
+    incarnation: int
+    is_leaving: bool = False
+
+    @property
+    def is_live(self) -> bool:
+        """Whether the host counts as running. A suspected one does."""
+        return self.status is not MemberStatus.DEAD
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether the host may be home or owner."""
+        return self.is_live and not self.is_leaving
+
+
+class View:
+    """An immutable set of members with a version that grows with each change.
+
+    >>> north = Member(Host("north-1", "north", "g", "192.0.2.1", 1, 2), MemberStatus.ALIVE, 1)
+    >>> south = Member(Host("south-1", "south", "g", "192.0.2.2", 1, 2), MemberStatus.DEAD, 1)
+    >>> view = View(1, (north, south))
+    >>> view.homes("g"), view.owners("south"), view.is_alive("south-1")
+    (('north-1',), (), False)
+    """
+
+    def __init__(self, version: int, members: tuple[Member, ...]) -> None:
+        self._version = version
+        self._members = members
+
+    @property
+    def version(self) -> int:
+        """Grows by one with each change of the view, from 0 in each process."""
+        return self._version
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """All known hosts, the dead ones included, sorted by name."""
+        return self._members
+
+    @cached_property
+    def _by_name(self) -> dict[HostName, Member]:
+        return {member.host.name: member for member in self._members}
+
+    @cached_property
+    def _homes(self) -> dict[str, tuple[HostName, ...]]:
+        groups: dict[str, list[HostName]] = {}
+        for member in self._members:
+            if member.takes_work:
+                groups.setdefault(member.host.fabric_group, []).append(member.host.name)
+        return {group: tuple(names) for group, names in groups.items()}
+
+    @cached_property
+    def _owners(self) -> dict[DataCentreName, tuple[HostName, ...]]:
+        data_centres: dict[DataCentreName, list[HostName]] = {}
+        for member in self._members:
+            if member.takes_work:
+                data_centres.setdefault(member.host.data_centre, []).append(member.host.name)
+        return {data_centre: tuple(names) for data_centre, names in data_centres.items()}
+
+    def homes(self, fabric_group: str) -> tuple[HostName, ...]:
+        """Return the live hosts of ``fabric_group`` that are not leaving, sorted."""
+        return self._homes.get(fabric_group, ())
+
+    def owners(self, data_centre: DataCentreName) -> tuple[HostName, ...]:
+        """Return the live hosts of ``data_centre`` that are not leaving, sorted."""
+        return self._owners.get(data_centre, ())
+
+    def is_alive(self, name: HostName) -> bool:
+        """Whether the host is known and not dead; a leaving or suspected one is alive."""
+        member = self._by_name.get(name)
+        return member is not None and member.is_live
+
+    def member(self, name: HostName) -> Member | None:
+        """Return what is held of ``name``, if it is known."""
+        return self._by_name.get(name)
+
+    def host(self, name: HostName) -> Host | None:
+        """Return the host ``name``, if it is known, dead or alive."""
+        member = self._by_name.get(name)
+        return None if member is None else member.host
--- /dev/null
+++ b/banyanline/core/placement/ownership.py
@@ -0,0 +1,185 @@
+"""Which balancer is the owner of an upstream.
+
+The owner is a live balancer in the upstream's data centre, or of the fabric group if the
+data centre has none. Among them it follows from rendezvous scores with a bound on the
+number of upstreams that one balancer owns: pairs of upstream and host are taken in the
+order of their scores, and a pair counts if the upstream is free and the host has room.
+The outcome depends on the view and the configuration alone, not on the way to them.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+import xxhash
+
+from banyanline.core.membership.view import View
+from banyanline.core.model import Upstream
+from banyanline.core.types import (
+    DataCentreName,
+    HostName,
+    Seconds,
+    ServiceName,
+    UpstreamName,
+)
+
+LOAD_BOUND = 1.25
+"""Most upstreams of one owner, as a multiple of the mean, before rounding up."""
+
+
+class UpstreamKey(NamedTuple):
+    """What identifies an upstream in a configuration."""
+
+    service: ServiceName
+    name: UpstreamName
+
+
+class PreviousOwner(NamedTuple):
+    """A host that was owner of an upstream until ``until``."""
+
+    host: HostName
+    until: Seconds
+
+
+def key_of(upstream: Upstream) -> UpstreamKey:
+    """Return the key of ``upstream``."""
+    return UpstreamKey(upstream.service, upstream.name)
+
+
+def assign(
+    keys: Iterable[UpstreamKey], hosts: Sequence[HostName], bound: float = LOAD_BOUND
+) -> dict[UpstreamKey, HostName]:
+    """Return the owner of each key among ``hosts``; nothing if there are no hosts.
+
+    >>> keys = [UpstreamKey("orders", f"orders-{idx}") for idx in range(4)]
+    >>> sorted(assign(keys, ["north-1", "north-2"], bound=1.0).values())
+    ['north-1', 'north-1', 'north-2', 'north-2']
+    """
+    wanted = sorted(set(keys))
+    if not hosts:
+        return {}
+    room = dict.fromkeys(hosts, math.ceil(bound * len(wanted) / len(hosts)))
+    choices = {key: _ranked_hosts(key, hosts) for key in wanted}
+    proposals = [(-choices[key][-1][0], key) for key in wanted]
+    heapq.heapify(proposals)
+    owners: dict[UpstreamKey, HostName] = {}
+    while proposals:
+        _, key = heapq.heappop(proposals)
+        _, host = choices[key].pop()
+        if room[host] > 0:
+            room[host] -= 1
+            owners[key] = host
+        else:
+            heapq.heappush(proposals, (-choices[key][-1][0], key))
+    return owners
+
+
+def _ranked_hosts(key: UpstreamKey, hosts: Sequence[HostName]) -> list[tuple[int, HostName]]:
+    """Return scores and hosts, the best one last."""
+    seed = xxhash.xxh3_64_intdigest(f"{key.service} {key.name}".encode())
+    return sorted((xxhash.xxh3_64_intdigest(host.encode(), seed), host) for host in hosts)
+
+
+class _Scope(NamedTuple):
+    """What the owners in one data centre depend on."""
+
+    keys: tuple[UpstreamKey, ...]
+    hosts: tuple[HostName, ...]
+
+
+class OwnershipTable:
+    """The owner of each upstream, and for some time the previous ones.
+
+    ``history_s`` is how long a previous owner is remembered, in seconds; it has to be at
+    least the request lifetime. Times are those at which this process learned of a change.
+    """
+
+    def __init__(self, fabric_group: str, history_s: Seconds) -> None:
+        self._fabric_group = fabric_group
+        self._history_s = history_s
+        self._scopes: dict[DataCentreName, _Scope] = {}
+        self._owners: dict[UpstreamKey, HostName] = {}
+        self._stable_since: dict[UpstreamKey, Seconds] = {}
+        self._previous: dict[UpstreamKey, dict[HostName, Seconds]] = {}
+
+    def owner(self, key: UpstreamKey) -> HostName | None:
+        """Return the owner of the upstream ``key``, if it has one."""
+        return self._owners.get(key)
+
+    def owned_by(self, host: HostName) -> list[UpstreamKey]:
+        """Return the upstreams whose owner is ``host``."""
+        return [key for key, owner in self._owners.items() if owner == host]
+
+    def stable_since(self, key: UpstreamKey) -> Seconds | None:
+        """Return since when the upstream has had its present owner, if it has one."""
+        return self._stable_since.get(key)
+
+    def previous_owners(self, key: UpstreamKey, now: Seconds) -> tuple[PreviousOwner, ...]:
+        """Return the owners that the upstream has lost within the history, latest first.
+
+        The present owner is not among them, even if it was owner before as well.
+        """
+        oldest = now - self._history_s
+        previous = [
+            PreviousOwner(host, until)
+            for host, until in self._previous.get(key, {}).items()
+            if until >= oldest and host != self._owners.get(key)
+        ]
+        return tuple(sorted(previous, key=lambda entry: -entry.until))
+
+    def update(self, upstreams: Iterable[Upstream], view: View, now: Seconds) -> list[UpstreamKey]:
+        """Find the owners anew where something has changed; return the upstreams that moved.
+
+        An upstream that has come, gone, gained or lost its owner counts as moved.
+        """
+        scopes = self._scopes_of(upstreams, view)
+        owners: dict[UpstreamKey, HostName] = {}
+        for data_centre, scope in scopes.items():
+            if self._scopes.get(data_centre) == scope:
+                owners.update((key, self._owners[key]) for key in scope.keys if scope.hosts)
+            else:
+                owners.update(assign(scope.keys, scope.hosts))
+        self._scopes = scopes
+        moved = [
+            key
+            for key in owners.keys() | self._owners.keys()
+            if owners.get(key) != self._owners.get(key)
+        ]
+        for key in moved:
+            self._note_change(key, owners.get(key), now)
+        self._owners = owners
+        self._prune(now)
+        return sorted(moved)
+
+    def _scopes_of(self, upstreams: Iterable[Upstream], view: View) -> dict[DataCentreName, _Scope]:
+        keys: dict[DataCentreName, list[UpstreamKey]] = {}
+        for upstream in upstreams:
+            keys.setdefault(upstream.data_centre, []).append(key_of(upstream))
+        return {
+            data_centre: _Scope(
+                tuple(sorted(names)),
+                view.owners(data_centre) or view.homes(self._fabric_group),
+            )
+            for data_centre, names in keys.items()
+        }
+
+    def _note_change(self, key: UpstreamKey, owner: HostName | None, now: Seconds) -> None:
+        previous = self._owners.get(key)
+        if previous is not None:
+            self._previous.setdefault(key, {})[previous] = now
+        if owner is None:
+            self._stable_since.pop(key, None)
+        else:
+            self._stable_since[key] = now
+
+    def _prune(self, now: Seconds) -> None:
+        oldest = now - self._history_s
+        for key, previous in list(self._previous.items()):
+            kept = {host: until for host, until in previous.items() if until >= oldest}
+            if kept:
+                self._previous[key] = kept
+            else:
+                del self._previous[key]
--- /dev/null
+++ b/banyanline/core/placement/slots.py
@@ -0,0 +1,157 @@
+"""Which balancer is the home of a flow: flow -> slot -> host.
+
+Each slot goes to the host with the highest score for it (rendezvous hashing, Thaler and
+Ravishankar, 1998). Only the slots of a host that leaves move, and a host that joins takes
+only the slots for which its score is the highest; the table follows a change by looking
+at these alone.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import xxhash
+
+from banyanline.core.types import Endpoint, HostName, Seconds, ServiceName
+
+SLOTS = 4096
+"""Number of slots, a power of two. All balancers of a fabric group have to agree on it."""
+
+_SLOT_MASK = SLOTS - 1
+_SLOT_KEYS = tuple(slot.to_bytes(4, "big") for slot in range(SLOTS))
+_NO_SCORE = -1
+
+
+def flow_hash(caller: Endpoint, service: ServiceName) -> int:
+    """Return the 64-bit hash of a flow, the same in all processes.
+
+    >>> flow_hash(Endpoint("192.0.2.7", 5683), "orders") % SLOTS
+    2222
+    """
+    return xxhash.xxh3_64_intdigest(f"{caller[0]} {caller[1]} {service}".encode())
+
+
+def slot_of(flow: int) -> int:
+    """Return the slot of a flow hash."""
+    return flow & _SLOT_MASK
+
+
+class PreviousHome(NamedTuple):
+    """A host that was home of a slot until ``until``."""
+
+    host: HostName
+    until: Seconds
+
+
+class SlotTable:
+    """The home of each slot, and for some time the previous ones.
+
+    ``history_s`` is how long a previous home is remembered, in seconds; it has to be at
+    least the request lifetime. Times are those at which this process learned of a change.
+    """
+
+    def __init__(self, history_s: Seconds) -> None:
+        self._history_s = history_s
+        self._hosts: frozenset[HostName] = frozenset()
+        self._homes: list[HostName | None] = [None] * SLOTS
+        self._scores: list[int] = [_NO_SCORE] * SLOTS
+        self._stable_since: list[Seconds] = [-math.inf] * SLOTS
+        self._previous: dict[int, dict[HostName, Seconds]] = {}
+
+    @property
+    def hosts(self) -> frozenset[HostName]:
+        """The hosts among which the slots are divided."""
+        return self._hosts
+
+    def home(self, flow: int) -> HostName | None:
+        """Return the home of the flow with hash ``flow``; None if there is no host at all."""
+        return self._homes[flow & _SLOT_MASK]
+
+    def home_of_slot(self, slot: int) -> HostName | None:
+        """Return the home of ``slot``."""
+        return self._homes[slot]
+
+    def stable_since(self, slot: int) -> Seconds:
+        """Return since when ``slot`` has had its present home."""
+        return self._stable_since[slot]
+
+    def home_since(self, slot: int, host: HostName) -> Seconds | None:
+        """Return since when ``host`` has been home of ``slot``, if it is."""
+        return self._stable_since[slot] if self._homes[slot] == host else None
+
+    def previous_homes(self, slot: int, now: Seconds) -> tuple[PreviousHome, ...]:
+        """Return the homes that ``slot`` has lost within the history, the latest first.
+
+        The present home is not among them, even if it was home before as well.
+        """
+        oldest = now - self._history_s
+        previous = [
+            PreviousHome(host, until)
+            for host, until in self._previous.get(slot, {}).items()
+            if until >= oldest and host != self._homes[slot]
+        ]
+        return tuple(sorted(previous, key=lambda entry: -entry.until))
+
+    def slots_of(self, host: HostName) -> list[int]:
+        """Return the slots whose home is ``host``."""
+        return [slot for slot, home in enumerate(self._homes) if home == host]
+
+    def update(self, hosts: Iterable[HostName], now: Seconds) -> list[int]:
+        """Divide the slots among ``hosts`` and return those whose home has changed."""
+        wanted = frozenset(hosts)
+        joined = wanted - self._hosts
+        left = self._hosts - wanted
+        self._hosts = wanted
+        before = dict[int, HostName | None]()
+        if left:
+            self._refill(left, before)
+        for host in joined:
+            self._offer(host, before)
+        changed = [slot for slot, home in before.items() if self._homes[slot] != home]
+        for slot in changed:
+            self._note_change(slot, before[slot], now)
+        self._prune(now)
+        return changed
+
+    def _refill(self, left: frozenset[HostName], before: dict[int, HostName | None]) -> None:
+        """Give the slots of the hosts that have left to the best of those that stay."""
+        seeds = [(host, _seed(host)) for host in self._hosts]
+        for slot, home in enumerate(self._homes):
+            if home not in left:
+                continue
+            before[slot] = home
+            key = _SLOT_KEYS[slot]
+            scored = ((xxhash.xxh3_64_intdigest(key, seed), host) for host, seed in seeds)
+            self._scores[slot], self._homes[slot] = max(scored, default=(_NO_SCORE, None))
+
+    def _offer(self, host: HostName, before: dict[int, HostName | None]) -> None:
+        """Give ``host`` the slots for which its score is the highest."""
+        seed = _seed(host)
+        scores = self._scores
+        digest = xxhash.xxh3_64_intdigest
+        for slot, key in enumerate(_SLOT_KEYS):
+            score = digest(key, seed)
+            if score > scores[slot]:
+                before.setdefault(slot, self._homes[slot])
+                scores[slot] = score
+                self._homes[slot] = host
+
+    def _note_change(self, slot: int, previous: HostName | None, now: Seconds) -> None:
+        self._stable_since[slot] = now
+        if previous is not None:
+            self._previous.setdefault(slot, {})[previous] = now
+
+    def _prune(self, now: Seconds) -> None:
+        oldest = now - self._history_s
+        for slot, previous in list(self._previous.items()):
+            kept = {host: until for host, until in previous.items() if until >= oldest}
+            if kept:
+                self._previous[slot] = kept
+            else:
+                del self._previous[slot]
+
+
+def _seed(host: HostName) -> int:
+    return xxhash.xxh3_64_intdigest(host.encode())
--- /dev/null
+++ b/banyanline/tests/fleet.py
@@ -0,0 +1,196 @@
+"""Several failure detectors on a bus in memory that loses, delays, doubles and cuts."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from banyanline.core.membership import (
+    Membership,
+    MembershipEffect,
+    MembershipMessage,
+    MembershipSettings,
+    RevisionSeen,
+    SendProbeMessage,
+)
+from banyanline.core.types import Host, HostName, Seconds
+
+GROUP = "g"
+
+
+class Link(NamedTuple):
+    """What the bus does to datagrams: shares from 0 to 1, delays in seconds."""
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    min_delay_s: Seconds = 0.001
+    max_delay_s: Seconds = 0.003
+
+
+PERFECT_LINK = Link()
+DEFAULT_SETTINGS = MembershipSettings()
+
+
+class Datagram(NamedTuple):
+    """A message on its way; ``number`` keeps the order of equal times."""
+
+    arrives_at: Seconds
+    number: int
+    sender: HostName
+    receiver: HostName
+    message: MembershipMessage
+
+
+class Fleet:
+    """Hosts that run, are paused or have crashed, and the time that they live in.
+
+    Each event calls ``on_event`` with the name of the host that has had it.
+    """
+
+    def __init__(
+        self,
+        hosts: Sequence[Host],
+        seed: int,
+        link: Link = PERFECT_LINK,
+        settings: MembershipSettings = DEFAULT_SETTINGS,
+        listed: Sequence[Host] | None = None,
+    ) -> None:
+        self.now: Seconds = 0.0
+        self.link = link
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.hosts = {host.name: host for host in hosts}
+        self.listed = tuple(hosts if listed is None else listed)
+        self.members: dict[HostName, Membership] = {}
+        self.paused: set[HostName] = set()
+        self.side: dict[HostName, int] = {}
+        self.blocked: set[tuple[HostName, HostName]] = set()
+        self.revisions_seen: list[tuple[HostName, RevisionSeen]] = []
+        self.on_event: Callable[[HostName], None] = lambda name: None
+        self.on_send: Callable[[Datagram], None] = lambda datagram: None
+        self._starts = itertools.count(1)
+        self._numbers = itertools.count()
+        self._datagrams: list[Datagram] = []
+        for host in hosts:
+            self.start(host.name)
+
+    def start(self, name: HostName) -> None:
+        """Start the process of ``name``, anew if it has run before."""
+        member = Membership(
+            self.hosts[name],
+            self.settings,
+            random.Random(self.rng.getrandbits(32)),
+            self.now,
+            incarnation=1000 * next(self._starts),
+        )
+        self.paused.discard(name)
+        self.members[name] = member
+        self.run_effects(name, member.learn_hosts(self.listed, self.now))
+
+    def crash(self, name: HostName) -> None:
+        """End the process of ``name`` without a word."""
+        del self.members[name]
+        self.paused.discard(name)
+
+    def pause(self, name: HostName) -> None:
+        """Stop the process of ``name``; its datagrams wait in the socket."""
+        self.paused.add(name)
+
+    def wake(self, name: HostName) -> None:
+        """Let the process of ``name`` run on."""
+        self.paused.discard(name)
+
+    def cut(self, *sides: Sequence[HostName]) -> None:
+        """Let no datagram pass between the sides; hosts not named are on one more side."""
+        self.side = {name: idx for idx, names in enumerate(sides, 1) for name in names}
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.side = {}
+        self.blocked.clear()
+
+    def run(self, seconds: Seconds, until: Callable[[], bool] = lambda: False) -> bool:
+        """Let time pass until the condition holds; return whether it did."""
+        end = self.now + seconds
+        while not until():
+            if not self._step(end):
+                return until()
+        return True
+
+    def run_effects(self, sender: HostName, effects: Sequence[MembershipEffect]) -> None:
+        """Put datagrams on the bus and note what else was asked for."""
+        for effect in effects:
+            if isinstance(effect, SendProbeMessage):
+                self._send(sender, effect.host, effect.message)
+            elif isinstance(effect, RevisionSeen):
+                self.revisions_seen.append((sender, effect))
+
+    def views_agree(self) -> bool:
+        """Whether every running process holds just the running ones to be alive."""
+        running = tuple(sorted(self.members))
+        return all(member.view.homes(GROUP) == running for member in self.members.values())
+
+    def _send(self, sender: HostName, receiver: HostName, message: MembershipMessage) -> None:
+        copies = 1 + (self.rng.random() < self.link.duplication)
+        for _ in range(copies):
+            delay = self.rng.uniform(self.link.min_delay_s, self.link.max_delay_s)
+            number = next(self._numbers)
+            datagram = Datagram(self.now + delay, number, sender, receiver, message)
+            self.on_send(datagram)
+            if self.rng.random() >= self.link.loss and not self._is_cut(sender, receiver):
+                heapq.heappush(self._datagrams, datagram)
+
+    def _is_cut(self, sender: HostName, receiver: HostName) -> bool:
+        is_same_side = self.side.get(sender, 0) == self.side.get(receiver, 0)
+        return not is_same_side or (sender, receiver) in self.blocked
+
+    def _step(self, end: Seconds) -> bool:
+        """Run the next event before ``end``; return whether there was one."""
+        due, name = min(
+            (
+                (member.next_tick_at, name)
+                for name, member in self.members.items()
+                if name not in self.paused
+            ),
+            default=(end, ""),
+        )
+        if self._datagrams and self._datagrams[0].arrives_at <= min(due, end):
+            self._deliver(heapq.heappop(self._datagrams))
+            return True
+        if due >= end:
+            self.now = max(self.now, end)
+            return False
+        self.now = max(self.now, due)
+        self.run_effects(name, self.members[name].tick(self.now))
+        self.on_event(name)
+        return True
+
+    def _deliver(self, datagram: Datagram) -> None:
+        self.now = max(self.now, datagram.arrives_at)
+        receiver = self.members.get(datagram.receiver)
+        if receiver is None:
+            return
+        if datagram.receiver in self.paused:
+            later = datagram._replace(arrives_at=self.now + self.settings.probe_interval_s)
+            heapq.heappush(self._datagrams, later)
+            return
+        self.run_effects(datagram.receiver, receiver.receive(datagram.message, self.now))
+        self.on_event(datagram.receiver)
+
+
+def make_hosts(count: int, data_centres: int = 3, group: str = GROUP) -> list[Host]:
+    """Return ``count`` hosts spread over the data centres."""
+    return [
+        Host(
+            f"{group}-{idx % data_centres}-{idx // data_centres}",
+            f"{group}-{idx % data_centres}",
+            group,
+            f"127.0.{idx // 250}.{idx % 250 + 1}",
+            7100,
+            7101,
+        )
+        for idx in range(count)
+    ]
