--- a/banyanline/core/coap.py
+++ b/banyanline/core/coap.py
@@ -132,6 +132,11 @@
     return None
 
 
+def message(datagram: bytes) -> Message:
+    """Decode a datagram that was decoded by the home before."""
+    return Message.decode(datagram)
+
+
 def starts_transfer(message: Message) -> bool:
     """Whether more blocks of a response or a request follow this message."""
     block1 = message.opt.block1
@@ -141,7 +146,8 @@
 
 def etag(message: Message) -> bytes | None:
     """Return the version of the representation, if the response tells one."""
-    return message.opt.etag
+    value: bytes | None = message.opt.etag
+    return value
 
 
 def for_upstream(message: Message, message_id: int, token: bytes, remaining_ms: int) -> bytes:
@@ -234,4 +240,10 @@
 
 def observe_sequence(message: Message) -> int | None:
     """Return the sequence number of a notification (RFC 7641, 3.4)."""
-    return message.opt.observe
+    value: int | None = message.opt.observe
+    return value
+
+
+def stream_given_up(reason: str) -> Message:
+    """Build the error notification that ends an observation (RFC 7641, 4.2)."""
+    return Message(code=Code.SERVICE_UNAVAILABLE, payload=f"stream ended: {reason}".encode())
--- a/banyanline/core/gate/connections.py
+++ b/banyanline/core/gate/connections.py
@@ -57,6 +57,10 @@
         self._last_opened_at = now
         return None
 
+    def adopt(self, flow: FlowId) -> None:
+        """Count a connection that was open before this owner came."""
+        self._open[flow] = None
+
     def close(self, flow: FlowId) -> bool:
         """Close the connection of ``flow``; tell whether it was open."""
         if flow not in self._open:
--- a/banyanline/core/gate/gate.py
+++ b/banyanline/core/gate/gate.py
@@ -229,6 +229,10 @@
             self._refusals[reason] += 1
         return reason
 
+    def adopt_connection(self, flow: FlowId) -> None:
+        """Count a flow that is established already; it is not refused."""
+        self._connections.adopt(flow)
+
     def close_connection(self, flow: FlowId) -> bool:
         """Close a stream or flow; tell whether it was open."""
         return self._connections.close(flow)
--- /dev/null
+++ b/banyanline/core/home/home.py
@@ -0,0 +1,124 @@
+"""The home aggregate: routes what comes for flows of which this balancer is the home."""
+
+from __future__ import annotations
+
+from aiocoap.numbers.types import Type
+
+from banyanline.core import coap
+from banyanline.core.context import Context
+from banyanline.core.counters import DropReason, FlowEnd
+from banyanline.core.home.datagrams import Datagrams
+from banyanline.core.home.policies import Policies
+from banyanline.core.home.requests import Requests
+from banyanline.core.home.streams import Streams
+from banyanline.core.home.transfers import Transfers
+from banyanline.core.messages import FlowKey, HomeHandover
+from banyanline.core.types import Endpoint, HostName, Protocol, Seconds, UpstreamName
+
+
+class Home:
+    """Everything that one balancer decides as the home of flows."""
+
+    def __init__(
+        self,
+        context: Context,
+        first_serial: int,
+        flow_idle_timeout_s: float,
+    ) -> None:
+        self._context = context
+        self._streams = Streams(context, self._next_serial)
+        self._transfers = Transfers(context)
+        self._policies = Policies(context)
+        self._requests = Requests(
+            context, self._policies, self._streams, self._transfers, first_serial
+        )
+        self._datagrams = Datagrams(context, self._policies, flow_idle_timeout_s)
+
+    @property
+    def requests(self) -> Requests:
+        """The requests of this home."""
+        return self._requests
+
+    @property
+    def streams(self) -> Streams:
+        """The streams of this home."""
+        return self._streams
+
+    @property
+    def datagrams(self) -> Datagrams:
+        """The flows of ``udp`` services of this home."""
+        return self._datagrams
+
+    @property
+    def next_at(self) -> Seconds:
+        """When the home needs attention next."""
+        return min(self._requests.next_at, self._streams.next_at, self._datagrams.next_at)
+
+    def _next_serial(self) -> int:
+        return self._requests.next_serial()
+
+    def receive(self, flow: FlowKey, payload: bytes, now: Seconds) -> None:
+        """Take a caller's datagram in."""
+        service = self._context.directory.service(flow.service)
+        if service is None:
+            self._context.counters.drops[DropReason.UNKNOWN_SERVICE] += 1
+        elif service.protocol is Protocol.UDP:
+            self._datagrams.receive(flow, payload, now)
+        else:
+            self._receive_coap(flow, payload, now)
+
+    def _receive_coap(self, flow: FlowKey, payload: bytes, now: Seconds) -> None:
+        decoded = coap.decode(payload)
+        drops = self._context.counters.drops
+        match decoded:
+            case coap.Request():
+                if decoded.observe == coap.OBSERVE_DEREGISTER:
+                    self._streams.cancel(flow, decoded.token)
+                self._requests.receive(flow, decoded, now)
+            case coap.Empty():
+                self._receive_empty(flow, decoded)
+            case coap.Malformed(reason):
+                is_long = reason == "oversized"
+                drops[DropReason.OVERSIZED if is_long else DropReason.MALFORMED] += 1
+            case coap.Response():
+                drops[DropReason.STRAY_RESPONSE] += 1
+
+    def _receive_empty(self, flow: FlowKey, message: coap.Empty) -> None:
+        if message.kind is Type.CON:
+            # An empty confirmable message is a ping; the answer is a reset (RFC 7252, 4.3).
+            caller = Endpoint(flow.caller_ip, flow.caller_port)
+            self._context.answer(flow.service, caller, coap.empty(Type.RST, message.message_id))
+        elif message.kind is not Type.RST or not self._streams.reset(flow, message.message_id):
+            self._context.counters.drops[DropReason.STRAY_EMPTY] += 1
+
+    def tick(self, now: Seconds) -> None:
+        """Do what is due."""
+        self._requests.tick(now)
+        self._streams.tick(now)
+        self._datagrams.tick(now)
+        self._transfers.expire(now)
+
+    def configuration_changed(self) -> None:
+        """Choose among the upstreams of the new configuration from now on."""
+        self._policies.configuration_changed()
+
+    def placement_changed(self, now: Seconds) -> None:
+        """Hand flows over whose slot has moved, and follow upstreams to their new owners."""
+        self._streams.hand_over()
+        self._datagrams.hand_over()
+        self._streams.owners_changed(now)
+
+    def take_over(self, message: HomeHandover, now: Seconds) -> None:
+        """Take flows and streams from their previous home."""
+        self._datagrams.take_over(message.flows, now)
+        self._streams.take_over(message.streams, now)
+
+    def host_lost(self, host: HostName, now: Seconds) -> None:
+        """End or move what waits for a host that is no longer alive."""
+        self._requests.host_lost(host, now)
+
+    def upstreams_gone(self, gone: dict[UpstreamName, FlowEnd], now: Seconds) -> None:
+        """Give up what belongs to upstreams to which no packet may go any more."""
+        self._requests.upstreams_gone(frozenset(gone), now)
+        self._streams.upstreams_gone(gone)
+        self._datagrams.upstreams_gone(gone)
--- /dev/null
+++ b/banyanline/core/home/requests.py
@@ -0,0 +1,486 @@
+"""Requests at their home: deduplication, deadline, dispatch, retries and the one answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from banyanline.core import coap
+from banyanline.core.answers import RefusalReason, UnknownReason
+from banyanline.core.context import Context
+from banyanline.core.counters import DropReason
+from banyanline.core.home.claims import (
+    RESEND_INTERVAL_S,
+    ClaimCarried,
+    ClaimFree,
+    ClaimOpen,
+    ClaimRounds,
+    ClaimState,
+    ClaimUndecided,
+)
+from banyanline.core.home.entry import Entry, Phase
+from banyanline.core.home.policies import Policies
+from banyanline.core.ledger import KeyTable
+from banyanline.core.messages import (
+    Answered,
+    CancelDispatch,
+    ClaimReply,
+    Dispatch,
+    FlowKey,
+    NotRun,
+    Pending,
+    RequestKey,
+    Result,
+    Superseded,
+    Unknown,
+)
+from banyanline.core.placement import slot_of
+from banyanline.core.retry import AttemptOutcome, RetryAt
+from banyanline.core.timers import TimerHeap
+from banyanline.core.types import Endpoint, HostName, Seconds, UpstreamName
+
+if TYPE_CHECKING:
+    from aiocoap.message import Message
+
+    from banyanline.core.home.streams import Streams
+    from banyanline.core.home.transfers import Transfers
+
+REPLY_MARGIN_S = 0.010
+"""Part of the patience that is kept for the answer's way to the caller."""
+
+FIRST_RESEND_S = 0.05
+RESEND_LIMIT_S = 0.8
+UNANSWERED_RESENDS = 2
+"""After so many unanswered resends an idempotent request is tried with another owner."""
+
+RECLAIM_DELAY_S = 0.05
+LEASE_RETRY_S = 0.05
+LEASE_WAIT_S = 0.6
+
+
+_NOT_RUN_OUTCOMES: dict[str, AttemptOutcome] = {
+    RefusalReason.OWNER_MOVED: AttemptOutcome.OWNER_MOVED,
+    RefusalReason.UPSTREAM_SHED: AttemptOutcome.UPSTREAM_SHED,
+    RefusalReason.NO_UPSTREAM: AttemptOutcome.UPSTREAM_LEFT,
+}
+
+
+class Requests:
+    """All requests of which this balancer is the home."""
+
+    def __init__(
+        self,
+        context: Context,
+        policies: Policies,
+        streams: Streams,
+        transfers: Transfers,
+        first_serial: int,
+    ) -> None:
+        limits = context.limits
+        self._context = context
+        self._policies = policies
+        self._streams = streams
+        self._transfers = transfers
+        self._ledger: KeyTable[Entry] = KeyTable(limits.requests, limits.request_lifetime_s)
+        self._claims = ClaimRounds(context)
+        self._dispatched: dict[int, Entry] = {}
+        self._timers: TimerHeap[tuple[Entry, Phase, int]] = TimerHeap()
+        self._serial = first_serial
+        self._open = 0
+
+    @property
+    def next_at(self) -> Seconds:
+        """When a request needs attention next."""
+        return self._timers.next_at
+
+    @property
+    def open_count(self) -> int:
+        """Requests that have no answer yet."""
+        return self._open
+
+    @property
+    def ledger_count(self) -> int:
+        """Request keys that are remembered."""
+        return len(self._ledger)
+
+    def next_serial(self) -> int:
+        """Return a number that this process uses for one dispatch alone."""
+        self._serial += 1
+        return self._serial
+
+    # -- from callers
+
+    def receive(self, flow: FlowKey, request: coap.Request, now: Seconds) -> None:
+        """Take a caller's request in, the first time or again."""
+        key = RequestKey(*flow, request.message_id, request.token)
+        entry = self._ledger.get(key)
+        if entry is not None:
+            self._repeat(entry)
+            return
+        if request.unknown_critical is not None:
+            self._reply(flow, request, coap.bad_option(request.unknown_critical))
+            return
+        entry = Entry(key, flow, self._context.hash_of(flow), request, now)
+        self._set_deadline(entry, now)
+        if self._ledger.add(key, entry, now) is not None:
+            self._count_unknown(entry, RefusalReason.LEDGER_FULL)
+            self._reply(flow, request, coap.unknown_outcome(RefusalReason.LEDGER_FULL))
+            return
+        self._open += 1
+        self._admit(entry, now)
+
+    def _repeat(self, entry: Entry) -> None:
+        self._context.counters.duplicates["request"] += 1
+        if entry.answer is not None:
+            self._context.answer(entry.key.service, _caller(entry.flow), entry.answer)
+
+    def _set_deadline(self, entry: Entry, now: Seconds) -> None:
+        context = self._context
+        patience = context.patience.patience_s(entry.flow.caller_ip, context.wall_clock())
+        entry.deadline = now + max(REPLY_MARGIN_S, patience - REPLY_MARGIN_S)
+        self._timers.add(entry.deadline, (entry, Phase.ANSWERED, 0))
+
+    def _admit(self, entry: Entry, now: Seconds) -> None:
+        context = self._context
+        slot = slot_of(entry.hash)
+        entry.is_unseen = context.is_settled(slot, context.limits.request_lifetime_s, now)
+        if not self._pin(entry, now):
+            self._finish(entry, coap.transfer_restart(), now)
+        elif entry.is_idempotent:
+            self._dispatch(entry, now)
+        elif not context.may_decide(now):
+            self._wait_for_lease(entry, now)
+        elif entry.is_unseen:
+            self._dispatch(entry, now)
+        else:
+            self._claim(entry, slot, now)
+
+    def _pin(self, entry: Entry, now: Seconds) -> bool:
+        """Bind the request to the upstream that it must go to; false if that one is gone."""
+        request = entry.request
+        assert request is not None
+        if request.observe is not None:
+            entry.pinned = self._streams.upstream_of(entry.flow, request.token)
+        if request.continues_transfer:
+            entry.pinned = self._transfers.upstream_of(entry.flow, request.message, now)
+            return entry.pinned is not None
+        return True
+
+    def _wait_for_lease(self, entry: Entry, now: Seconds) -> None:
+        if now - entry.arrived_at >= LEASE_WAIT_S:
+            self._finish_unknown(entry, UnknownReason.NO_QUORUM, now)
+            return
+        entry.phase = Phase.WAITING_FOR_LEASE
+        self._timers.add(now + LEASE_RETRY_S, (entry, Phase.WAITING_FOR_LEASE, 0))
+
+    # -- claims
+
+    def _claim(self, entry: Entry, slot: int, now: Seconds) -> None:
+        entry.phase = Phase.CLAIMING
+        entry.ballot, state = self._claims.start(entry.key, slot, now)
+        self._timers.add(now + RESEND_INTERVAL_S, (entry, Phase.CLAIMING, 0))
+        self._claimed(entry, state, now)
+
+    def receive_claim_reply(self, sender: HostName, reply: ClaimReply, now: Seconds) -> None:
+        """Take an owner's verdict on a claim in."""
+        entry = self._ledger.get(reply.key)
+        if entry is None or entry.phase is not Phase.CLAIMING:
+            return
+        self._claimed(entry, self._claims.receive(sender, reply), now)
+
+    def _claimed(self, entry: Entry, state: ClaimState, now: Seconds) -> None:
+        match state:
+            case ClaimOpen():
+                return
+            case ClaimFree():
+                entry.is_unseen = True
+                self._dispatch(entry, now)
+            case ClaimCarried(owner, upstream, outcome):
+                self._join(entry, owner, upstream, outcome, now)
+            case ClaimUndecided(is_final):
+                if is_final:
+                    self._finish_unknown(entry, UnknownReason.WITNESS_UNREACHABLE, now)
+                else:
+                    entry.phase = Phase.WAITING_TO_CLAIM
+                    self._timers.add(now + RECLAIM_DELAY_S, (entry, Phase.WAITING_TO_CLAIM, 0))
+
+    def _join(
+        self,
+        entry: Entry,
+        owner: HostName,
+        upstream: UpstreamName,
+        outcome: object,
+        now: Seconds,
+    ) -> None:
+        """Wait for, or pass on, the outcome of a dispatch by an earlier home."""
+        entry.upstream = upstream
+        if isinstance(outcome, Pending):
+            self._send_dispatch(entry, owner, now)
+        elif isinstance(outcome, Answered):
+            self._answered(entry, outcome.payload, now)
+        elif isinstance(outcome, NotRun):
+            entry.is_unseen = True
+            self._refuse(entry, outcome.reason, outcome.retry_after_s, now)
+        else:
+            self._finish_unknown(entry, UnknownReason.OWNER_LOST, now)
+
+    # -- dispatch
+
+    def _dispatch(self, entry: Entry, now: Seconds) -> None:
+        context = self._context
+        upstream = self._choose(entry, now)
+        owner = context.owner_of(upstream) if upstream is not None else None
+        if upstream is None or owner is None:
+            self._refuse(entry, RefusalReason.NO_UPSTREAM, 1.0 + context.rng.random(), now)
+            return
+        context.ensure_same_service(entry.key.service, upstream)
+        entry.upstream = upstream
+        entry.attempt += 1
+        self._policies.dispatched(entry.key.service, upstream)
+        self._send_dispatch(entry, owner, now)
+
+    def _choose(self, entry: Entry, now: Seconds) -> UpstreamName | None:
+        context = self._context
+        if entry.pinned is not None:
+            return entry.pinned if entry.pinned in context.directory.reachable else None
+        return self._policies.choose(
+            entry.key.service,
+            entry.hash,
+            entry.excluded,
+            now,
+            needs_other_owner=not entry.is_idempotent,
+        )
+
+    def _send_dispatch(self, entry: Entry, owner: HostName, now: Seconds) -> None:
+        entry.phase = Phase.DISPATCHED
+        entry.owner = owner
+        entry.serial = self.next_serial()
+        entry.resends = 0
+        self._dispatched[entry.serial] = entry
+        self._context.send(owner, self._dispatch_message(entry, now))
+        self._timers.add(now + FIRST_RESEND_S, (entry, Phase.DISPATCHED, entry.serial))
+
+    def _dispatch_message(self, entry: Entry, now: Seconds) -> Dispatch:
+        request = entry.request
+        assert request is not None
+        return Dispatch(
+            serial=entry.serial,
+            key=entry.key,
+            upstream=entry.upstream,
+            remaining_ms=max(0, int((entry.deadline - now) * 1000)),
+            ballot=entry.ballot,
+            attempt=entry.attempt,
+            idempotent=request.idempotent,
+            stream=request.observe == coap.OBSERVE_REGISTER,
+            resume=False,
+            payload=bytes(request.message.encode()),
+        )
+
+    # -- results
+
+    def receive_result(self, sender: HostName, result: Result, now: Seconds) -> None:
+        """Take an owner's outcome of a dispatch in."""
+        if result.load is not None:
+            self._policies.learn(result.key.service, sender, result.load, now)
+        entry = self._dispatched.get(result.serial)
+        if entry is None or entry.key != result.key:
+            self._context.counters.drops[DropReason.LATE_RESULT] += 1
+            return
+        outcome = result.outcome
+        if isinstance(outcome, Pending):
+            entry.resends = -1
+            return
+        del self._dispatched[result.serial]
+        if entry.serial != result.serial or entry.phase is not Phase.DISPATCHED:
+            self._context.counters.drops[DropReason.LATE_RESULT] += 1
+            return
+        self._conclude(entry, sender, outcome, now)
+
+    def _conclude(self, entry: Entry, sender: HostName, outcome: object, now: Seconds) -> None:
+        match outcome:
+            case Answered():
+                self._answered(entry, outcome.payload, now)
+            case NotRun():
+                self._not_run(entry, outcome, now)
+            case Unknown():
+                self._failed(entry, outcome.reason, AttemptOutcome.UPSTREAM_TIMEOUT, now)
+            case Superseded():
+                entry.phase = Phase.SUPERSEDED
+                self._close(entry)
+
+    def _answered(self, entry: Entry, payload: bytes, now: Seconds) -> None:
+        decoded = coap.decode(payload)
+        if not isinstance(decoded, coap.Response):
+            self._finish_unknown(entry, UnknownReason.UPSTREAM_TIMEOUT, now)
+            return
+        request = entry.request
+        assert request is not None
+        self._policies.succeeded(entry.key.service, now)
+        if not self._transfers.is_same_version(entry.flow, request, decoded, entry.upstream, now):
+            self._finish(entry, coap.transfer_restart(), now)
+            return
+        if entry.is_registration and decoded.message.opt.observe is not None:
+            self._streams.registered(entry.flow, request, entry.upstream, entry.owner, decoded, now)
+        self._context.counters.answer(entry.key.service, now - entry.arrived_at)
+        self._finish(entry, decoded.message, now)
+
+    def _not_run(self, entry: Entry, outcome: NotRun, now: Seconds) -> None:
+        attempt_outcome = _NOT_RUN_OUTCOMES.get(outcome.reason, AttemptOutcome.OWNER_REFUSED)
+        if attempt_outcome is not AttemptOutcome.OWNER_MOVED:
+            entry.excluded |= {entry.upstream}
+        if not self._retry(entry, attempt_outcome, now):
+            self._refuse(entry, outcome.reason, outcome.retry_after_s, now)
+
+    def _failed(self, entry: Entry, reason: str, outcome: AttemptOutcome, now: Seconds) -> None:
+        """Retry an idempotent request, or answer that the outcome is unknown."""
+        entry.may_have_run = True
+        entry.excluded |= {entry.upstream}
+        if not self._retry(entry, outcome, now):
+            self._finish_unknown(entry, reason, now)
+
+    def _retry(self, entry: Entry, outcome: AttemptOutcome, now: Seconds) -> bool:
+        service = entry.key.service
+        decision = self._policies.decide(
+            service, entry.attempt, outcome, entry.is_idempotent, entry.deadline - now, now
+        )
+        if not isinstance(decision, RetryAt):
+            return False
+        entry.phase = Phase.WAITING_TO_RETRY
+        entry.serial = 0
+        self._context.counters.retry(decision.reason, service)
+        self._timers.add(decision.time, (entry, Phase.WAITING_TO_RETRY, 0))
+        return True
+
+    # -- time
+
+    def tick(self, now: Seconds) -> None:
+        """Do what is due: deadlines, resends, retries, and the end of lifetimes."""
+        for entry, phase, serial in self._timers.due(now):
+            if entry.is_final:
+                continue
+            if phase is Phase.ANSWERED:
+                self._expire(entry, now)
+            elif entry.phase is phase:
+                self._continue(entry, serial, now)
+        self._ledger.expire(now)
+
+    def _continue(self, entry: Entry, serial: int, now: Seconds) -> None:
+        match entry.phase:
+            case Phase.WAITING_FOR_LEASE:
+                self._readmit(entry, now)
+            case Phase.CLAIMING:
+                self._claims.resend(entry.key)
+                self._timers.add(now + RESEND_INTERVAL_S, (entry, Phase.CLAIMING, 0))
+            case Phase.WAITING_TO_CLAIM:
+                self._readmit(entry, now)
+            case Phase.WAITING_TO_RETRY:
+                self._dispatch(entry, now)
+            case Phase.DISPATCHED if serial == entry.serial:
+                self._resend(entry, now)
+
+    def _readmit(self, entry: Entry, now: Seconds) -> None:
+        if self._context.may_decide(now):
+            self._admit(entry, now)
+        else:
+            self._wait_for_lease(entry, now)
+
+    def _resend(self, entry: Entry, now: Seconds) -> None:
+        is_heard = entry.resends < 0
+        if not is_heard and entry.is_idempotent and entry.resends >= UNANSWERED_RESENDS:
+            self._forget_dispatch(entry)
+            self._failed(entry, UnknownReason.OWNER_LOST, AttemptOutcome.OWNER_LOST, now)
+            return
+        self._context.send(entry.owner, self._dispatch_message(entry, now))
+        if not is_heard:
+            entry.resends += 1
+        delay = RESEND_LIMIT_S if is_heard else FIRST_RESEND_S * 2**entry.resends
+        due = now + min(delay, RESEND_LIMIT_S)
+        self._timers.add(due, (entry, Phase.DISPATCHED, entry.serial))
+
+    def _expire(self, entry: Entry, now: Seconds) -> None:
+        match entry.phase:
+            case Phase.DISPATCHED:
+                self._forget_dispatch(entry)
+                self._context.send(
+                    entry.owner, CancelDispatch(entry.serial, entry.key, entry.upstream)
+                )
+                entry.may_have_run = True
+                self._finish_unknown(entry, UnknownReason.UPSTREAM_TIMEOUT, now)
+            case Phase.WAITING_TO_RETRY:
+                self._refuse(entry, RefusalReason.DEADLINE_PASSED, 1.0, now)
+            case Phase.CLAIMING | Phase.WAITING_TO_CLAIM:
+                self._finish_unknown(entry, UnknownReason.WITNESS_UNREACHABLE, now)
+            case _:
+                self._finish_unknown(entry, UnknownReason.NO_QUORUM, now)
+
+    # -- changes of the fleet and of the configuration
+
+    def host_lost(self, host: HostName, now: Seconds) -> None:
+        """End or move what waits for a host that is no longer alive."""
+        for key in self._claims.owner_gone(host):
+            entry = self._ledger.get(key)
+            if entry is not None and entry.phase is Phase.CLAIMING:
+                self._claim(entry, slot_of(entry.hash), now)
+        lost = [entry for entry in self._dispatched.values() if entry.owner == host]
+        for entry in lost:
+            self._lose(entry, UnknownReason.OWNER_LOST, AttemptOutcome.OWNER_LOST, now)
+
+    def upstreams_gone(self, gone: frozenset[UpstreamName], now: Seconds) -> None:
+        """End or move what runs at upstreams to which no packet may go any more."""
+        lost = [entry for entry in self._dispatched.values() if entry.upstream in gone]
+        for entry in lost:
+            entry.pinned = None
+            self._lose(entry, UnknownReason.DATA_CENTRE_OUT, AttemptOutcome.OWNER_LOST, now)
+
+    def _lose(self, entry: Entry, reason: str, outcome: AttemptOutcome, now: Seconds) -> None:
+        self._forget_dispatch(entry)
+        if entry.phase is Phase.DISPATCHED:
+            self._failed(entry, reason, outcome, now)
+
+    def _forget_dispatch(self, entry: Entry) -> None:
+        self._dispatched.pop(entry.serial, None)
+
+    # -- answers
+
+    def _refuse(self, entry: Entry, reason: str, retry_after_s: float, now: Seconds) -> None:
+        """Refuse with a promise that nothing ran, or without one where it would not be true."""
+        if not entry.may_promise_not_run:
+            self._finish_unknown(entry, reason, now)
+            return
+        self._context.counters.refuse(RefusalReason(reason), entry.key.service)
+        self._finish(entry, coap.not_run(reason, retry_after_s), now)
+
+    def _finish_unknown(self, entry: Entry, reason: str, now: Seconds) -> None:
+        self._count_unknown(entry, reason)
+        self._finish(entry, coap.unknown_outcome(reason), now)
+
+    def _count_unknown(self, entry: Entry, reason: str) -> None:
+        self._context.counters.lose_outcome(_reason(reason), entry.key.service)
+
+    def _finish(self, entry: Entry, message: Message, now: Seconds) -> None:
+        request = entry.request
+        assert request is not None
+        entry.phase = Phase.ANSWERED
+        entry.answered_at = now
+        entry.answer = self._reply(entry.flow, request, message)
+        self._close(entry)
+
+    def _close(self, entry: Entry) -> None:
+        self._claims.drop(entry.key)
+        entry.request = None
+        self._open -= 1
+
+    def _reply(self, flow: FlowKey, request: coap.Request, message: Message) -> bytes:
+        payload = coap.for_caller(message, request.message_id, request.token, request.confirmable)
+        self._context.answer(flow.service, _caller(flow), payload)
+        return payload
+
+
+def _reason(reason: str) -> UnknownReason | RefusalReason:
+    try:
+        return UnknownReason(reason)
+    except ValueError:
+        return RefusalReason(reason)
+
+
+def _caller(flow: FlowKey) -> Endpoint:
+    return Endpoint(flow.caller_ip, flow.caller_port)
--- /dev/null
+++ b/banyanline/core/home/streams.py
@@ -0,0 +1,363 @@
+"""Streams (RFC 7641 observations) at their home.
+
+A stream outlives its home and its owner: the owner sends notifications to whoever
+is home now, which learns the stream from them, and the home registers the stream
+again through whoever owns the upstream now.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+from aiocoap.numbers.types import Type
+
+from banyanline.core import coap
+from banyanline.core.context import Context
+from banyanline.core.counters import DropReason, FlowEnd
+from banyanline.core.messages import (
+    NO_BALLOT,
+    Answered,
+    CancelStream,
+    Dispatch,
+    FlowKey,
+    HomeHandover,
+    Notification,
+    Pending,
+    RequestKey,
+    Result,
+    StreamEnded,
+    StreamKey,
+    StreamState,
+)
+from banyanline.core.timers import TimerHeap
+from banyanline.core.types import Endpoint, HostName, Seconds, UpstreamName
+
+RESUME_RETRY_S = 0.25
+RESUME_LIMIT_S = 30.0
+RESUME_PATIENCE_MS = 2000
+RESUMPTION_ID_BASE = 1 << 16
+"""Message IDs of callers have 16 bits; greater ones mark resumptions by a home."""
+
+SEQUENCE_SPACE = 1 << 24
+SEQUENCE_TICKS_PER_S = 256
+"""Sequence numbers towards callers follow the clock, so that they grow from home to home."""
+
+MAX_NOTIFICATION_HOPS = 2
+REMEMBERED_MESSAGE_IDS = 8
+HANDOVER_CHUNK = 256
+
+
+class Stream:
+    """One stream: where its notifications come from and what registers it again."""
+
+    __slots__ = (
+        "ids",
+        "owner",
+        "request",
+        "resume_serial",
+        "resuming_since",
+        "sent_sequence",
+        "sequence",
+        "upstream",
+    )
+
+    def __init__(self, upstream: UpstreamName, owner: HostName, request: bytes) -> None:
+        self.upstream = upstream
+        self.owner = owner
+        self.request = request
+        self.sequence: int | None = None
+        self.sent_sequence: int | None = None
+        self.ids: deque[int] = deque(maxlen=REMEMBERED_MESSAGE_IDS)
+        self.resume_serial = 0
+        self.resuming_since: float | None = None
+
+
+def is_newer(sequence: int, last: int | None) -> bool:
+    """Compare sequence numbers of notifications modulo 2^24 (RFC 7641, 3.4).
+
+    >>> is_newer(1, None), is_newer(2, 1), is_newer(1, 2), is_newer(0, SEQUENCE_SPACE - 1)
+    (True, True, False, True)
+    """
+    if last is None:
+        return True
+    return 0 < (sequence - last) % SEQUENCE_SPACE < SEQUENCE_SPACE // 2
+
+
+class Streams:
+    """All streams of which this balancer is the home."""
+
+    def __init__(self, context: Context, next_serial: Callable[[], int]) -> None:
+        self._context = context
+        self._next_serial = next_serial
+        self._streams: dict[StreamKey, Stream] = {}
+        self._resuming: dict[int, StreamKey] = {}
+        self._timers: TimerHeap[tuple[StreamKey, int]] = TimerHeap()
+        self._message_id = context.rng.randrange(1 << 16)
+
+    @property
+    def next_at(self) -> Seconds:
+        """When a resumption needs attention next."""
+        return self._timers.next_at
+
+    def __len__(self) -> int:
+        """Return the number of streams."""
+        return len(self._streams)
+
+    def upstream_of(self, flow: FlowKey, token: bytes) -> UpstreamName | None:
+        """Return the upstream of a stream."""
+        stream = self._streams.get(StreamKey(*flow, token))
+        return None if stream is None else stream.upstream
+
+    def registered(
+        self,
+        flow: FlowKey,
+        request: coap.Request,
+        upstream: UpstreamName,
+        owner: HostName,
+        response: coap.Response,
+        now: Seconds,
+    ) -> None:
+        """Note a stream whose registration the upstream has accepted."""
+        key = StreamKey(*flow, request.token)
+        stream = self._streams.get(key)
+        if stream is None and len(self._streams) >= self._context.limits.flows:
+            self._context.send(owner, CancelStream(key, upstream))
+            return
+        if stream is None or stream.upstream != upstream:
+            stream = Stream(upstream, owner, bytes(request.message.encode()))
+            self._streams[key] = stream
+        stream.owner = owner
+        stream.sequence = coap.observe_sequence(response.message)
+        response.message.opt.observe = self._outgoing_sequence(stream)
+        self._stop_resuming(stream)
+
+    def cancel(self, flow: FlowKey, token: bytes) -> None:
+        """End a stream that the caller no longer wants."""
+        key = StreamKey(*flow, token)
+        stream = self._streams.get(key)
+        if stream is not None:
+            self._context.send(stream.owner, CancelStream(key, stream.upstream))
+            self._end(key, FlowEnd.CALLER_LEFT)
+
+    def reset(self, flow: FlowKey, message_id: int) -> bool:
+        """End the stream whose notification the caller rejected (RFC 7641, 3.6)."""
+        for key, stream in self._streams.items():
+            if message_id in stream.ids and key[:3] == flow:
+                self.cancel(flow, key.token)
+                return True
+        return False
+
+    def notify(self, message: Notification, now: Seconds) -> None:
+        """Pass a notification on to the caller, and learn the stream if it is new here."""
+        context = self._context
+        key = message.stream
+        context.ensure_same_service(key.service, message.upstream)
+        if message.upstream not in context.directory.reachable:
+            context.counters.drops[DropReason.UNKNOWN_STREAM] += 1
+            return
+        if self._pass_to_home(message):
+            return
+        stream = self._streams.get(key)
+        if stream is None:
+            stream = self._adopt(key, message.upstream, message.owner, message.request)
+        self._follow(key, stream, message.owner)
+        if stream.upstream != message.upstream or stream.owner != message.owner:
+            context.send(message.owner, CancelStream(key, message.upstream))
+            context.counters.drops[DropReason.STALE_NOTIFICATION] += 1
+            return
+        self._forward(key, stream, message.payload)
+
+    def _pass_to_home(self, message: Notification) -> bool:
+        """Forward a notification to the stream's home if that is another balancer."""
+        context = self._context
+        home = context.home_of(FlowKey(*message.stream[:3]))
+        if home in (None, context.local.name) or message.hops >= MAX_NOTIFICATION_HOPS:
+            return False
+        assert home is not None
+        context.send(home, msgspec.structs.replace(message, hops=message.hops + 1))
+        return True
+
+    def _adopt(
+        self, key: StreamKey, upstream: UpstreamName, owner: HostName, request: bytes
+    ) -> Stream:
+        stream = Stream(upstream, owner, request)
+        self._streams[key] = stream
+        self._context.counters.recovered["stream"] += 1
+        return stream
+
+    def _follow(self, key: StreamKey, stream: Stream, sender: HostName) -> None:
+        """Switch to the upstream's present owner, and end the registration of an earlier one."""
+        if sender == stream.owner and stream.resuming_since is None:
+            return
+        if sender != self._context.owner_of(stream.upstream):
+            return
+        if stream.owner not in ("", sender):
+            self._context.send(stream.owner, CancelStream(key, stream.upstream))
+        stream.owner = sender
+        stream.sequence = None
+        self._stop_resuming(stream)
+
+    def _forward(self, key: StreamKey, stream: Stream, payload: bytes) -> None:
+        decoded = coap.decode(payload)
+        if not isinstance(decoded, coap.Response):
+            self._context.counters.drops[DropReason.MALFORMED] += 1
+            return
+        sequence = coap.observe_sequence(decoded.message)
+        if sequence is None:
+            self._deliver(key, stream, decoded)
+            self._end(key, FlowEnd.UPSTREAM_ENDED)
+            return
+        if not is_newer(sequence, stream.sequence):
+            self._context.counters.drops[DropReason.STALE_NOTIFICATION] += 1
+            return
+        stream.sequence = sequence
+        decoded.message.opt.observe = self._outgoing_sequence(stream)
+        self._deliver(key, stream, decoded)
+
+    def _outgoing_sequence(self, stream: Stream) -> int:
+        clock = int(self._context.wall_clock() * SEQUENCE_TICKS_PER_S) % SEQUENCE_SPACE
+        last = stream.sent_sequence
+        if last is not None and not is_newer(clock, last):
+            clock = (last + 1) % SEQUENCE_SPACE
+        stream.sent_sequence = clock
+        return clock
+
+    def _deliver(self, key: StreamKey, stream: Stream, response: coap.Response) -> None:
+        message_id = self._next_message_id()
+        stream.ids.append(message_id)
+        payload = coap.notification_for_caller(response.message, message_id, key.token)
+        self._context.answer(key.service, Endpoint(key.caller_ip, key.caller_port), payload)
+
+    def _next_message_id(self) -> int:
+        self._message_id = (self._message_id + 1) % (1 << 16)
+        return self._message_id
+
+    def ended(self, sender: HostName, message: StreamEnded) -> None:
+        """Pass the last message of a stream on to the caller."""
+        stream = self._streams.get(message.stream)
+        if stream is None or stream.upstream != message.upstream or stream.owner != sender:
+            return
+        decoded = coap.decode(message.payload)
+        if isinstance(decoded, coap.Response):
+            self._deliver(message.stream, stream, decoded)
+        self._end(message.stream, FlowEnd.UPSTREAM_ENDED)
+
+    def _end(self, key: StreamKey, reason: FlowEnd) -> None:
+        stream = self._streams.pop(key, None)
+        if stream is not None:
+            self._stop_resuming(stream)
+            self._context.counters.end_flow(reason, key.service)
+
+    def _stop_resuming(self, stream: Stream) -> None:
+        self._resuming.pop(stream.resume_serial, None)
+        stream.resuming_since = None
+
+    # -- resumption through a new owner
+
+    def owners_changed(self, now: Seconds) -> None:
+        """Register the streams again whose upstream has another owner now."""
+        for key, stream in self._streams.items():
+            owner = self._context.owner_of(stream.upstream)
+            if owner is None or owner == stream.owner or stream.resuming_since is not None:
+                continue
+            stream.resuming_since = now
+            self._resume(key, stream, owner, now)
+
+    def _resume(self, key: StreamKey, stream: Stream, owner: HostName, now: Seconds) -> None:
+        self._resuming.pop(stream.resume_serial, None)
+        serial = self._next_serial()
+        stream.resume_serial = serial
+        self._resuming[serial] = key
+        message = Dispatch(
+            serial=serial,
+            key=RequestKey(*key[:3], RESUMPTION_ID_BASE + serial, key.token),
+            upstream=stream.upstream,
+            remaining_ms=RESUME_PATIENCE_MS,
+            ballot=NO_BALLOT,
+            attempt=1,
+            idempotent=True,
+            stream=True,
+            resume=True,
+            payload=stream.request,
+        )
+        self._context.send(owner, message)
+        self._timers.add(now + RESUME_RETRY_S, (key, serial))
+
+    def receive_result(self, sender: HostName, result: Result, now: Seconds) -> bool:
+        """Take the outcome of a resumption in; false if the result belongs to none."""
+        key = self._resuming.get(result.serial)
+        if key is None:
+            return False
+        stream = self._streams[key]
+        if isinstance(result.outcome, Answered):
+            self._follow(key, stream, sender)
+            self._forward(key, stream, result.outcome.payload)
+        elif not isinstance(result.outcome, Pending):
+            self._resuming.pop(result.serial, None)
+        return True
+
+    def tick(self, now: Seconds) -> None:
+        """Try resumptions again that have had no success."""
+        for key, serial in self._timers.due(now):
+            stream = self._streams.get(key)
+            if stream is None or stream.resuming_since is None or stream.resume_serial != serial:
+                continue
+            owner = self._context.owner_of(stream.upstream)
+            if owner == stream.owner:
+                self._stop_resuming(stream)
+            elif now - stream.resuming_since > RESUME_LIMIT_S:
+                self._end(key, FlowEnd.RECOVERY_FAILED)
+            elif owner is not None:
+                self._resume(key, stream, owner, now)
+            else:
+                self._timers.add(now + RESUME_RETRY_S, (key, serial))
+
+    # -- changes
+
+    def upstreams_gone(self, gone: dict[UpstreamName, FlowEnd]) -> None:
+        """Give up the streams of upstreams to which no packet may go any more."""
+        given_up = [
+            (key, gone[stream.upstream])
+            for key, stream in self._streams.items()
+            if stream.upstream in gone
+        ]
+        for key, reason in given_up:
+            self._tell_end(key, reason)
+            self._end(key, reason)
+
+    def _tell_end(self, key: StreamKey, reason: FlowEnd) -> None:
+        """Send the error notification that ends an observation (RFC 7641, 4.2)."""
+        payload = coap.notification_for_caller(
+            coap.stream_given_up(reason), self._next_message_id(), key.token
+        )
+        self._context.answer(key.service, Endpoint(key.caller_ip, key.caller_port), payload)
+
+    def hand_over(self) -> None:
+        """Give the streams whose slot has another home now to that home."""
+        local = self._context.local.name
+        moved: dict[HostName, list[StreamState]] = {}
+        for key, stream in self._streams.items():
+            home = self._context.home_of(FlowKey(*key[:3]))
+            if home is not None and home != local:
+                state = StreamState(key, stream.upstream, stream.request)
+                moved.setdefault(home, []).append(state)
+        for home, states in moved.items():
+            for start in range(0, len(states), HANDOVER_CHUNK):
+                chunk = tuple(states[start : start + HANDOVER_CHUNK])
+                self._context.transfer(home, HomeHandover((), chunk))
+            for state in states:
+                self._stop_resuming(self._streams.pop(state.stream))
+
+    def take_over(self, states: tuple[StreamState, ...], now: Seconds) -> None:
+        """Take streams from their previous home."""
+        for state in states:
+            if state.stream not in self._streams:
+                owner = self._context.owner_of(state.upstream) or ""
+                self._adopt(state.stream, state.upstream, owner, state.request)
+
+
+def is_rejection(message: coap.Empty) -> bool:
+    """Whether an empty message rejects a notification."""
+    return message.kind is Type.RST
--- a/banyanline/core/ledger.py
+++ b/banyanline/core/ledger.py
@@ -13,7 +13,6 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from banyanline.core.messages import (
-    NO_BALLOT,
     Ballot,
     Outcome,
     Pending,
@@ -93,16 +92,17 @@
 
     ``outcome`` is ``None`` for a key that was only claimed, and :class:`Pending`
     while the request is queued or runs. ``waiters`` are the dispatches that want
-    the outcome, as pairs of home and serial.
+    the outcome, as pairs of home and serial. ``last_attempt`` is the home and the
+    number of the attempt that was taken on last.
     """
 
-    __slots__ = ("ballot", "outcome", "serial", "upstream", "waiters")
+    __slots__ = ("ballot", "last_attempt", "outcome", "upstream", "waiters")
 
     def __init__(self, ballot: Ballot) -> None:
         self.ballot = ballot
         self.outcome: Outcome | None = None
         self.upstream: UpstreamName = ""
-        self.serial = 0
+        self.last_attempt: tuple[HostName, int] = ("", 0)
         self.waiters: list[tuple[HostName, int]] = []
 
     @property
@@ -211,17 +211,18 @@
         self,
         key: RequestKey,
         upstream: UpstreamName,
-        outcome: Outcome,
-        ballot: Ballot = NO_BALLOT,
-        *,
+        outcome: Outcome | None,
+        ballot: Ballot,
         now: Seconds,
-    ) -> None:
-        """Take a key over from the upstream's previous owner."""
+    ) -> KeyRecord | None:
+        """Take a key over from the upstream's previous owner; ``None`` if there is no room."""
         record = self._table.get(key)
         if record is None:
             record = KeyRecord(ballot)
             if self._table.add(key, record, now) is not None:
-                return
-        if not record.is_carried:
+                return None
+        record.ballot = max(record.ballot, ballot)
+        if outcome is not None and (not record.is_carried or record.is_pending):
             record.upstream = upstream
             record.outcome = outcome
+        return record
--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import NamedTuple, TypeAlias
 
 import msgspec
 
+from banyanline.core.gate import HandOver, LoadWord
 from banyanline.core.types import HostName, ServiceName, UpstreamName
 
 
@@ -59,19 +61,14 @@
     """An owner's word on the load of one upstream; rides on data-path replies."""
 
     upstream: UpstreamName
-    in_flight: int
-    queued: int
-    slots: int
-    expected_wait_ms: int
-    cold: bool
-    sequence: int
+    load: LoadWord
 
 
 class _Message(msgspec.Struct, frozen=True, array_like=True):
     """Base of all messages: immutable, encoded as arrays."""
 
 
-class ToHome(_Message, tag="h"):
+class ToHome(_Message, frozen=True, tag="h"):
     """A caller's datagram on its way from the ingress to the flow's home."""
 
     flow: FlowKey
@@ -79,7 +76,7 @@
     hops: int
 
 
-class Dispatch(_Message, tag="d"):
+class Dispatch(_Message, frozen=True, tag="d"):
     """A request from its home to the owner of the chosen upstream."""
 
     serial: int
@@ -94,7 +91,7 @@
     payload: bytes
 
 
-class CancelDispatch(_Message, tag="c"):
+class CancelDispatch(_Message, frozen=True, tag="c"):
     """The home no longer waits for this request."""
 
     serial: int
@@ -102,44 +99,44 @@
     upstream: UpstreamName
 
 
-class CancelStream(_Message, tag="cs"):
+class CancelStream(_Message, frozen=True, tag="cs"):
     """The caller or the home no longer wants this stream from this owner."""
 
     stream: StreamKey
     upstream: UpstreamName
 
 
-class Answered(_Message, tag="a"):
+class Answered(_Message, frozen=True, tag="a"):
     """The upstream's outcome, as a CoAP message."""
 
     payload: bytes
 
 
-class NotRun(_Message, tag="n"):
+class NotRun(_Message, frozen=True, tag="n"):
     """The owner promises that its upstream has not run and will not run the request."""
 
     reason: str
     retry_after_s: float
 
 
-class Unknown(_Message, tag="u"):
+class Unknown(_Message, frozen=True, tag="u"):
     """The upstream may or may not have run the request."""
 
     reason: str
 
 
-class Superseded(_Message, tag="s"):
+class Superseded(_Message, frozen=True, tag="s"):
     """Another home has claimed the key; the home that asks must not answer the caller."""
 
 
-class Pending(_Message, tag="p"):
+class Pending(_Message, frozen=True, tag="p"):
     """The request is queued or runs; its result follows."""
 
 
 Outcome: TypeAlias = Answered | NotRun | Unknown | Superseded | Pending
 
 
-class Result(_Message, tag="r"):
+class Result(_Message, frozen=True, tag="r"):
     """An owner's outcome for one dispatch."""
 
     serial: int
@@ -148,16 +145,21 @@
     load: LoadReport | None
 
 
-class Notification(_Message, tag="o"):
-    """An upstream's notification on its way from the owner to the stream's home."""
+class Notification(_Message, frozen=True, tag="o"):
+    """An upstream's notification on its way from the owner to the stream's home.
+
+    ``request`` registers the stream again, should its home have to learn it.
+    """
 
     stream: StreamKey
     upstream: UpstreamName
+    owner: HostName
     payload: bytes
     request: bytes
+    hops: int
 
 
-class StreamEnded(_Message, tag="e"):
+class StreamEnded(_Message, frozen=True, tag="e"):
     """The upstream or the owner ended the stream; ``payload`` is the last message."""
 
     stream: StreamKey
@@ -165,15 +167,16 @@
     payload: bytes
 
 
-class FlowData(_Message, tag="f"):
+class FlowData(_Message, frozen=True, tag="f"):
     """An opaque datagram from the flow's home to the owner of its upstream."""
 
     flow: FlowKey
     upstream: UpstreamName
+    is_new: bool
     payload: bytes
 
 
-class FlowRefused(_Message, tag="fr"):
+class FlowRefused(_Message, frozen=True, tag="fr"):
     """The owner could not take the flow."""
 
     flow: FlowKey
@@ -181,27 +184,27 @@
     reason: str
 
 
-class FlowsAlive(_Message, tag="fa"):
+class FlowsAlive(_Message, frozen=True, tag="fa"):
     """Flows with traffic from the upstream alone, so that their home keeps them."""
 
     flows: tuple[tuple[FlowKey, UpstreamName], ...]
 
 
-class Lookup(_Message, tag="l"):
+class Lookup(_Message, frozen=True, tag="l"):
     """A new home asks an owner which upstreams these flows have."""
 
     question: int
     flows: tuple[FlowKey, ...]
 
 
-class LookupReply(_Message, tag="lr"):
+class LookupReply(_Message, frozen=True, tag="lr"):
     """Those of the flows asked for that the owner knows."""
 
     question: int
     known: tuple[tuple[FlowKey, UpstreamName], ...]
 
 
-class Claim(_Message, tag="cl"):
+class Claim(_Message, frozen=True, tag="cl"):
     """A new home asks an owner for a request key before it dispatches the key.
 
     ``previous_homes`` are the hosts that held the slot within the lifetime of a
@@ -214,27 +217,43 @@
     upstreams: tuple[UpstreamName, ...]
 
 
-class Free(_Message, tag="kf"):
+class Free(_Message, frozen=True, tag="kf"):
     """No upstream of this owner has seen the key, and lower ballots are refused from now on."""
 
 
-class Carried(_Message, tag="kc"):
+class Carried(_Message, frozen=True, tag="kc"):
     """The owner has carried the key to ``upstream``; the outcome if it is known."""
 
     upstream: UpstreamName
     outcome: Outcome
 
 
-class CannotTell(_Message, tag="kx"):
-    """A previous owner may have carried the key, or a greater ballot holds it."""
+class ClaimObstacle(StrEnum):
+    """Why an owner cannot answer a claim."""
 
-    reason: str
+    AWAITING_HANDOVER = "awaiting_handover"
+    NOT_OWNER = "not_owner"
+    SUPERSEDED = "superseded"
+    STANDING_BACK = "standing_back"
+    LEDGER_FULL = "ledger_full"
+    PREVIOUS_OWNER_LOST = "previous_owner_lost"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether asking again soon is of no use."""
+        return self is ClaimObstacle.PREVIOUS_OWNER_LOST or self is ClaimObstacle.LEDGER_FULL
+
+
+class CannotTell(_Message, frozen=True, tag="kx"):
+    """The owner can neither say that the key is free nor that it was carried."""
+
+    obstacle: ClaimObstacle
 
 
 Verdict: TypeAlias = Free | Carried | CannotTell
 
 
-class ClaimReply(_Message, tag="cr"):
+class ClaimReply(_Message, frozen=True, tag="cr"):
     """An owner's verdict on a claim."""
 
     key: RequestKey
@@ -242,7 +261,7 @@
     verdict: Verdict
 
 
-class StreamState(_Message):
+class StreamState(_Message, frozen=True):
     """A stream as one witness knows it; ``request`` registers it again."""
 
     stream: StreamKey
@@ -250,42 +269,46 @@
     request: bytes
 
 
-class KeyState(_Message):
-    """A request key as an owner knows it."""
+class KeyState(_Message, frozen=True):
+    """A request key as an owner knows it; one that was only claimed has no outcome."""
 
     key: RequestKey
     upstream: UpstreamName
-    outcome: Outcome
+    outcome: Outcome | None
     ballot: Ballot
 
 
-class HomeHandover(_Message, tag="hh"):
+class HomeHandover(_Message, frozen=True, tag="hh"):
     """Flows and streams that move to a new home, in chunks."""
 
     flows: tuple[tuple[FlowKey, UpstreamName], ...]
     streams: tuple[StreamState, ...]
 
 
-class Cede(_Message, tag="ce"):
+class Cede(_Message, frozen=True, tag="ce"):
     """An owner gives an upstream up to its successor.
 
-    ``in_flight`` requests still run at the old owner, which finishes them. The
-    last chunk has ``last`` set; the successor begins when it has come.
+    What still runs at the old owner is finished there. ``uncertain`` names hosts
+    that owned the upstream before and were lost without ceding it, with the time
+    in seconds for which their requests still count. The successor begins when the
+    chunk with ``last`` has come.
     """
 
     upstream: UpstreamName
-    in_flight: int
-    ramp_share: float
+    gate: HandOver
     flows: tuple[FlowKey, ...]
     keys: tuple[KeyState, ...]
+    uncertain: tuple[tuple[HostName, float], ...]
     last: bool
 
 
-class Released(_Message, tag="rl"):
-    """How many of a ceded upstream's requests still run at the old owner."""
+class Released(_Message, frozen=True, tag="rl"):
+    """What still runs and is still open at the old owner of a ceded upstream."""
 
     upstream: UpstreamName
     in_flight: int
+    connections: int
+    keys: tuple[KeyState, ...]
 
 
 DataMessage: TypeAlias = (
--- /dev/null
+++ b/banyanline/core/owner/requests.py
@@ -0,0 +1,411 @@
+"""Requests and streams between homes and the upstreams that this balancer owns."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from aiocoap.numbers.types import Type
+
+from banyanline.core import coap
+from banyanline.core.answers import RefusalReason, UnknownReason
+from banyanline.core.context import Context
+from banyanline.core.counters import DropReason
+from banyanline.core.gate import (
+    Abort,
+    Answered,
+    GateEffect,
+    Refuse,
+    Shed,
+    Start,
+    TimedOut,
+    Unreachable,
+    Work,
+)
+from banyanline.core.ledger import Admitted, Fenced, KeyRecord, OwnerLedger, Repeated
+from banyanline.core.messages import Answered as AnsweredOutcome
+from banyanline.core.messages import (
+    CancelDispatch,
+    CancelStream,
+    Dispatch,
+    FlowKey,
+    KeyState,
+    Notification,
+    NotRun,
+    Outcome,
+    Released,
+    RequestKey,
+    Result,
+    StreamEnded,
+    StreamKey,
+    Superseded,
+    Unknown,
+)
+from banyanline.core.owner.exchanges import Exchange, OwnedStream, PendingWork
+from banyanline.core.owner.owned import OwnedUpstream
+from banyanline.core.owner.tenure import Stage
+from banyanline.core.timers import TimerHeap
+from banyanline.core.types import HostName, Seconds, UpstreamName
+
+RESULT_MARGIN_S = 0.005
+"""Part of a request's time that is kept for the result's way to the home."""
+
+
+class OwnerRequests:
+    """Carries requests through the gates and brings their outcomes to the homes."""
+
+    def __init__(
+        self, context: Context, ledger: OwnerLedger, owned: dict[UpstreamName, OwnedUpstream]
+    ) -> None:
+        self._context = context
+        self._ledger = ledger
+        self._owned = owned
+        self._timers: TimerHeap[tuple[OwnedUpstream, Exchange]] = TimerHeap()
+
+    @property
+    def next_at(self) -> Seconds:
+        """When an exchange may run out of time next."""
+        return self._timers.next_at
+
+    # -- from homes
+
+    def dispatch(self, sender: HostName, message: Dispatch, now: Seconds) -> None:
+        """Take a request from its home."""
+        owned = self._owned.get(message.upstream)
+        record = self._ledger.get(message.key)
+        if record is not None and record.is_carried:
+            self._repeat(owned, record, sender, message, now)
+        elif owned is None or not self._context.membership.lease_fresh(now):
+            self._reply_moved(owned, sender, message, now)
+        elif owned.is_active:
+            self._admit(owned, sender, message, now)
+        elif owned.tenure.stage is not Stage.AWAITING_HANDOVER or not owned.hold(sender, message):
+            self._reply_moved(owned, sender, message, now)
+
+    def _reply_moved(
+        self, owned: OwnedUpstream | None, sender: HostName, message: Dispatch, now: Seconds
+    ) -> None:
+        outcome = NotRun(RefusalReason.OWNER_MOVED, 1.0)
+        self._reply(owned, sender, message.serial, message.key, outcome, now)
+
+    def _reply(
+        self,
+        owned: OwnedUpstream | None,
+        home: HostName,
+        serial: int,
+        key: RequestKey,
+        outcome: Outcome,
+        now: Seconds,
+    ) -> None:
+        load = None if owned is None else owned.load_report(now)
+        self._context.send(home, Result(serial, key, outcome, load))
+
+    def _admit(
+        self, owned: OwnedUpstream, sender: HostName, message: Dispatch, now: Seconds
+    ) -> None:
+        verdict = self._ledger.admit(message.key, message.ballot, owned.name, now)
+        match verdict:
+            case Admitted(record):
+                self._offer(owned, record, sender, message, now)
+            case Fenced.SUPERSEDED:
+                self._reply(owned, sender, message.serial, message.key, Superseded(), now)
+            case Fenced.FULL:
+                outcome = NotRun(RefusalReason.LEDGER_FULL, 1.0)
+                self._reply(owned, sender, message.serial, message.key, outcome, now)
+            case Repeated(record):
+                self._repeat(owned, record, sender, message, now)
+
+    def _repeat(
+        self,
+        owned: OwnedUpstream | None,
+        record: KeyRecord,
+        sender: HostName,
+        message: Dispatch,
+        now: Seconds,
+    ) -> None:
+        """Answer a dispatch whose key was carried before, or try the key again if it may be."""
+        outcome = record.outcome
+        assert outcome is not None
+        if record.is_pending:
+            waiter = (sender, message.serial)
+            if waiter not in record.waiters:
+                record.waiters.append(waiter)
+        elif self._may_try_again(owned, record, sender, message, now):
+            assert owned is not None
+            if self._ledger.reopen(record, message.ballot, owned.name):
+                self._offer(owned, record, sender, message, now)
+                return
+            outcome = Superseded()
+        self._reply(owned, sender, message.serial, message.key, outcome, now)
+
+    def _may_try_again(
+        self,
+        owned: OwnedUpstream | None,
+        record: KeyRecord,
+        sender: HostName,
+        message: Dispatch,
+        now: Seconds,
+    ) -> bool:
+        is_same_attempt = record.last_attempt == (sender, message.attempt)
+        if owned is None or not owned.is_active or is_same_attempt:
+            return False
+        if not self._context.membership.lease_fresh(now):
+            return False
+        if isinstance(record.outcome, AnsweredOutcome):
+            return False
+        return message.idempotent or isinstance(record.outcome, NotRun)
+
+    def _offer(
+        self,
+        owned: OwnedUpstream,
+        record: KeyRecord,
+        sender: HostName,
+        message: Dispatch,
+        now: Seconds,
+    ) -> None:
+        key = message.key
+        self._context.ensure_same_service(key.service, owned.name)
+        record.last_attempt = (sender, message.attempt)
+        record.waiters.append((sender, message.serial))
+        stream = None
+        if message.stream:
+            stream = StreamKey(key.service, key.caller_ip, key.caller_port, key.token)
+        deadline = now + message.remaining_ms / 1000.0 - RESULT_MARGIN_S
+        work = Work(key, deadline, message.idempotent, message.stream)
+        owned.pending[key] = PendingWork(work, message.payload, stream)
+        self.run(owned, owned.gate.offer(work, now), now)
+
+    def cancel(self, message: CancelDispatch, now: Seconds) -> None:
+        """Stop a request that its home has given up on."""
+        owned = self._owned.get(message.upstream)
+        record = self._ledger.get(message.key)
+        if owned is None or record is None or not record.is_pending:
+            return
+        others = [waiter for waiter in record.waiters if waiter[1] != message.serial]
+        if others:
+            record.waiters = others
+        else:
+            self.run(owned, owned.gate.cancel(message.key, now), now)
+
+    # -- the gate's effects
+
+    def run(self, owned: OwnedUpstream, effects: Iterable[GateEffect], now: Seconds) -> None:
+        """Carry out what a gate has decided."""
+        for effect in effects:
+            match effect:
+                case Start(work):
+                    self._start(owned, work, now)
+                case Refuse(work, reason, retry_after_s):
+                    self._refuse(owned, work, NotRun(reason, retry_after_s), now)
+                case Abort(work, reason):
+                    self._abort(owned, work, reason, now)
+                case _:
+                    pass
+
+    def _start(self, owned: OwnedUpstream, work: Work, now: Seconds) -> None:
+        key: RequestKey = work.request_id  # type: ignore[assignment]
+        pending = owned.pending.pop(key)
+        exchange = owned.exchanges.start(pending, key)
+        message = coap.message(pending.request)
+        remaining_ms = int((work.deadline - now) * 1000)
+        payload = coap.for_upstream(message, exchange.message_id, exchange.token, remaining_ms)
+        self._context.send_upstream(owned.upstream, payload)
+        self._timers.add(work.deadline, (owned, exchange))
+
+    def _refuse(self, owned: OwnedUpstream, work: Work, outcome: NotRun, now: Seconds) -> None:
+        key: RequestKey = work.request_id  # type: ignore[assignment]
+        owned.pending.pop(key, None)
+        self._conclude(owned, key, outcome, now)
+
+    def _abort(
+        self, owned: OwnedUpstream, work: Work, reason: UnknownReason | None, now: Seconds
+    ) -> None:
+        key: RequestKey = work.request_id  # type: ignore[assignment]
+        exchange = owned.exchanges.by_key(key)
+        if exchange is None:
+            return
+        owned.exchanges.end(exchange)
+        if reason is None:
+            self._send_reset(owned, exchange)
+        self._conclude(owned, key, Unknown(reason or UnknownReason.UPSTREAM_TIMEOUT), now)
+
+    def _send_reset(self, owned: OwnedUpstream, exchange: Exchange) -> None:
+        payload = coap.empty(Type.RST, exchange.message_id)
+        self._context.send_upstream(owned.upstream, payload)
+
+    def _conclude(
+        self, owned: OwnedUpstream, key: RequestKey, outcome: Outcome, now: Seconds
+    ) -> None:
+        """Record an outcome and tell all homes that wait for it."""
+        record = self._ledger.get(key)
+        if record is None:
+            return
+        record.outcome = outcome
+        self.tell_waiters(owned, key, record, now)
+        if owned.is_ceded:
+            self._tell_successor(owned, KeyState(key, owned.name, outcome, record.ballot))
+
+    def tell_waiters(
+        self, owned: OwnedUpstream | None, key: RequestKey, record: KeyRecord, now: Seconds
+    ) -> None:
+        """Send a request's outcome to the homes that wait for it."""
+        waiters, record.waiters = record.waiters, []
+        outcome = record.outcome
+        assert outcome is not None
+        for home, serial in waiters:
+            self._reply(owned, home, serial, key, outcome, now)
+
+    def _tell_successor(self, owned: OwnedUpstream, state: KeyState) -> None:
+        successor = self._context.owner_of(owned.name)
+        if successor is not None and successor != self._context.local.name:
+            gate = owned.gate
+            message = Released(owned.name, gate.in_flight, gate.connections, (state,))
+            self._context.send(successor, message)
+
+    # -- from upstreams
+
+    def receive(self, owned: OwnedUpstream, payload: bytes, now: Seconds) -> None:
+        """Take a datagram of an upstream in."""
+        decoded = coap.decode(payload)
+        match decoded:
+            case coap.Response():
+                if decoded.kind is Type.CON:
+                    ack = coap.empty(Type.ACK, decoded.message_id)
+                    self._context.send_upstream(owned.upstream, ack)
+                self._respond(owned, decoded, payload, now)
+            case coap.Empty(kind, message_id) if kind is Type.RST:
+                self._rejected(owned, message_id, now)
+            case coap.Empty():
+                pass
+            case _:
+                self._context.counters.drop(DropReason.MALFORMED)
+
+    def _respond(
+        self, owned: OwnedUpstream, response: coap.Response, payload: bytes, now: Seconds
+    ) -> None:
+        exchange = owned.exchanges.by_token(response.token)
+        if exchange is not None:
+            self._finish(owned, exchange, response, payload, now)
+            return
+        if response.token == owned.health.token:
+            report = owned.health.answered(response.message.payload)
+            if owned.is_active and report is not None:
+                self.run(owned, owned.gate.health(report, now), now)
+            return
+        stream = owned.exchanges.streams.get(response.token)
+        if stream is not None:
+            self._notify(owned, stream, response, payload)
+        else:
+            self._context.counters.drop(DropReason.UNMATCHED_ANSWER)
+
+    def _finish(
+        self,
+        owned: OwnedUpstream,
+        exchange: Exchange,
+        response: coap.Response,
+        payload: bytes,
+        now: Seconds,
+    ) -> None:
+        owned.exchanges.end(exchange)
+        key = exchange.key
+        if coap.is_shed(response.message):
+            retry_after_s = float(coap.max_age_s(response.message))
+            effects = owned.gate.finished(key, Shed(retry_after_s), now)
+            outcome: Outcome = NotRun(RefusalReason.UPSTREAM_SHED, retry_after_s)
+        else:
+            effects = owned.gate.finished(key, Answered(), now)
+            outcome = AnsweredOutcome(payload)
+            self._settle_stream(owned, exchange, response)
+        self._conclude(owned, key, outcome, now)
+        self.run(owned, effects, now)
+
+    def _settle_stream(
+        self, owned: OwnedUpstream, exchange: Exchange, response: coap.Response
+    ) -> None:
+        """Keep the stream that a response has opened, or free the connection kept for one."""
+        if exchange.stream is None:
+            return
+        if coap.observe_sequence(response.message) is None:
+            owned.gate.close_connection(exchange.key)
+            return
+        earlier = owned.exchanges.open_stream(exchange, exchange.stream)
+        if earlier is not None and earlier.connection != exchange.key:
+            owned.gate.close_connection(earlier.connection)
+
+    def _notify(
+        self, owned: OwnedUpstream, stream: OwnedStream, response: coap.Response, payload: bytes
+    ) -> None:
+        context = self._context
+        home = context.home_of(FlowKey(*stream.key[:3]))
+        if coap.observe_sequence(response.message) is None:
+            self._drop_stream(owned, stream)
+            if home is not None:
+                context.send(home, StreamEnded(stream.key, owned.name, payload))
+        elif home is not None:
+            context.send(
+                home,
+                Notification(
+                    stream.key, owned.name, context.local.name, payload, stream.request, 0
+                ),
+            )
+        else:
+            context.counters.drop(DropReason.NO_HOME)
+
+    def _drop_stream(self, owned: OwnedUpstream, stream: OwnedStream) -> None:
+        owned.exchanges.close_stream(stream)
+        owned.gate.close_connection(stream.connection)
+
+    def _rejected(self, owned: OwnedUpstream, message_id: int, now: Seconds) -> None:
+        exchange = owned.exchanges.by_message_id(message_id)
+        if exchange is not None:
+            self._lose(owned, exchange, TimedOut(), now)
+
+    def _lose(
+        self,
+        owned: OwnedUpstream,
+        exchange: Exchange,
+        outcome: TimedOut | Unreachable,
+        now: Seconds,
+    ) -> None:
+        """End an exchange whose outcome nobody knows."""
+        owned.exchanges.end(exchange)
+        effects = owned.gate.finished(exchange.key, outcome, now)
+        self._conclude(owned, exchange.key, Unknown(UnknownReason.UPSTREAM_TIMEOUT), now)
+        self.run(owned, effects, now)
+
+    def unreachable(self, owned: OwnedUpstream, now: Seconds) -> None:
+        """Take in that the network reports no process at the upstream's endpoint."""
+        for exchange in owned.exchanges.all():
+            self._lose(owned, exchange, Unreachable(), now)
+
+    def cancel_stream(self, message: CancelStream) -> None:
+        """Deregister a stream at its upstream."""
+        owned = self._owned.get(message.upstream)
+        stream = owned.exchanges.stream(message.stream) if owned is not None else None
+        if owned is None or stream is None:
+            return
+        self._drop_stream(owned, stream)
+        message_id = owned.exchanges.next_message_id()
+        payload = coap.deregistration(message_id, stream.token, stream.request)
+        self._context.send_upstream(owned.upstream, payload)
+
+    # -- time
+
+    def tick(self, now: Seconds) -> None:
+        """End the exchanges whose time is over."""
+        for owned, exchange in self._timers.due(now):
+            if owned.exchanges.by_key(exchange.key) is exchange:
+                self._send_reset(owned, exchange)
+                self._lose(owned, exchange, TimedOut(), now)
+
+    def fail_pending(self, upstreams: frozenset[UpstreamName], now: Seconds) -> None:
+        """End requests that a lost previous owner was still running."""
+        for key, record in self._ledger.items():
+            if record.is_pending and record.upstream in upstreams:
+                owned = self._owned.get(record.upstream)
+                if owned is not None and not _is_here(owned, key):
+                    record.outcome = Unknown(UnknownReason.OWNER_LOST)
+                    self.tell_waiters(owned, key, record, now)
+
+
+def _is_here(owned: OwnedUpstream, key: RequestKey) -> bool:
+    return key in owned.pending or owned.exchanges.by_key(key) is not None
--- /dev/null
+++ b/banyanline/core/owner/succession.py
@@ -0,0 +1,285 @@
+"""How upstreams pass from one owner to the next.
+
+An owner that loses an upstream to a live host cedes it: it starts nothing more,
+and tells the successor what still runs, which flows are open and which request
+keys it has carried. A successor whose predecessor is dead waits until the
+predecessor's lease must have run out, and remembers that it cannot speak for it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from banyanline.core.context import Context
+from banyanline.core.flows import FlowTable
+from banyanline.core.gate import GateStart, ReportedState, StartCold, StartHandedOver, StartWarm
+from banyanline.core.ledger import OwnerLedger
+from banyanline.core.membership.view import View
+from banyanline.core.messages import Cede, FlowKey, KeyState, Released
+from banyanline.core.model import Service, Upstream
+from banyanline.core.owner.owned import OwnedUpstream
+from banyanline.core.owner.requests import OwnerRequests
+from banyanline.core.owner.tenure import Stage, Tenure
+from banyanline.core.placement import assign, key_of
+from banyanline.core.types import HostName, Seconds, UpstreamName
+
+HANDOVER_WAIT_S = 1.5
+KEYS_PER_CHUNK = 400
+FLOWS_PER_CHUNK = 2000
+YOUNG_FLEET_S = 60.0
+"""A fleet whose hosts all started within this time has no owners before them."""
+
+UNKNOWN_HOST: HostName = ""
+
+
+class Succession:
+    """Takes upstreams over and cedes them as the ownership table changes."""
+
+    def __init__(
+        self,
+        context: Context,
+        ledger: OwnerLedger,
+        owned: dict[UpstreamName, OwnedUpstream],
+        requests: OwnerRequests,
+        flows: FlowTable[FlowKey],
+        started_at: Seconds,
+    ) -> None:
+        self._context = context
+        self._ledger = ledger
+        self._owned = owned
+        self._requests = requests
+        self._flows = flows
+        self._started_at = started_at
+        self._known: set[UpstreamName] = set()
+
+    # -- taking over
+
+    def update(self, now: Seconds) -> None:
+        """Take over and cede what the view and the configuration say."""
+        context = self._context
+        local = context.local.name
+        for name, upstream in context.directory.reachable.items():
+            service = context.directory.service(upstream.service)
+            assert service is not None
+            owner = context.owner_of(name)
+            owned = self._owned.get(name)
+            if owner == local:
+                self._take(owned, service, upstream, now)
+            elif owned is not None and not owned.is_ceded and owner is not None:
+                self._cede(owned, owner, now)
+        self._known = set(context.directory.reachable)
+
+    def _take(
+        self, owned: OwnedUpstream | None, service: Service, upstream: Upstream, now: Seconds
+    ) -> None:
+        if owned is not None and not owned.is_ceded:
+            self._reconfigure(owned, service, upstream, now)
+            return
+        tenure = self._new_tenure(upstream, now)
+        if owned is None:
+            owned = OwnedUpstream(self._context, service, upstream, tenure, now)
+            self._owned[upstream.name] = owned
+        else:
+            owned.tenure = tenure
+            owned.reconfigure(service, upstream)
+        self._log("upstream_taken", owned)
+        if tenure.stage is Stage.ACTIVE:
+            owned.activate(StartCold(), now)
+
+    def _reconfigure(
+        self, owned: OwnedUpstream, service: Service, upstream: Upstream, now: Seconds
+    ) -> None:
+        has_new_limits = owned.reconfigure(service, upstream)
+        if not owned.is_active:
+            return
+        if has_new_limits:
+            self._requests.run(owned, owned.gate.cede(now), now)
+            owned.activate(StartHandedOver(owned.gate.hand_over(now)), now)
+        self._requests.run(owned, owned.gate.set_state(upstream.state, now), now)
+
+    def _new_tenure(self, upstream: Upstream, now: Seconds) -> Tenure:
+        context = self._context
+        view = context.membership.view
+        is_new_upstream = self._known and upstream.name not in self._known
+        previous = context.ownership.previous_owners(key_of(upstream), now)
+        predecessor = previous[0].host if previous else self._likely_predecessor(upstream, view)
+        lifetime_s = context.limits.request_lifetime_s
+        if predecessor is not None and view.is_alive(predecessor):
+            return Tenure(Stage.AWAITING_HANDOVER, now + HANDOVER_WAIT_S, predecessor)
+        if previous or (not is_new_upstream and self._joined_running_fleet(now)):
+            wait_s = context.membership.takeover_wait_s
+            tenure = Tenure(Stage.WAITING_OUT_LEASE, now + wait_s, predecessor)
+            tenure.lose(predecessor or UNKNOWN_HOST, now + lifetime_s)
+            return tenure
+        return Tenure(Stage.ACTIVE, now, None)
+
+    def _likely_predecessor(self, upstream: Upstream, view: View) -> HostName | None:
+        """Return who owns the upstream if this host is left out, for a host that just came."""
+        if self._known and upstream.name not in self._known:
+            return None
+        local = self._context.local
+        others = [name for name in view.owners(upstream.data_centre) if name != local.name]
+        keys = [
+            key_of(other)
+            for other in self._context.directory.reachable.values()
+            if other.data_centre == upstream.data_centre
+        ]
+        return assign(keys, others).get(key_of(upstream))
+
+    def _joined_running_fleet(self, now: Seconds) -> bool:
+        """Whether this process has just started and others have run for long."""
+        context = self._context
+        if now - self._started_at > YOUNG_FLEET_S:
+            return True
+        view = context.membership.view
+        group = context.local.fabric_group
+        own = context.membership.incarnation
+        oldest = min(
+            (
+                member.incarnation
+                for member in view.members
+                if member.host.fabric_group == group and member.is_live and member.incarnation > 0
+            ),
+            default=own,
+        )
+        return own - oldest > YOUNG_FLEET_S * 1000
+
+    def receive_cede(self, sender: HostName, message: Cede, now: Seconds) -> None:
+        """Take in what the previous owner hands over."""
+        owned = self._owned.get(message.upstream)
+        self._adopt_keys(message.keys, now)
+        if owned is None or owned.is_ceded:
+            return
+        for flow in message.flows:
+            self._flows.open(flow, message.upstream, now)
+            owned.gate.adopt_connection(flow)
+        for host, remaining_s in message.uncertain:
+            owned.tenure.lose(host, now + remaining_s)
+        is_expected = owned.tenure.stage is Stage.AWAITING_HANDOVER
+        if message.last and is_expected and sender == owned.tenure.predecessor:
+            self._activate(owned, StartHandedOver(message.gate), now)
+
+    def _adopt_keys(self, keys: tuple[KeyState, ...], now: Seconds) -> None:
+        for state in keys:
+            record = self._ledger.adopt(state.key, state.upstream, state.outcome, state.ballot, now)
+            if record is not None and record.is_carried and not record.is_pending:
+                owned = self._owned.get(record.upstream)
+                self._requests.tell_waiters(owned, state.key, record, now)
+
+    def receive_released(self, message: Released, now: Seconds) -> None:
+        """Take in how a request has ended that still ran at the previous owner."""
+        self._adopt_keys(message.keys, now)
+        owned = self._owned.get(message.upstream)
+        if owned is not None and owned.is_active:
+            effects = owned.gate.set_elsewhere(message.in_flight, message.connections, now)
+            self._requests.run(owned, effects, now)
+
+    def _activate(self, owned: OwnedUpstream, start: GateStart, now: Seconds) -> None:
+        flows = [flow for flow, entry in self._flows.items() if entry.upstream == owned.name]
+        owned.activate(start, now)
+        for flow in flows:
+            owned.gate.adopt_connection(flow)
+        self._requests.run(owned, owned.gate.set_state(owned.upstream.state, now), now)
+        held, owned.held = owned.held, []
+        for home, dispatch in held:
+            self._requests.dispatch(home, dispatch, now)
+        self._log("upstream_active", owned)
+
+    def tick(self, now: Seconds) -> None:
+        """End the waits that are over and forget what was ceded and has ended."""
+        for owned in list(self._owned.values()):
+            tenure = owned.tenure
+            if owned.is_ceded and owned.is_idle:
+                del self._owned[owned.name]
+            elif tenure.stage is Stage.AWAITING_HANDOVER and now >= tenure.until:
+                self._miss_handover(owned, now)
+            elif tenure.stage is Stage.WAITING_OUT_LEASE and now >= tenure.until:
+                self._activate(owned, self._start_after_loss(owned), now)
+
+    def next_at(self) -> Seconds:
+        """Return when a wait is over next."""
+        waiting = (Stage.AWAITING_HANDOVER, Stage.WAITING_OUT_LEASE)
+        return min(
+            (owned.tenure.until for owned in self._owned.values() if owned.tenure.stage in waiting),
+            default=float("inf"),
+        )
+
+    def host_lost(self, host: HostName, now: Seconds) -> None:
+        """Stop waiting for a handover of a host that is no longer alive."""
+        for owned in self._owned.values():
+            tenure = owned.tenure
+            if tenure.stage is Stage.AWAITING_HANDOVER and tenure.predecessor == host:
+                self._miss_handover(owned, now)
+        named = {owned.name for owned in self._owned.values() if owned.tenure.predecessor == host}
+        self._requests.fail_pending(frozenset(named), now)
+
+    def _miss_handover(self, owned: OwnedUpstream, now: Seconds) -> None:
+        context = self._context
+        tenure = owned.tenure
+        if self._is_fresh_fleet(now):
+            self._activate(owned, StartCold(), now)
+            return
+        tenure.stage = Stage.WAITING_OUT_LEASE
+        tenure.until = now + context.membership.takeover_wait_s
+        tenure.lose(tenure.predecessor or UNKNOWN_HOST, now + context.limits.request_lifetime_s)
+
+    def _is_fresh_fleet(self, now: Seconds) -> bool:
+        return not self._joined_running_fleet(now)
+
+    @staticmethod
+    def _start_after_loss(owned: OwnedUpstream) -> GateStart:
+        report = owned.health.last
+        if report is not None and report.state is ReportedState.WARM:
+            return StartWarm()
+        return StartCold()
+
+    # -- ceding
+
+    def _cede(self, owned: OwnedUpstream, successor: HostName, now: Seconds) -> None:
+        was_active = owned.is_active
+        held, owned.held = owned.held, []
+        self._requests.run(owned, owned.gate.cede(now), now)
+        owned.tenure.stage = Stage.CEDED
+        for home, dispatch in held:
+            self._requests.dispatch(home, dispatch, now)
+        self._log("upstream_ceded", owned)
+        if not self._context.membership.view.is_alive(successor):
+            return
+        if not was_active:
+            # A host that had not begun to act for the upstream speaks for its predecessor only.
+            self._note_unfinished(owned, now)
+        for chunk in self._chunks(owned, now):
+            self._context.transfer(successor, chunk)
+
+    def _note_unfinished(self, owned: OwnedUpstream, now: Seconds) -> None:
+        tenure = owned.tenure
+        if tenure.predecessor is not None and not self._is_fresh_fleet(now):
+            tenure.lose(tenure.predecessor, now + self._context.limits.request_lifetime_s)
+
+    def _chunks(self, owned: OwnedUpstream, now: Seconds) -> Iterator[Cede]:
+        flows = [flow for flow, entry in self._flows.items() if entry.upstream == owned.name]
+        keys = [
+            KeyState(key, record.upstream, record.outcome, record.ballot)
+            for key, record in self._ledger.items()
+            if record.outcome is None or record.upstream == owned.name
+        ]
+        uncertain = tuple((lost.host, lost.until - now) for lost in owned.tenure.lost(now))
+        gate = owned.gate.hand_over(now)
+        count = max(1, -(-len(keys) // KEYS_PER_CHUNK), -(-len(flows) // FLOWS_PER_CHUNK))
+        for idx in range(count):
+            yield Cede(
+                upstream=owned.name,
+                gate=gate,
+                flows=tuple(flows[idx * FLOWS_PER_CHUNK : (idx + 1) * FLOWS_PER_CHUNK]),
+                keys=tuple(keys[idx * KEYS_PER_CHUNK : (idx + 1) * KEYS_PER_CHUNK]),
+                uncertain=uncertain,
+                last=idx == count - 1,
+            )
+
+    def _log(self, event: str, owned: OwnedUpstream) -> None:
+        self._context.log(
+            event,
+            upstream=owned.name,
+            stage=owned.tenure.stage.value,
+            predecessor=owned.tenure.predecessor or "",
+        )
--- a/banyanline/core/placement/__init__.py
+++ b/banyanline/core/placement/__init__.py
@@ -4,6 +4,7 @@
     OwnershipTable,
     PreviousOwner,
     UpstreamKey,
+    assign,
     key_of,
 )
 from banyanline.core.placement.slots import (
@@ -25,5 +26,6 @@
     "OwnershipTable",
     "PreviousOwner",
     "UpstreamKey",
+    "assign",
     "key_of",
 ]
