Test the gate's rules one by one

Change: a table of cases for refusals, ramp, hand-over, circuit and endpoints that lie; a trial that is not idempotent now needs a health answer since the last trial.

--- a/banyanline/core/gate/health.py
+++ b/banyanline/core/gate/health.py
@@ -63,7 +63,8 @@
         self._draining_answers = 0
         self._trial_interval_s: Seconds = FIRST_TRIAL_S
         self._next_trial_at: Seconds | None = None
-        self._alive_boot: str | None = None
+        self._trial_boot: str | None = None
+        self._is_reported_since_trial = False
         self._suspicions: Counter[SuspicionReason] = Counter()
 
     @property
@@ -95,13 +96,14 @@
         """Whether the open circuit lets a request pass as a trial.
 
         One that is not idempotent passes only if the health endpoint has
-        answered since the circuit opened, as its outcome may stay unknown.
+        answered since the last trial, as its outcome may stay unknown.
         """
         is_due = self._next_trial_at is not None and now >= self._next_trial_at
-        return is_due and (idempotent or self._alive_boot is not None)
+        return is_due and (idempotent or self._is_reported_since_trial)
 
     def tried(self, now: Seconds) -> None:
         """Take in that a trial was sent: the next one is due after a longer interval."""
+        self._is_reported_since_trial = False
         jitter = self._rng.uniform(1.0 - TRIAL_JITTER, 1.0 + TRIAL_JITTER)
         self._next_trial_at = now + self._trial_interval_s * jitter
         self._trial_interval_s = min(MAX_TRIAL_S, 2.0 * self._trial_interval_s)
@@ -124,8 +126,9 @@
         self._is_missed_suspected = False
         self._note_draining(report.state is ReportedState.DRAINING)
         reason = self._boot_suspicion(report, now)
-        if self.is_circuit_open and report.boot != self._alive_boot:
-            self._alive_boot = report.boot
+        self._is_reported_since_trial = True
+        if self.is_circuit_open and report.boot != self._trial_boot:
+            self._trial_boot = report.boot
             self._next_trial_at = now
         self._has_evidence = False
         return self._counted(reason)
@@ -191,7 +194,7 @@
 
     def _open_circuit(self, now: Seconds) -> None:
         if not self.is_circuit_open:
-            self._alive_boot = None
+            self._trial_boot = None
             self.tried(now)
 
     def _close_circuit(self) -> None:
--- a/banyanline/tests/test_gate.py
+++ b/banyanline/tests/test_gate.py
@@ -4,35 +4,40 @@
 
 import pytest
 
-from banyanline.core.answers import RefusalReason
+from banyanline.core.answers import RefusalReason, UnknownReason
 from banyanline.core.gate import (
+    Abort,
     Answered,
+    CloseConnection,
+    GateEffects,
+    GateStart,
     HealthReport,
     Refuse,
     ReportedState,
+    Shed,
     Start,
+    StartCold,
+    StartHandedOver,
     StartWarm,
+    SuspicionReason,
+    TimedOut,
+    Unreachable,
     UpstreamGate,
     Work,
 )
 from banyanline.core.gate.messages import RequestId
 from banyanline.core.model import ColdStart, Upstream
-from banyanline.core.types import Endpoint
+from banyanline.core.types import Endpoint, UpstreamState
 
 COLD_START = ColdStart(duration_s=10.0, initial_slots=1, initial_rate=5.0)
-WARM_REPORT = HealthReport("boot-1", ReportedState.WARM)
 
 
 def make_gate(
     start: GateStart | None = None, slots: int = 2, connections: int = 2000
 ) -> UpstreamGate:
+    endpoint = Endpoint("203.0.113.1", 5683)
     upstream = Upstream(
-        "orders-1",
-        "orders",
-        "north",
-        Endpoint("203.0.113.1", 5683),
-        slots=slots,
-        connections=connections,
+        "orders-1", "orders", "north", endpoint, slots=slots, connections=connections
     )
     return UpstreamGate(upstream, COLD_START, start or StartWarm(), 0.0, random.Random(1))
 
@@ -48,27 +53,246 @@
 
 
 def serve(gate: UpstreamGate, count: int, now: float, service_s: float = 0.1) -> float:
-    """Let ``count`` requests be answered, one after the other."""
-    for _ in range(count):
-        assert started(gate.offer(Work("served", now + 5.0), now)) == ["served"]
+    """Let ``count`` requests be answered one after the other and return the time then."""
+    for index in range(count):
+        assert started(gate.offer(Work(("served", index), now + 5.0), now))
         now += service_s
-        gate.finished("served", Answered(), now)
+        gate.finished(("served", index), Answered(), now)
         now += 0.2
     return now
 
 
+def report(boot: str, state: ReportedState = ReportedState.WARM, load: float = 0.0) -> HealthReport:
+    return HealthReport(boot, state, load)
+
+
 @pytest.mark.parametrize(
-    ("deadline", "expected"),
+    ("patience_s", "expected"),
     [
-        pytest.param(1.1, RefusalReason.DEADLINE_PASSED, id="passed"),
-        pytest.param(1.2, RefusalReason.DEADLINE_TOO_SHORT, id="shorter than queue and service"),
+        pytest.param(0.0, RefusalReason.DEADLINE_PASSED, id="deadline passed"),
+        pytest.param(0.15, RefusalReason.DEADLINE_TOO_SHORT, id="shorter than queue and service"),
     ],
 )
-def test_work_that_cannot_be_answered_in_time_is_refused_at_once(deadline, expected):
+def test_work_that_cannot_be_answered_in_time_is_refused_at_once(patience_s, expected):
     gate = make_gate()
     now = serve(gate, 3, 0.0)
-    for name in "abc":
+    for name in "ab":
         gate.offer(Work(name, now + 5.0), now)
-    [effect] = gate.offer(Work("late", now - 1.1 + deadline), now)
-    assert (effect.work.request_id, effect.reason) == ("late", expected)
+    [effect] = gate.offer(Work("late", now + patience_s), now)
+    assert isinstance(effect, Refuse)
+    assert effect.reason is expected
     assert effect.retry_after_s > 0.0
+    assert gate.refusals == {expected: 1}
+
+
+def test_queued_work_is_refused_as_soon_as_it_cannot_be_answered():
+    gate = make_gate(slots=1)
+    now = serve(gate, 3, 0.0)
+    gate.offer(Work("running", now + 5.0), now)
+    assert gate.offer(Work("queued", now + 0.5), now) == []
+    due_at = gate.next_tick_at(now)
+    assert due_at == pytest.approx(now + 0.4)
+    assert refused(gate.tick(now + 0.39)) == []
+    assert refused(gate.tick(now + 0.41)) == [("queued", RefusalReason.DEADLINE_PASSED)]
+
+
+def test_offered_twice_is_started_once():
+    gate = make_gate()
+    assert started(gate.offer(Work("a", 5.0), 0.0)) == ["a"]
+    assert gate.offer(Work("a", 5.0), 0.0) == []
+    assert gate.in_flight == 1
+
+
+def test_cold_upstream_gets_its_slots_and_rate_and_no_more():
+    gate = make_gate(StartCold())
+    start_times = []
+    now = 0.0
+    for step in range(2000):
+        now = step * 0.01
+        gate.finished(step - 5, Answered(), now)
+        if started(gate.offer(Work(step, now + 0.06), now)):
+            start_times.append(now)
+        assert gate.in_flight <= gate.slots(now)
+    assert 5 <= sum(time < 1.0 for time in start_times) <= 8
+    assert sum(9.0 <= time < 10.0 for time in start_times) <= 40
+    assert gate.slots(9.9) == 1
+    assert gate.slots(10.2) == 2
+
+
+def test_nothing_is_sent_before_a_previous_owner_has_ended():
+    gate = make_gate(StartCold(takeover_wait_s=3.0))
+    assert gate.load_word(0.0).slots == 0
+    assert refused(gate.offer(Work("a", 10.0), 0.0)) == [("a", RefusalReason.QUEUE_FULL)]
+    assert gate.offer(Work("b", 10.0), 2.9) == []
+    assert gate.next_tick_at(2.9) == 3.0
+    assert started(gate.tick(3.0)) == ["b"]
+
+
+def test_hand_over_leaves_the_slots_that_the_old_owner_uses():
+    old = make_gate()
+    now = serve(old, 3, 0.0)
+    for name in "abc":
+        old.offer(Work(name, now + 2.0), now)
+    assert refused(old.cede(now)) == [("c", RefusalReason.OWNER_MOVED)]
+    assert refused(old.offer(Work("d", now + 2.0), now)) == [("d", RefusalReason.OWNER_MOVED)]
+    new = make_gate(StartHandedOver(old.hand_over(now)))
+    assert new.ramp_share(0.0) == 1.0
+    assert new.offer(Work("c", 2.0), 0.0) == []
+    assert started(new.set_elsewhere(in_flight=1, connections=0, now=0.1)) == ["c"]
+    assert new.offer(Work("e", 2.0), 0.1) == []
+    assert started(new.tick(2.0)) == []
+    assert new.in_flight_elsewhere == 0
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "expected"),
+    [
+        pytest.param([Unreachable()], SuspicionReason.UNREACHABLE, id="nobody there"),
+        pytest.param([Shed()] * 3, SuspicionReason.SHED_STREAK, id="sheds"),
+        pytest.param([TimedOut()] * 3, SuspicionReason.TIMEOUT_STREAK, id="timeouts"),
+        pytest.param([Answered()] * 4, SuspicionReason.LATENCY_JUMP, id="slow answers"),
+    ],
+)
+def test_bad_outcomes_bring_the_ramp_back(outcomes, expected):
+    gate = make_gate()
+    now = serve(gate, 30, 0.0)
+    for index, outcome in enumerate(outcomes):
+        gate.offer(Work(index, now + 50.0), now)
+        now += 1.0
+        gate.finished(index, outcome, now)
+    assert gate.suspicions == {expected: 1}
+    assert gate.ramp_share(now) == 0.0
+    assert gate.slots(now) == 1
+
+
+def test_short_patience_is_no_sign_of_a_restart():
+    gate = make_gate()
+    now = serve(gate, 30, 0.0)
+    for index in range(10):
+        gate.offer(Work(index, now + 0.2), now)
+        now += 0.2
+        gate.finished(index, TimedOut(), now)
+    assert gate.suspicions == {}
+    assert not gate.is_circuit_open
+
+
+def test_circuit_passes_single_trials_until_one_is_answered():
+    gate = make_gate()
+    now = serve(gate, 30, 0.0)
+    for index in range(2):
+        gate.offer(Work(index, now + 5.0), now)
+    for index in range(2):
+        gate.finished(index, Unreachable(), now)
+    assert gate.is_circuit_open
+    assert gate.load_word(now).slots == 0
+    assert refused(gate.offer(Work("early", now + 5.0, idempotent=True), now))
+    now += 1.0
+    assert refused(gate.offer(Work("post", now + 5.0, idempotent=False), now))
+    assert started(gate.offer(Work("get", now + 5.0, idempotent=True), now)) == ["get"]
+    assert refused(gate.offer(Work("get-2", now + 5.0, idempotent=True), now))
+    gate.finished("get", Answered(), now + 0.1)
+    assert not gate.is_circuit_open
+
+
+def test_trial_that_is_not_idempotent_needs_a_health_answer_since_the_last():
+    gate = make_gate()
+    for index in range(2):
+        gate.offer(Work(index, 5.0), 0.0)
+    for index in range(2):
+        gate.finished(index, Unreachable(), 0.0)
+    gate.health(report("boot-2"), 0.1)
+    assert started(gate.offer(Work("post", 5.0), 0.3)) == ["post"]
+    gate.finished("post", TimedOut(), 0.9)
+    gate.health(report("boot-2"), 0.9)
+    assert refused(gate.offer(Work("before the next trial", 5.0), 0.9))
+    assert started(gate.offer(Work("post-2", 5.0), 2.0)) == ["post-2"]
+    gate.finished("post-2", TimedOut(), 3.0)
+    assert refused(gate.offer(Work("without a health answer", 60.0), 20.0))
+
+
+@pytest.mark.parametrize(
+    "reports",
+    [
+        pytest.param([report("boot-1", load=0.0)] * 60, id="idle for ever"),
+        pytest.param([report("boot-1", load=1.0)] * 60, id="full for ever"),
+        pytest.param([report("boot-1", ReportedState.DRAINING)] * 60, id="draining for ever"),
+        pytest.param([report("boot-1"), *[report("boot-1", ReportedState.COLD)] * 59], id="cold"),
+        pytest.param([None] * 60, id="dead for ever"),
+        pytest.param([report(f"boot-{index}") for index in range(60)], id="new boot each time"),
+    ],
+)
+def test_no_endpoint_takes_out_an_upstream_that_answers(reports):
+    gate = make_gate()
+    now = serve(gate, 5, 0.0)
+    for said in reports:
+        if said is None:
+            gate.health_missed(now)
+        else:
+            gate.health(said, now)
+        now = serve(gate, 3, now)
+    assert gate.slots(now) == 2
+    assert gate.ramp_share(now) == 1.0
+
+
+def test_reported_restart_brings_the_ramp_back_and_warm_does_not_shorten_it():
+    gate = make_gate()
+    gate.health(report("boot-1"), 1.0)
+    gate.health(report("boot-2", ReportedState.WARM), 2.0)
+    gate.health(report("boot-2", ReportedState.WARM), 7.0)
+    assert gate.ramp_share(7.0) == pytest.approx(0.5)
+
+
+def test_upstream_that_sheds_is_left_alone_for_the_time_it_names():
+    gate = make_gate()
+    gate.offer(Work("a", 5.0), 0.0)
+    gate.finished("a", Shed(retry_after_s=0.4), 0.1)
+    assert gate.offer(Work("b", 5.0), 0.2) == []
+    assert started(gate.tick(0.5)) == ["b"]
+
+
+def test_leaving_upstream_ends_what_runs_and_takes_no_more():
+    gate = make_gate(slots=1)
+    gate.offer(Work("running", 5.0), 0.0)
+    gate.offer(Work("queued", 5.0), 0.0)
+    effects = gate.set_state(UpstreamState.LEAVING, 0.0)
+    assert refused(effects) == [("queued", RefusalReason.NO_UPSTREAM)]
+    assert refused(gate.offer(Work("new", 5.0), 0.0)) == [("new", RefusalReason.NO_UPSTREAM)]
+    assert gate.open_connection("flow", 0.0) is RefusalReason.NO_UPSTREAM
+    assert gate.in_flight == 1
+    gate.set_state(UpstreamState.IN_SERVICE, 20.0)
+    assert gate.ramp_share(20.0) == 0.0
+
+
+def test_data_centre_out_gives_all_up():
+    gate = make_gate(slots=1)
+    gate.open_connection("flow", 0.0)
+    running, queued = Work("running", 5.0), Work("queued", 5.0)
+    gate.offer(running, 0.0)
+    gate.offer(queued, 0.0)
+    effects = gate.abandon(1.0)
+    assert refused(effects) == [("queued", RefusalReason.NO_UPSTREAM)]
+    assert Abort(running, UnknownReason.DATA_CENTRE_OUT) in effects
+    assert CloseConnection("flow") in effects
+    assert (gate.in_flight, gate.queued, gate.connections) == (0, 0, 0)
+
+
+def test_cancelled_request_keeps_the_slot_of_a_cold_upstream():
+    gate = make_gate(StartCold())
+    first = Work("a", 1.0)
+    gate.offer(first, 0.0)
+    assert gate.cancel("a", 0.1) == [Abort(first)]
+    assert gate.offer(Work("b", 5.0), 0.6) == []
+    assert started(gate.tick(1.0)) == ["b"]
+
+
+def test_streams_and_flows_share_the_connection_limit():
+    gate = make_gate(connections=2)
+    assert gate.open_connection("flow", 0.0) is None
+    assert started(gate.offer(Work("stream", 5.0, is_stream=True), 0.0)) == ["stream"]
+    gate.finished("stream", Answered(), 0.1)
+    assert gate.connections == 2
+    effects = gate.offer(Work("stream-2", 5.0, is_stream=True), 0.2)
+    assert refused(effects) == [("stream-2", RefusalReason.CONNECTION_LIMIT)]
+    assert gate.open_connection("flow-2", 0.2) is RefusalReason.CONNECTION_LIMIT
+    assert gate.close_connection("stream")
+    assert gate.open_connection("flow-2", 0.3) is None
