--- a/banyanline/core/keys.py
+++ b/banyanline/core/keys.py
@@ -14,6 +14,10 @@
     identity: str
     secret: bytes
 
+    def __repr__(self) -> str:
+        """Return the key without its secret, as logs may show it."""
+        return f"Key(identity={self.identity!r}, secret=...)"
+
 
 class KeyRing(NamedTuple):
     """The keys in force: the first one signs, and all of them verify.
--- a/banyanline/net/datagram.py
+++ b/banyanline/net/datagram.py
@@ -26,7 +26,7 @@
 SocketAddress: TypeAlias = Any
 """What the socket module gives as an address: ``(ip, port)``, with two more fields for IPv6."""
 
-DatagramHandler: TypeAlias = "Callable[[bytes, SocketAddress], None]"
+DatagramHandler: TypeAlias = "Callable[[bytes, SocketAddress], object]"
 
 
 class DatagramCounts(NamedTuple):
