--- a/banyanline/net/seal.py
+++ b/banyanline/net/seal.py
@@ -23,8 +23,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from banyanline.core.types import HostName
     from banyanline.core.keys import Key, KeyRing
+    from banyanline.core.types import HostName
 
 VERSION = 1
 MAC_BYTES = 16
--- a/banyanline/tests/test_control.py
+++ b/banyanline/tests/test_control.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from banyanline.core.keys import Key, KeyRing
 from banyanline.core.types import Endpoint, Host
 from banyanline.net.control import (
     SERVICE,
@@ -18,7 +19,6 @@
     ControlServer,
 )
 from banyanline.net.seal import RejectionReason, Sealer
-from banyanline.core.keys import Key, KeyRing
 
 NOW_S = 1_000_000.0
 TIMEOUT_S = 5.0
--- a/banyanline/tests/test_seal.py
+++ b/banyanline/tests/test_seal.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from banyanline.core.keys import Key, KeyRing
 from banyanline.net import seal
 from banyanline.net.seal import Opened, OpenResult, Rejected, RejectionReason, Sealer
-from banyanline.core.keys import Key, KeyRing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
