Tell an answer cut short from a malformed one in the platform reader

Cause: h11 reports the end of a connection in the middle of an answer as a protocol error, so a reset was counted as malformed.

--- a/banyanline/net/http.py
+++ b/banyanline/net/http.py
@@ -74,8 +74,6 @@
     _set_keepalive(writer)
     try:
         return await _exchange(endpoint, target, reader, writer, max_body_bytes)
-    except h11.ProtocolError as error:
-        return HttpFailed(HttpFailure.MALFORMED, str(error))
     except OSError as error:
         return HttpFailed(HttpFailure.CLOSED_EARLY, str(error))
     finally:
@@ -97,10 +95,17 @@
     await writer.drain()
     response: h11.Response | None = None
     body = bytearray()
+    ended = False
     while True:
-        event = connection.next_event()
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError as error:
+            reason = HttpFailure.CLOSED_EARLY if ended else HttpFailure.MALFORMED
+            return HttpFailed(reason, str(error))
         if event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(READ_BYTES))
+            data = await reader.read(READ_BYTES)
+            ended = not data
+            connection.receive_data(data)
         elif isinstance(event, h11.Response):
             response = event
         elif isinstance(event, h11.Data):
@@ -110,7 +115,7 @@
         elif isinstance(event, h11.EndOfMessage) and response is not None:
             return HttpResponse(response.status_code, _header_map(response), bytes(body))
         elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
-            return HttpFailed(HttpFailure.CLOSED_EARLY, "connection closed before the answer")
+            return HttpFailed(HttpFailure.CLOSED_EARLY, "no answer")
 
 
 def _header_map(response: h11.Response) -> dict[str, str]:
