--- /dev/null
+++ b/bench/baseline.py
@@ -0,0 +1,150 @@
+"""A stateless hash balancer to compare with: no homes, no owners, no health.
+
+Each process hashes the caller's endpoint over the in-service upstreams of its
+own configuration, as plain hashing load balancers do, and forwards through one
+socket for each caller and service. Start it with ``--settings FILE`` like the
+balancer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import configparser
+import json
+import signal
+from functools import partial
+from typing import Any, NamedTuple
+
+import xxhash
+from absl import app, flags
+
+from bench.sockets import Address, UdpSocket
+
+FLAGS = flags.FLAGS
+READ_RETRY_S = 0.5
+WAIT_S = 10
+MAX_VALUE_BYTES = 1 << 20
+
+
+class _Service(NamedTuple):
+    host_port: int
+    upstreams: tuple[Address, ...]
+
+
+def parse_services(document: dict[str, Any]) -> dict[str, _Service]:
+    """Return the upstreams that may get traffic, by service."""
+    out = {row["name"] for row in document["data_centres"] if row["state"] == "out"}
+    services = {}
+    for row in document["services"]:
+        upstreams = tuple(
+            _parse_address(upstream["address"])
+            for upstream in row["upstreams"]
+            if upstream["state"] == "in_service" and upstream["data_centre"] not in out
+        )
+        services[row["name"]] = _Service(row["host_port"], upstreams)
+    return services
+
+
+def choose(caller: Address, upstreams: tuple[Address, ...]) -> Address:
+    """Return the upstream with the greatest hash for the caller (rendezvous).
+
+    >>> choose(("a", 1), (("u1", 1),))
+    ('u1', 1)
+    """
+
+    def weight(upstream: Address) -> int:
+        return xxhash.xxh3_64_intdigest(f"{caller}{upstream}".encode())
+
+    return max(upstreams, key=weight)
+
+
+def _parse_address(text: str) -> Address:
+    ip, _, port = text.rpartition(":")
+    return ip, int(port)
+
+
+class HashBalancer:
+    """Forwards datagrams by hash alone."""
+
+    def __init__(self, ip: str) -> None:
+        self._ip = ip
+        self._services: dict[str, _Service] = {}
+        self._sockets: dict[str, UdpSocket] = {}
+        self._flows: dict[tuple[str, Address], UdpSocket] = {}
+
+    def configure(self, document: dict[str, Any]) -> None:
+        """Take a new configuration, whatever its revision."""
+        self._services = parse_services(document)
+        for name, service in self._services.items():
+            if name not in self._sockets:
+                on_datagram = partial(self._from_caller, name)
+                address = (self._ip, service.host_port)
+                self._sockets[name] = UdpSocket(address, on_datagram)
+
+    def _from_caller(self, name: str, data: bytes, caller: Address) -> None:
+        upstreams = self._services[name].upstreams
+        if not upstreams:
+            return
+        flow = self._flows.get((name, caller))
+        if flow is None:
+            on_answer = partial(self._from_upstream, name, caller)
+            flow = UdpSocket((self._ip, 0), on_answer)
+            self._flows[name, caller] = flow
+        flow.send(data, choose(caller, upstreams))
+
+    def _from_upstream(self, name: str, caller: Address, data: bytes, source: Address) -> None:
+        self._sockets[name].send(data, caller)
+
+
+async def read_key(address: Address, key: str, seen: int) -> tuple[int, bytes]:
+    """Read a key of the platform, waiting for a change after ``seen``."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        target = f"/v1/kv/{key}?raw&index={seen}&wait={WAIT_S}s"
+        writer.write(f"GET {target} HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n".encode())
+        raw = await reader.read(MAX_VALUE_BYTES)
+        while chunk := await reader.read(MAX_VALUE_BYTES):
+            raw += chunk
+    finally:
+        writer.close()
+    head, _, body = raw.partition(b"\r\n\r\n")
+    for line in head.decode().split("\r\n"):
+        name, _, value = line.partition(":")
+        if name.lower() == "x-consul-index":
+            return int(value), body
+    raise OSError("no index in the platform's answer")
+
+
+async def _watch(balancer: HashBalancer, address: Address, key: str) -> None:
+    seen = 0
+    while True:
+        try:
+            index, body = await read_key(address, key, seen)
+        except (OSError, ValueError):
+            await asyncio.sleep(READ_RETRY_S)
+            continue
+        if index != seen and body:
+            seen = index
+            balancer.configure(json.loads(body))
+
+
+async def _serve(path: str) -> None:
+    settings = configparser.ConfigParser()
+    settings.read(path)
+    balancer = HashBalancer(settings["host"]["bind_address"])
+    address = _parse_address(settings["platform"]["addresses"].split(",")[0])
+    key = settings["platform"]["configuration_key"]
+    watch = asyncio.create_task(_watch(balancer, address, key))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, watch.cancel)
+    await asyncio.wait((watch,))
+
+
+def main(argv: list[str]) -> None:
+    """Run until SIGTERM."""
+    del argv
+    asyncio.run(_serve(FLAGS.settings))
+
+
+if __name__ == "__main__":
+    flags.DEFINE_string("settings", None, "INI file with the balancer's settings.", required=True)
+    app.run(main)
--- /dev/null
+++ b/bench/execute.py
@@ -0,0 +1,145 @@
+"""Runs one scenario from start to judgement, and prints and writes its result."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import tempfile
+import time
+from pathlib import Path
+from typing import NamedTuple, TypedDict
+
+from bench.deployments import Deployment
+from bench.judge import Result, judge, violations
+from bench.resources import snapshots, usage
+from bench.scenarios import Scenario
+from bench.world import Options, World
+
+IDLE_WINDOW_S = 2.0
+WARM_UP_S = 2.0
+
+
+class Series(TypedDict):
+    """What a report plots; times are seconds since callers began to work."""
+
+    events: list[tuple[float, str]]
+    requests: list[tuple[float, float, str]]
+    """Start, latency in milliseconds, outcome."""
+    flow_ends: list[tuple[float, str]]
+    upstream_work: dict[str, list[float]]
+
+
+class RunOutput(NamedTuple):
+    """A run's result, what must hold and did not, and its series."""
+
+    result: Result
+    violations: list[str]
+    series: Series
+
+
+class Job(NamedTuple):
+    """What to run."""
+
+    scenario: Scenario
+    deployment: Deployment
+    seed: int
+    seconds: float
+    is_baseline: bool = False
+
+
+async def execute(job: Job) -> RunOutput:
+    """Run ``job`` and judge it."""
+    scenario = job.scenario
+    options = Options(
+        deployment=job.deployment,
+        seed=job.seed,
+        is_baseline=job.is_baseline,
+        is_relayed=scenario.is_relayed and not job.is_baseline,
+        faults=scenario.faults,
+    )
+    with tempfile.TemporaryDirectory(prefix="banyanline-bench-") as directory:
+        world = World(options, Path(directory))
+        try:
+            return await _run(world, job)
+        finally:
+            await world.close()
+
+
+def run_job(job: Job) -> RunOutput:
+    """Run ``job`` on an event loop of its own."""
+    return asyncio.run(execute(job))
+
+
+async def _run(world: World, job: Job) -> RunOutput:
+    await world.start()
+    before = await snapshots(world.fleet.balancers)
+    await asyncio.sleep(IDLE_WINDOW_S)
+    idle = usage(before, await snapshots(world.fleet.balancers))
+    world.load.start_streams()
+    await asyncio.sleep(WARM_UP_S)
+    began = time.monotonic()
+    world.load.start_requests()
+    await job.scenario.act(world, job.seconds)
+    seconds = time.monotonic() - began
+    await world.load.stop()
+    at_end = usage({}, await snapshots(world.fleet.balancers))
+    result = judge(world, job.scenario.name, seconds, idle, at_end.rss_mb)
+    found = violations(result, is_planned=job.scenario.is_planned)
+    return RunOutput(result, found, _series(world, began))
+
+
+def _series(world: World, began: float) -> Series:
+    return Series(
+        events=[(round(event.at - began, 3), event.what) for event in world.events],
+        requests=[
+            (
+                round(record.started_at - began, 3),
+                round(record.latency_s * 1000, 2),
+                record.outcome.value,
+            )
+            for record in world.observations.requests
+        ],
+        flow_ends=[
+            (round(flow.ended_at - began, 3), flow.end.value) for flow in world.observations.flows
+        ],
+        upstream_work={
+            name: [round(at - began, 3) for at in upstream.counts.new_work]
+            for name, upstream in world.upstreams.items()
+        },
+    )
+
+
+def write_output(output: RunOutput, path: Path) -> None:
+    """Write the result as JSON, and the series beside it."""
+    path.write_text(json.dumps(output.result, indent=1) + "\n")
+    series_path(path).write_text(json.dumps(output.series) + "\n")
+
+
+def series_path(path: Path) -> Path:
+    """Return where the series of the result in ``path`` stand.
+
+    >>> series_path(Path("steady.json")).name
+    'steady.series.json'
+    """
+    return path.with_suffix(".series.json")
+
+
+def format_table(columns: dict[str, Result]) -> str:
+    """Return results side by side, one line a key."""
+    titles = list(columns)
+    lines = [f"{'':26}" + "".join(f"{title:>16}" for title in titles)]
+    for key in Result.__annotations__:
+        cells = [columns[title][key] for title in titles]  # type: ignore[literal-required]
+        if key == "latency_ms":
+            for part in cells[0]:
+                row = "".join(f"{cell[part]:>16}" for cell in cells)
+                lines.append(f"latency_ms {part:15}{row}")
+        else:
+            lines.append(f"{key:26}" + "".join(f"{_cell(cell):>16}" for cell in cells))
+    return "\n".join(lines)
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    return "-" if value is None else str(value)
--- /dev/null
+++ b/bench/mixture.py
@@ -0,0 +1,175 @@
+"""The scenario ``all-at-once``: a seeded random mixture of changes and faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from bench.fleet import Balancer
+from bench.platform import ReaderView
+from bench.upstream import HealthFault
+from bench.world import World
+
+MEAN_PAUSE_S = 1.5
+LONGEST_FREEZE_S = 6.0
+LONGEST_CUT_S = 6.0
+LONGEST_OUTAGE_S = 6.0
+FEWEST_UPSTREAMS = 2
+UPSTREAM_DOWN_S = 1.5
+
+Action = Callable[[World, random.Random], Awaitable[None]]
+
+
+async def all_at_once(world: World, seconds: float) -> None:
+    """Start random changes and faults at random times, several at once, until the end."""
+    rng = random.Random(world.rng.random())
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds
+    running: set[asyncio.Task[None]] = set()
+    while loop.time() < ends_at:
+        action = rng.choice(ACTIONS)
+        task = asyncio.create_task(_run_action(action, world, rng))
+        running.add(task)
+        task.add_done_callback(running.discard)
+        await asyncio.sleep(rng.expovariate(1 / MEAN_PAUSE_S))
+    if running:
+        await asyncio.gather(*running)
+
+
+async def _run_action(action: Action, world: World, rng: random.Random) -> None:
+    await action(world, rng)
+
+
+def _spare_balancers(world: World) -> list[Balancer]:
+    """Return balancers that serve, if enough others of the fleet do too."""
+    serving = {member.name for member in world.fabric.members}
+    balancers = [
+        balancer
+        for balancer in world.fleet.balancers
+        if balancer.name in serving and balancer.state == "live"
+    ]
+    minimum = len(world.options.deployment.data_centres) + 1
+    return balancers if len(balancers) > minimum else []
+
+
+async def _replace(world: World, rng: random.Random) -> None:
+    spare = _spare_balancers(world)
+    if not spare:
+        return
+    victim = rng.choice(spare)
+    victim.state = "leaving"
+    world.note(f"stop {victim.name}")
+    await world.fleet.stop(victim)
+    await world.add_balancer(victim.data_centre)
+
+
+async def _crash(world: World, rng: random.Random) -> None:
+    spare = _spare_balancers(world)
+    if not spare:
+        return
+    victim = rng.choice(spare)
+    victim.state = "leaving"
+    world.note(f"crash {victim.name}")
+    await world.fleet.crash(victim)
+    await world.add_balancer(victim.data_centre)
+
+
+async def _pause(world: World, rng: random.Random) -> None:
+    spare = _spare_balancers(world)
+    if not spare:
+        return
+    victim = rng.choice(spare)
+    world.note(f"pause {victim.name}")
+    await world.fleet.pause(victim, rng.uniform(0.5, LONGEST_FREEZE_S))
+    world.note(f"resume {victim.name}")
+
+
+def _in_service(world: World, service: str) -> list[str]:
+    return [
+        upstream.spec.name
+        for upstream in world.upstreams.values()
+        if upstream.spec.service == service
+        and upstream.spec.name not in world.leaving_at
+        and upstream.spec.data_centre not in world.document.out
+    ]
+
+
+async def _add_upstream(world: World, rng: random.Random) -> None:
+    world.add_upstream(rng.choice(world.options.deployment.services).name)
+
+
+async def _drain_upstream(world: World, rng: random.Random) -> None:
+    names = _in_service(world, rng.choice(world.options.deployment.services).name)
+    if len(names) > FEWEST_UPSTREAMS:
+        world.drain_upstream(rng.choice(names))
+
+
+async def _restart_upstream(world: World, rng: random.Random) -> None:
+    names = _in_service(world, rng.choice(world.options.deployment.services).name)
+    if names:
+        name = rng.choice(names)
+        world.note(f"restart {name}")
+        world.upstreams[name].restart(UPSTREAM_DOWN_S)
+
+
+async def _out_and_back(world: World, rng: random.Random) -> None:
+    if world.document.out:
+        return
+    data_centre = rng.choice(world.options.deployment.data_centres)
+    world.take_out(data_centre)
+    await asyncio.sleep(rng.uniform(4.0, 8.0))
+    world.bring_back(data_centre)
+
+
+async def _cut(world: World, rng: random.Random) -> None:
+    if world.cuts.is_active:
+        return
+    others = list(world.options.deployment.data_centres)
+    lone = others.pop(rng.randrange(len(others)))
+    world.cuts.separate([lone], others)
+    world.note(f"cut {lone}")
+    await asyncio.sleep(rng.uniform(1.0, LONGEST_CUT_S))
+    world.cuts.heal()
+    world.note("healed")
+
+
+async def _platform_fault(world: World, rng: random.Random) -> None:
+    index = world.platform.index
+    views = (ReaderView(is_down=True), ReaderView(stale_index=index), ReaderView(lag_s=2.0))
+    readers = [world.plan.platform(balancer.idx) for balancer in world.fleet.balancers]
+    touched = rng.sample(readers, rng.randint(1, len(readers)))
+    for reader in touched:
+        world.platform.set_view(reader, rng.choice(views))
+    world.note(f"platform fault for {len(touched)} readers")
+    await asyncio.sleep(rng.uniform(1.0, LONGEST_OUTAGE_S))
+    for reader in touched:
+        world.platform.set_view(reader, ReaderView())
+    world.note("platform fault ends")
+
+
+async def _mislead(world: World, rng: random.Random) -> None:
+    upstream = rng.choice(list(world.upstreams.values()))
+    upstream.health_fault = rng.choice(
+        (
+            HealthFault(load=0.0, state="warm"),
+            HealthFault(load=1.0, state="draining"),
+            HealthFault(lag_s=3.0),
+            HealthFault(),
+        )
+    )
+    world.note(f"{upstream.spec.name} misleads")
+
+
+ACTIONS: tuple[Action, ...] = (
+    _replace,
+    _crash,
+    _pause,
+    _add_upstream,
+    _drain_upstream,
+    _restart_upstream,
+    _out_and_back,
+    _cut,
+    _platform_fault,
+    _mislead,
+)
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,138 @@
+"""Relay of the traffic between balancers, so that cuts and faults can reach it.
+
+Each balancer advertises an alias address. The relay takes datagrams and TCP
+connections there and passes them to the address that the balancer binds. A
+datagram's sender is told by its source address, a connection's by the process
+that owns its other end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
+
+import psutil
+
+from bench.addresses import CONTROL_PORT, PEER_PORT
+from bench.fleet import Balancer
+from bench.link import Cuts, Link
+from bench.sockets import Address, UdpSocket
+
+READ_BYTES = 65536
+
+ListBalancers = Callable[[], list[Balancer]]
+
+
+class _Pipe:
+    """One relayed TCP connection between two data centres."""
+
+    def __init__(
+        self, one: str | None, other: str, writers: tuple[asyncio.StreamWriter, ...]
+    ) -> None:
+        self.one = one
+        self.other = other
+        self.writers = writers
+
+    def abort(self) -> None:
+        """Reset both ends."""
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class PeerRelay:
+    """Passes peer datagrams and control connections on unless they are cut."""
+
+    def __init__(self, link: Link, cuts: Cuts, balancers: ListBalancers) -> None:
+        self._link = link
+        self._cuts = cuts
+        self._balancers = balancers
+        self._sockets: list[UdpSocket] = []
+        self._servers: list[asyncio.Server] = []
+        self._pipes: set[_Pipe] = set()
+        cuts.subscribe(self._close_cut_pipes)
+
+    @property
+    def link(self) -> Link:
+        """The link between balancers."""
+        return self._link
+
+    async def listen(self, balancer: Balancer) -> None:
+        """Take the traffic for ``balancer`` at its alias."""
+        on_datagram = partial(self._on_datagram, balancer)
+        self._sockets.append(UdpSocket((balancer.alias, PEER_PORT), on_datagram))
+        handler = partial(self._on_connection, balancer)
+        self._servers.append(await asyncio.start_server(handler, balancer.alias, CONTROL_PORT))
+
+    def close(self) -> None:
+        """Close all sockets and connections."""
+        for socket in self._sockets:
+            socket.close()
+        for server in self._servers:
+            server.close()
+        for pipe in self._pipes:
+            pipe.abort()
+
+    def _on_datagram(self, receiver: Balancer, data: bytes, source: Address) -> None:
+        sender = self._data_centre_at(source[0])
+        if self._cuts.is_blocked(sender, receiver.data_centre):
+            return
+        socket = next(s for s in self._sockets if s.address[0] == receiver.alias)
+        destination = (receiver.ip, PEER_PORT)
+        self._link.carry(partial(socket.send, data, destination))
+
+    def _data_centre_at(self, ip: str) -> str | None:
+        for balancer in self._balancers():
+            if balancer.ip == ip:
+                return balancer.data_centre
+        return None
+
+    async def _on_connection(
+        self,
+        receiver: Balancer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        source = writer.get_extra_info("peername")
+        sender = self._data_centre_at(source[0]) or self._data_centre_of_port(source[1])
+        if self._cuts.is_blocked(sender, receiver.data_centre):
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(receiver.ip, CONTROL_PORT)
+        except OSError:
+            writer.transport.abort()
+            return
+        pipe = _Pipe(sender, receiver.data_centre, (writer, far_writer))
+        self._pipes.add(pipe)
+        await asyncio.wait(
+            (
+                asyncio.create_task(_copy(reader, far_writer)),
+                asyncio.create_task(_copy(far_reader, writer)),
+            ),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        pipe.abort()
+        self._pipes.discard(pipe)
+
+    def _data_centre_of_port(self, port: int) -> str | None:
+        """Find the balancer whose process owns the local TCP ``port``."""
+        for balancer in self._balancers():
+            with suppress(psutil.Error):
+                connections = psutil.Process(balancer.pid).net_connections("tcp")
+                if any(c.laddr and c.laddr.port == port for c in connections):
+                    return balancer.data_centre
+        return None
+
+    def _close_cut_pipes(self) -> None:
+        for pipe in list(self._pipes):
+            if self._cuts.is_blocked(pipe.one, pipe.other):
+                pipe.abort()
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with suppress(OSError):
+        while data := await reader.read(READ_BYTES):
+            writer.write(data)
+            await writer.drain()
--- /dev/null
+++ b/bench/sockets.py
@@ -0,0 +1,60 @@
+"""Non-blocking UDP sockets on the event loop, with a bounded drain for each wake-up."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import TypeAlias
+
+Address: TypeAlias = tuple[str, int]
+OnDatagram: TypeAlias = Callable[[bytes, Address], None]
+
+DRAIN_LIMIT = 64
+RECEIVE_BUFFER_BYTES = 1 << 20
+MAX_DATAGRAM_BYTES = 65535
+
+
+class UdpSocket:
+    """A bound UDP socket that hands each datagram to a callback.
+
+    Send errors are ignored, as the network may lose any datagram.
+    """
+
+    def __init__(self, address: Address, on_datagram: OnDatagram) -> None:
+        self._on_datagram = on_datagram
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._socket.bind(address)
+        self._loop = asyncio.get_running_loop()
+        self._loop.add_reader(self._socket.fileno(), self._drain)
+
+    @property
+    def address(self) -> Address:
+        """The bound IP number and port."""
+        ip, port = self._socket.getsockname()
+        return ip, port
+
+    def send(self, data: bytes, destination: Address) -> None:
+        """Send one datagram, or lose it."""
+        try:
+            self._socket.sendto(data, destination)
+        except OSError:
+            return
+
+    def close(self) -> None:
+        """Stop reading and close."""
+        if self._socket.fileno() >= 0:
+            self._loop.remove_reader(self._socket.fileno())
+            self._socket.close()
+
+    def _drain(self) -> None:
+        for _ in range(DRAIN_LIMIT):
+            try:
+                data, source = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                return
+            self._on_datagram(data, source)
+            if self._socket.fileno() < 0:
+                return
