--- /dev/null
+++ b/banyanline/cli/balancer.py
@@ -0,0 +1,118 @@
+"""The program ``banyanline-balancer``: one balancer with all its roles."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Sequence
+from pathlib import Path
+
+import structlog
+
+from banyanline.cli.common import (
+    ExitCode,
+    define_settings_flags,
+    load_program_settings,
+    new_program,
+    parse_command_line,
+    print_error,
+    run_program,
+    usage_error,
+)
+from banyanline.core.invariants import InvariantError
+from banyanline.core.keys import KeyRing
+from banyanline.net.balancer import Balancer
+from banyanline.net.logs import configure_logs
+from banyanline.settings import BalancerSettings, KeysError, SettingsError, parse_keys
+
+_PROGRAM = new_program(
+    "banyanline-balancer",
+    """
+    banyanline-balancer --settings FILE [--set section.key=value ...]
+
+    Runs one balancer of the fleet: it takes callers' datagrams, decides for the flows
+    whose home it is, and sends to the upstreams that it owns. settings.example.ini
+    lists all settings.
+
+    SIGTERM and SIGINT stop it without cutting a request, within stop.grace_s; a second
+    one ends it at once.
+    """,
+)
+define_settings_flags(_PROGRAM)
+
+log = structlog.get_logger()
+
+
+def _read_keys(path: str) -> KeyRing | str:
+    try:
+        keys = parse_keys(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return f"{path}: {error}"
+    return f"{path}: {keys}" if isinstance(keys, KeysError) else keys
+
+
+async def _serve(settings: BalancerSettings, keys: KeyRing) -> ExitCode:
+    balancer = Balancer(settings, keys)
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    abort = asyncio.Event()
+
+    def on_signal() -> None:
+        (abort if stop.is_set() else stop).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    try:
+        await balancer.start()
+    except OSError as error:
+        print_error(_PROGRAM, error)
+        return ExitCode.PROBLEM
+    return await _run_until_stopped(balancer, stop, abort)
+
+
+async def _run_until_stopped(
+    balancer: Balancer, stop: asyncio.Event, abort: asyncio.Event
+) -> ExitCode:
+    failed = asyncio.ensure_future(balancer.failed())
+    stopping = asyncio.ensure_future(stop.wait())
+    await asyncio.wait({failed, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    if not failed.done():
+        leaving = asyncio.ensure_future(balancer.stop())
+        aborting = asyncio.ensure_future(abort.wait())
+        await asyncio.wait({failed, leaving, aborting}, return_when=asyncio.FIRST_COMPLETED)
+        if aborting.done() or leaving.done():
+            return ExitCode.OK
+    error = failed.exception()
+    assert isinstance(error, InvariantError)
+    log.error("invariant_broken", rule=str(error))
+    return ExitCode.PROBLEM
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run the balancer and return its exit code."""
+    arguments = parse_command_line(_PROGRAM, argv)
+    if isinstance(arguments, ExitCode):
+        return arguments
+    if arguments:
+        return usage_error(_PROGRAM, f"unexpected argument {arguments[0]!r}")
+    if _PROGRAM.flag_values["settings"].value is None:
+        return usage_error(_PROGRAM, "--settings FILE is missing")
+    settings = load_program_settings(_PROGRAM)
+    if isinstance(settings, SettingsError):
+        print_error(_PROGRAM, settings)
+        return ExitCode.USAGE
+    keys = _read_keys(settings.keys.file)
+    if isinstance(keys, str):
+        print_error(_PROGRAM, keys)
+        return ExitCode.USAGE
+    configure_logs(settings.log.level, host=settings.host.name)
+    return asyncio.run(_serve(settings, keys))
+
+
+def run() -> None:
+    """Run the program with the command line."""
+    run_program(main)
+
+
+if __name__ == "__main__":
+    run()
--- a/banyanline/core/coap.py
+++ b/banyanline/core/coap.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple, TypeAlias
 
 from aiocoap.error import Error as CodecError
-from aiocoap.message import Message
+from aiocoap.message import Direction, Message
 from aiocoap.numbers.codes import Code
 from aiocoap.numbers.optionnumbers import OptionNumber
 from aiocoap.numbers.types import Type
@@ -52,9 +52,10 @@
 
 
 class Request(NamedTuple):
-    """A caller's request. ``block`` is set for a part of a block-wise transfer."""
+    """A caller's request. ``continues_transfer`` is set for a later block of a transfer."""
 
     message: Message
+    datagram: bytes
     confirmable: bool
     message_id: int
     token: bytes
@@ -86,7 +87,7 @@
 def decode(datagram: bytes) -> Decoded:
     """Read one datagram.
 
-    >>> decode(b"not coap at all")
+    >>> decode(b"GET / HTTP/1.1")
     Malformed(reason='unparsable')
     """
     if len(datagram) > MAX_DATAGRAM_BYTES:
@@ -102,10 +103,10 @@
         return Response(message, message.mtype, message.mid, message.token)
     if not code.is_request() or message.mtype not in (Type.CON, Type.NON):
         return Malformed("not a request")
-    return _request(message)
+    return _request(message, datagram)
 
 
-def _request(message: Message) -> Request:
+def _request(message: Message, datagram: bytes) -> Request:
     options = message.opt
     block1 = options.block1
     block2 = options.block2
@@ -114,6 +115,7 @@
     )
     return Request(
         message=message,
+        datagram=datagram,
         confirmable=message.mtype is Type.CON,
         message_id=message.mid,
         token=message.token,
@@ -150,9 +152,16 @@
     return value
 
 
+def _outgoing(message: Message) -> Message:
+    """Return a copy of a received message that can be encoded."""
+    copied = message.copy()
+    copied.direction = Direction.OUTGOING
+    return copied
+
+
 def for_upstream(message: Message, message_id: int, token: bytes, remaining_ms: int) -> bytes:
     """Encode a caller's request anew as a confirmable request to an upstream."""
-    forwarded = message.copy()
+    forwarded = _outgoing(message)
     forwarded.mtype = Type.CON
     forwarded.mid = message_id
     forwarded.token = token
@@ -168,18 +177,20 @@
 
 def for_caller(response: Message, request_id: int, token: bytes, confirmable: bool) -> bytes:
     """Encode an upstream's response as the answer to a caller's request."""
-    response.mtype = Type.ACK if confirmable else Type.NON
-    response.mid = request_id
-    response.token = token
-    return bytes(response.encode())
+    answer = _outgoing(response)
+    answer.mtype = Type.ACK if confirmable else Type.NON
+    answer.mid = request_id
+    answer.token = token
+    return bytes(answer.encode())
 
 
 def notification_for_caller(response: Message, message_id: int, token: bytes) -> bytes:
     """Encode an upstream's notification for a caller, as a non-confirmable message."""
-    response.mtype = Type.NON
-    response.mid = message_id
-    response.token = token
-    return bytes(response.encode())
+    notification = _outgoing(response)
+    notification.mtype = Type.NON
+    notification.mid = message_id
+    notification.token = token
+    return bytes(notification.encode())
 
 
 def empty(kind: Type, message_id: int) -> bytes:
@@ -192,7 +203,7 @@
 
 def deregistration(message_id: int, token: bytes, request: bytes) -> bytes:
     """Encode the GET with Observe 1 that ends an observation (RFC 7641, 3.6)."""
-    message = Message.decode(request).copy()
+    message = _outgoing(Message.decode(request))
     message.mtype = Type.NON
     message.mid = message_id
     message.token = token
--- a/banyanline/core/home/home.py
+++ b/banyanline/core/home/home.py
@@ -57,6 +57,10 @@
     def _next_serial(self) -> int:
         return self._requests.next_serial()
 
+    def likely_upstream(self, flow: FlowKey) -> UpstreamName | None:
+        """Return the first choice among the service's upstreams by the flow's hash."""
+        return self._policies.fallback(flow.service, self._context.hash_of(flow))
+
     def receive(self, flow: FlowKey, payload: bytes, now: Seconds) -> None:
         """Take a caller's datagram in."""
         service = self._context.directory.service(flow.service)
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -272,7 +272,7 @@
             idempotent=request.idempotent,
             stream=request.observe == coap.OBSERVE_REGISTER,
             resume=False,
-            payload=bytes(request.message.encode()),
+            payload=request.datagram,
         )
 
     # -- results
--- a/banyanline/core/home/streams.py
+++ b/banyanline/core/home/streams.py
@@ -110,6 +110,13 @@
         stream = self._streams.get(StreamKey(*flow, token))
         return None if stream is None else stream.upstream
 
+    def upstream_of_flow(self, flow: FlowKey) -> UpstreamName | None:
+        """Return the upstream of any stream of a caller; reads all streams."""
+        for key, stream in self._streams.items():
+            if key[:3] == flow:
+                return stream.upstream
+        return None
+
     def registered(
         self,
         flow: FlowKey,
@@ -126,7 +133,7 @@
             self._context.send(owner, CancelStream(key, upstream))
             return
         if stream is None or stream.upstream != upstream:
-            stream = Stream(upstream, owner, bytes(request.message.encode()))
+            stream = Stream(upstream, owner, request.datagram)
             self._streams[key] = stream
         stream.owner = owner
         stream.sequence = coap.observe_sequence(response.message)
--- a/banyanline/core/node.py
+++ b/banyanline/core/node.py
@@ -326,7 +326,7 @@
                 case ViewChanged():
                     self._view_changed(now)
                 case RevisionSeen(host, revision):
-                    if revision > self._greatest_revision_seen[0]:
+                    if revision >= self._greatest_revision_seen[0]:
                         self._greatest_revision_seen = (revision, host)
 
     def _view_changed(self, now: Seconds) -> None:
--- /dev/null
+++ b/banyanline/net/balancer.py
@@ -0,0 +1,320 @@
+"""The runtime of one balancer: sockets, timers and gRPC around the core."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+import structlog
+
+from banyanline.core.effects import (
+    CloseFlow,
+    Effect,
+    LogEvent,
+    SendOnFlow,
+    SendProbe,
+    SendToCaller,
+    SendToPeer,
+    SendToUpstream,
+    TransferToPeer,
+)
+from banyanline.core.invariants import InvariantError
+from banyanline.core.keys import KeyRing
+from banyanline.core.membership import Probe, ProbeAck, ProbeRequest
+from banyanline.core.messages import FlowKey
+from banyanline.core.model import Configuration
+from banyanline.core.node import Node
+from banyanline.core.readers import readers
+from banyanline.core.types import Endpoint, Host, HostName, ServiceName, UpstreamName
+from banyanline.net import explain
+from banyanline.net.admin import AdminPages, AdminServer
+from banyanline.net.configuration import (
+    FETCH_METHOD,
+    ConfigurationSync,
+    FetchReply,
+    FetchRequest,
+)
+from banyanline.net.control import ControlClient, ControlMethod, ControlServer
+from banyanline.net.datagram import DatagramSocket, SocketAddress
+from banyanline.net.frames import decode_frame, encode_frame
+from banyanline.net.metrics import IoCounts, Metrics, Sources
+from banyanline.net.node_settings import node_settings
+from banyanline.net.seal import Rejected, RejectionReason, Sealer
+from banyanline.net.sockets import FlowSockets, ServiceSockets, UpstreamSockets
+from banyanline.net.transfers import (
+    TRANSFER_METHOD,
+    TransferDone,
+    TransferRequest,
+    Transfers,
+)
+from banyanline.platform.consul import ConsulReader, Watch
+from banyanline.settings import BalancerSettings
+
+MEMBERSHIP_TYPES = (Probe, ProbeAck, ProbeRequest)
+MIN_TIMER_S = 0.001
+STOP_POLL_S = 0.02
+STOP_SETTLE_S = 1.0
+"""A leaving host goes on for at least this long, so that all peers have heard of it."""
+
+log = structlog.get_logger()
+
+
+class Balancer:
+    """Runs one :class:`Node` on the event loop."""
+
+    def __init__(self, settings: BalancerSettings, keys: KeyRing) -> None:
+        self._settings = settings
+        self._clock = time.monotonic
+        self._rng = random.Random()
+        self._node = Node(node_settings(settings, time.time()), self._rng, time.time, self._clock())
+        self._counts = IoCounts()
+        self._sealer = Sealer(keys, settings.host.name, time.time)
+        local_ip = settings.host.local_ip
+        self._services = ServiceSockets(local_ip, settings.fabric.delivery, self._from_caller)
+        self._upstreams = UpstreamSockets(local_ip, self._from_upstream)
+        self._flows = FlowSockets(local_ip, settings.limits.flow_sockets, self._from_flow)
+        self._peer_socket: DatagramSocket | None = None
+        self._control = ControlServer(
+            Endpoint(local_ip, settings.host.control_port),
+            self._sealer,
+            {
+                TRANSFER_METHOD: ControlMethod(TransferRequest, self._answer_transfer),
+                FETCH_METHOD: ControlMethod(FetchRequest, self._answer_fetch),
+            },
+            count_rejection=self._counts.reject_frame,
+        )
+        self._client = ControlClient(self._sealer)
+        self._transfers = Transfers(self._client, self._find_host, self._counts)
+        platform = settings.platform
+        self._reader = ConsulReader(
+            platform.addresses,
+            self._rng,
+            Watch(platform.watch_wait_s, platform.retry_interval_s),
+        )
+        self._sync = ConfigurationSync(
+            self._reader,
+            platform.configuration_key,
+            platform.hosts_key,
+            self._client,
+            self._counts,
+            self._apply_configuration,
+            self._apply_hosts,
+        )
+        self._metrics = Metrics(
+            Sources(
+                self._node.context.counters,
+                self._counts,
+                lambda: explain.gauges(self._node, self._clock()),
+                lambda: self._reader.calls,
+                self._datagram_totals,
+            )
+        )
+        self._admin = AdminServer(
+            Endpoint(local_ip, settings.host.admin_port),
+            AdminPages(
+                self._metrics.render,
+                lambda: explain.status(self._node, self._sync.is_reader, self._clock()),
+                lambda: self._node.revision > 0,
+                lambda caller, service: explain.why(self._node, caller, service),
+            ),
+        )
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = float("inf")
+        self._failure: asyncio.Future[None] | None = None
+
+    @property
+    def node(self) -> Node:
+        """The core that this runtime serves."""
+        return self._node
+
+    async def start(self) -> None:
+        """Bind all sockets and begin; raises OSError if one cannot be bound."""
+        loop = asyncio.get_running_loop()
+        self._failure = loop.create_future()
+        host = self._settings.host
+        self._peer_socket = DatagramSocket(
+            loop, Endpoint(host.local_ip, host.peer_port), self._from_peer
+        )
+        await self._control.start()
+        await self._admin.start()
+        await self._sync.read_once()
+        self._update_reader()
+        self._tick()
+        log.info("balancer_started", revision=self._node.revision)
+
+    async def failed(self) -> None:
+        """Wait until a broken invariant has to stop the process, and raise it."""
+        assert self._failure is not None
+        await self._failure
+
+    async def stop(self) -> None:
+        """Leave: hand everything over, finish what runs, within the grace time."""
+        started = self._clock()
+        log.info("balancer_leaving")
+        self._handle(self._node.begin_stop, started)
+        deadline = started + self._settings.stop.grace_s
+        while self._clock() < deadline:
+            is_settled = self._clock() - started >= STOP_SETTLE_S
+            if is_settled and self._node.is_drained and self._transfers.is_idle:
+                break
+            await asyncio.sleep(STOP_POLL_S)
+        log.info("balancer_stopped", drained=self._node.is_drained)
+        await self._close()
+
+    async def _close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._sync.close()
+        await self._transfers.close()
+        self._services.close()
+        self._upstreams.close()
+        self._flows.close()
+        if self._peer_socket is not None:
+            self._peer_socket.close()
+        await self._admin.stop()
+        await self._client.close()
+        await self._control.stop(0)
+
+    # -- events
+
+    def _handle(self, method: Callable[..., list[Effect]], *args: Any) -> None:
+        """Hand an event to the core, carry out its effects, and set the timer anew."""
+        try:
+            effects = method(*args)
+        except InvariantError as error:
+            self._fail(error)
+            return
+        for effect in effects:
+            self._run(effect)
+        self._check_revision()
+        self._set_timer()
+
+    def _fail(self, error: InvariantError) -> None:
+        if self._failure is not None and not self._failure.done():
+            self._failure.set_exception(error)
+
+    def _from_caller(self, service: ServiceName, caller: Endpoint, payload: bytes) -> None:
+        self._handle(self._node.receive_from_caller, service, caller, payload, self._clock())
+
+    def _from_upstream(self, upstream: UpstreamName, payload: bytes) -> None:
+        self._handle(self._node.receive_from_upstream, upstream, payload, self._clock())
+
+    def _from_flow(self, flow: FlowKey, payload: bytes) -> None:
+        self._handle(self._node.receive_on_flow, flow, payload, self._clock())
+
+    def _from_peer(self, frame: bytes, _addr: SocketAddress) -> None:
+        received = decode_frame(self._sealer, frame, time.time())
+        if isinstance(received, Rejected):
+            self._counts.reject_frame(received.reason)
+            log.warning("frame_rejected", reason=received.reason.value)
+            return
+        message = received.message
+        now = self._clock()
+        if not isinstance(message, MEMBERSHIP_TYPES):
+            self._handle(self._node.receive_from_peer, received.sender, message, now)
+        elif message.sender == received.sender:
+            self._handle(self._node.receive_probe, message, now)
+        else:
+            self._counts.reject_frame(RejectionReason.BAD_PAYLOAD)
+
+    def _tick(self) -> None:
+        self._timer = None
+        self._timer_at = float("inf")
+        self._handle(self._node.tick, self._clock())
+
+    def _set_timer(self) -> None:
+        now = self._clock()
+        due = max(self._node.next_at(now), now + MIN_TIMER_S)
+        if self._timer is not None and self._timer_at <= due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = due
+        self._timer = asyncio.get_running_loop().call_later(due - now, self._tick)
+
+    # -- effects
+
+    @singledispatchmethod
+    def _run(self, effect: Effect) -> None:
+        raise TypeError(f"no such effect: {effect!r}")
+
+    @_run.register
+    def _(self, effect: SendToPeer) -> None:
+        host = self._find_host(effect.host)
+        if host is not None:
+            self._send_frame(host.name, host.peer_endpoint, effect.message)
+
+    @_run.register
+    def _(self, effect: SendProbe) -> None:
+        self._send_frame(effect.host, effect.endpoint, effect.message)
+
+    @_run.register
+    def _(self, effect: TransferToPeer) -> None:
+        self._transfers.send(effect.host, effect.message)
+
+    @_run.register
+    def _(self, effect: SendToCaller) -> None:
+        self._services.send(effect.service, effect.caller, effect.payload)
+
+    @_run.register
+    def _(self, effect: SendToUpstream) -> None:
+        self._upstreams.send(effect.upstream, effect.endpoint, effect.payload)
+
+    @_run.register
+    def _(self, effect: SendOnFlow) -> None:
+        self._flows.send(effect.flow, effect.endpoint, effect.payload)
+
+    @_run.register
+    def _(self, effect: CloseFlow) -> None:
+        self._flows.close_flow(effect.flow)
+
+    @_run.register
+    def _(self, effect: LogEvent) -> None:
+        log.info(effect.event, **effect.fields)
+        if effect.event == "view_changed":
+            asyncio.get_running_loop().call_soon(self._update_reader)
+
+    def _send_frame(self, host: HostName, endpoint: Endpoint, message: Any) -> None:
+        if self._peer_socket is not None:
+            self._peer_socket.send(encode_frame(self._sealer, host, message), endpoint)
+
+    def _find_host(self, name: HostName) -> Host | None:
+        return self._node.membership.view.host(name)
+
+    # -- configuration and hosts
+
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        self._handle(self._node.configure, configuration, self._clock())
+        for service, error in self._services.update(configuration.services):
+            log.error("service_address_not_bound", service=service, error=str(error))
+        self._upstreams.keep_only(self._node.context.directory.reachable)
+
+    def _apply_hosts(self, hosts: tuple[Host, ...]) -> None:
+        self._handle(self._node.learn_hosts, hosts, self._clock())
+
+    def _update_reader(self) -> None:
+        """Watch the platform if this host is one of the readers of its data centre."""
+        host = self._settings.host
+        candidates = self._node.membership.view.owners(host.data_centre)
+        chosen = readers(candidates, self._settings.platform.readers_per_data_centre)
+        self._sync.set_reader(host.name in chosen and not self._node.context.stopping)
+
+    def _check_revision(self) -> None:
+        revision, host = self._node.greatest_revision_seen
+        if revision > self._node.revision:
+            self._sync.revision_seen(self._find_host(host), host, revision)
+
+    async def _answer_transfer(self, sender: HostName, request: TransferRequest) -> TransferDone:
+        now = self._clock()
+        self._handle(self._node.receive_from_peer, sender, request.message, now)
+        return TransferDone()
+
+    async def _answer_fetch(self, _sender: HostName, request: FetchRequest) -> FetchReply:
+        return self._sync.answer_fetch(request)
+
+    def _datagram_totals(self) -> dict[str, Any]:
+        return {"caller": self._services.totals(), "upstream": self._upstreams.totals()}
--- /dev/null
+++ b/banyanline/net/configuration.py
@@ -0,0 +1,163 @@
+"""Keeps the configuration and the list of hosts up to date: from the platform or from peers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import TypeAlias
+
+import msgspec
+import structlog
+
+from banyanline.config import ConfigurationErrors, parse_document
+from banyanline.core.model import Configuration
+from banyanline.core.types import Host, HostName
+from banyanline.net.control import CallFailed, ControlClient
+from banyanline.net.metrics import IoCounts
+from banyanline.platform.hosts import HostsError, parse_hosts
+from banyanline.platform.reader import PlatformReader, PlatformValue
+
+FETCH_METHOD = "FetchConfiguration"
+FETCH_TIMEOUT_S = 2.0
+FETCH_RETRY_S = 0.2
+
+ApplyConfiguration: TypeAlias = Callable[[Configuration], None]
+ApplyHosts: TypeAlias = Callable[[tuple[Host, ...]], None]
+
+log = structlog.get_logger()
+
+
+class FetchRequest(msgspec.Struct, frozen=True):
+    """Asks for a configuration of a greater revision than ``have``."""
+
+    have: int
+
+
+class FetchReply(msgspec.Struct, frozen=True):
+    """A configuration document; empty if the callee has none of a greater revision."""
+
+    revision: int
+    document: bytes
+
+
+class ConfigurationSync:
+    """Watches the platform while this host is a reader, and fetches from peers.
+
+    A revision that is not greater than the one in force is never applied.
+    """
+
+    def __init__(
+        self,
+        reader: PlatformReader,
+        configuration_key: str,
+        hosts_key: str,
+        client: ControlClient,
+        counts: IoCounts,
+        apply_configuration: ApplyConfiguration,
+        apply_hosts: ApplyHosts,
+    ) -> None:
+        self._reader = reader
+        self._configuration_key = configuration_key
+        self._hosts_key = hosts_key
+        self._client = client
+        self._counts = counts
+        self._apply_configuration = apply_configuration
+        self._apply_hosts = apply_hosts
+        self._document = b""
+        self._revision = 0
+        self._watches: list[asyncio.Task[None]] = []
+        self._fetch: asyncio.Task[None] | None = None
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this host watches the platform now."""
+        return bool(self._watches)
+
+    def set_reader(self, is_reader: bool) -> None:
+        """Begin or end to watch the platform."""
+        if is_reader and not self._watches:
+            self._watches = [
+                asyncio.create_task(self._watch_configuration()),
+                asyncio.create_task(self._watch_hosts()),
+            ]
+        elif not is_reader and self._watches:
+            self._stop_watches()
+
+    def _stop_watches(self) -> None:
+        for task in self._watches:
+            task.cancel()
+        self._watches = []
+
+    async def _watch_configuration(self) -> None:
+        async for value in self._reader.watch(self._configuration_key):
+            self.take(value.value, "platform")
+
+    async def _watch_hosts(self) -> None:
+        async for value in self._reader.watch(self._hosts_key):
+            self._take_hosts(value.value)
+
+    def _take_hosts(self, data: bytes) -> None:
+        hosts = parse_hosts(data)
+        if isinstance(hosts, HostsError):
+            self._counts.refuse_config("bad_hosts")
+            log.warning("hosts_refused", detail=hosts.detail)
+            return
+        self._apply_hosts(hosts)
+
+    async def read_once(self) -> None:
+        """Read both keys once, for a host that is no reader."""
+        hosts = await self._reader.read(self._hosts_key)
+        if isinstance(hosts, PlatformValue):
+            self._take_hosts(hosts.value)
+        configuration = await self._reader.read(self._configuration_key)
+        if isinstance(configuration, PlatformValue):
+            self.take(configuration.value, "platform")
+
+    def take(self, document: bytes, source: str) -> bool:
+        """Check a document and put it in force if its revision is greater."""
+        parsed = parse_document(document)
+        if isinstance(parsed, ConfigurationErrors):
+            self._counts.refuse_config("invalid")
+            log.warning("configuration_refused", source=source, error=str(parsed.errors[0]))
+            return False
+        if parsed.revision <= self._revision:
+            if parsed.revision < self._revision:
+                self._counts.refuse_config("older_revision")
+            elif document != self._document:
+                self._counts.refuse_config("same_revision_other_content")
+            return False
+        self._revision = parsed.revision
+        self._document = document
+        self._apply_configuration(parsed)
+        return True
+
+    def answer_fetch(self, request: FetchRequest) -> FetchReply:
+        """Return the document in force if it is newer than what the caller has."""
+        if self._revision <= request.have:
+            return FetchReply(self._revision, b"")
+        return FetchReply(self._revision, self._document)
+
+    def revision_seen(self, host: Host | None, name: HostName, revision: int) -> None:
+        """Fetch from a peer that has shown a greater revision."""
+        if revision > self._revision and host is not None and self._fetch is None:
+            self._fetch = asyncio.create_task(self._fetch_from(host))
+            self._fetch.add_done_callback(lambda _task: self._fetch_ended())
+
+    def _fetch_ended(self) -> None:
+        self._fetch = None
+
+    async def _fetch_from(self, host: Host) -> None:
+        reply = await self._client.call(
+            host, FETCH_METHOD, FetchRequest(self._revision), FetchReply, FETCH_TIMEOUT_S
+        )
+        if isinstance(reply, CallFailed):
+            self._counts.fail_call(reply.reason)
+            await asyncio.sleep(FETCH_RETRY_S)
+        elif reply.document:
+            self.take(reply.document, host.name)
+
+    async def close(self) -> None:
+        """End all watches and fetches."""
+        self._stop_watches()
+        if self._fetch is not None:
+            self._fetch.cancel()
--- /dev/null
+++ b/banyanline/net/transfers.py
@@ -0,0 +1,84 @@
+"""Large messages to other balancers, in order for each receiver, over the control port."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import TypeAlias
+
+import msgspec
+
+from banyanline.core.messages import Cede, DataMessage, HomeHandover
+from banyanline.core.types import Host, HostName
+from banyanline.net.control import CallFailed, ControlClient
+from banyanline.net.metrics import IoCounts
+
+TRANSFER_METHOD = "Transfer"
+CALL_TIMEOUT_S = 1.5
+ATTEMPTS = 3
+RETRY_DELAY_S = 0.1
+MAX_WAITING_MESSAGES = 4096
+
+FindHost: TypeAlias = Callable[[HostName], Host | None]
+
+
+class TransferRequest(msgspec.Struct, frozen=True):
+    """One message of a handover."""
+
+    message: Cede | HomeHandover
+
+
+class TransferDone(msgspec.Struct, frozen=True):
+    """The receiver has taken the message in."""
+
+
+class Transfers:
+    """Sends handovers; a message that cannot be delivered is dropped and counted."""
+
+    def __init__(self, client: ControlClient, find_host: FindHost, counts: IoCounts) -> None:
+        self._client = client
+        self._find_host = find_host
+        self._counts = counts
+        self._queues: dict[HostName, deque[DataMessage]] = {}
+        self._tasks: dict[HostName, asyncio.Task[None]] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether everything was delivered or given up."""
+        return not self._tasks
+
+    def send(self, host: HostName, message: DataMessage) -> None:
+        """Queue a message for a host."""
+        queue = self._queues.setdefault(host, deque(maxlen=MAX_WAITING_MESSAGES))
+        queue.append(message)
+        if host not in self._tasks:
+            self._tasks[host] = asyncio.create_task(self._drain(host, queue))
+
+    async def _drain(self, host: HostName, queue: deque[DataMessage]) -> None:
+        try:
+            while queue:
+                await self._deliver(host, queue.popleft())
+        finally:
+            self._tasks.pop(host, None)
+            self._queues.pop(host, None)
+
+    async def _deliver(self, host: HostName, message: DataMessage) -> None:
+        assert isinstance(message, Cede | HomeHandover)
+        request = TransferRequest(message)
+        for _ in range(ATTEMPTS):
+            receiver = self._find_host(host)
+            if receiver is None:
+                return
+            reply = await self._client.call(
+                receiver, TRANSFER_METHOD, request, TransferDone, CALL_TIMEOUT_S
+            )
+            if not isinstance(reply, CallFailed):
+                return
+            self._counts.fail_call(reply.reason)
+            await asyncio.sleep(RETRY_DELAY_S)
+
+    async def close(self) -> None:
+        """Give up what is not delivered."""
+        for task in list(self._tasks.values()):
+            task.cancel()
--- a/banyanline/settings/model.py
+++ b/banyanline/settings/model.py
@@ -27,10 +27,16 @@
     data_centre: str
     fabric_group: str
     address: str
+    bind_address: str
     peer_port: int
     control_port: int
     admin_port: int
 
+    @property
+    def local_ip(self) -> str:
+        """The address that the sockets bind."""
+        return self.bind_address or self.address
+
     def as_host(self) -> Host:
         """Return the entry by which other balancers know this one."""
         return Host(
--- a/banyanline/settings/options.py
+++ b/banyanline/settings/options.py
@@ -72,6 +72,13 @@
         "The address at which other balancers reach this host.",
         example="192.0.2.1",
     ),
+    Option(
+        "host",
+        "bind_address",
+        validators.optional_address(),
+        "",
+        "The address that the sockets bind, if it is not the one above.",
+    ),
     Option(
         "host",
         "peer_port",
--- a/banyanline/settings/validators.py
+++ b/banyanline/settings/validators.py
@@ -100,6 +100,14 @@
     return Validator("an IPv4 address such as 192.0.2.1", _parse_address)
 
 
+def optional_address() -> Validator:
+    """Accept IPv4 addresses, and nothing at all."""
+    return Validator(
+        "an IPv4 address such as 192.0.2.1, or nothing",
+        lambda text: _parse_address(text) if text else "",
+    )
+
+
 def _parse_endpoint(text: str) -> Endpoint | None:
     ip_text, colon, port_text = text.partition(":")
     ip = _parse_address(ip_text)
