--- a/banyanline/net/metrics.py
+++ b/banyanline/net/metrics.py
@@ -123,6 +123,12 @@
         self._retries = self._counter("retries_total", "Requests sent to an upstream again.")
         self._drops = self._counter("drops_total", "Datagrams dropped without an answer.")
         self._answers = self._counter("answers_total", "Answers of upstreams given to callers.")
+        self._duplicates = self._counter("duplicates_total", "Retransmissions of callers.")
+        self._claims = self._counter("claims_total", "Claims of request keys by their course.")
+        self._recovered = self._counter(
+            "recovered_total", "Flows and streams learned from another balancer."
+        )
+        self._flow_ends = self._counter("flow_ends_total", "Flows and streams that ended.")
         self._given_up = self._counter(
             "flows_given_up_total", "Flows ended because their data centre was taken out."
         )
@@ -165,6 +171,10 @@
         _copy_by_service(self._retries, counters.retries)
         _copy(self._drops, "reason", counters.drops)
         _copy(self._answers, "service", counters.answers)
+        _copy(self._duplicates, "kind", counters.duplicates)
+        _copy(self._claims, "course", counters.claims)
+        _copy(self._recovered, "kind", counters.recovered)
+        _copy_by_service(self._flow_ends, counters.flow_ends)
         _copy(self._given_up, "service", counters.flows_given_up)
         for service, histogram in counters.latency.items():
             self._latency.set_value({"service": service}, _bucket_counts(histogram))
--- /dev/null
+++ b/banyanline/tests/test_admin.py
@@ -0,0 +1,242 @@
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+
+from banyanline.cli.status import Question, ask, parse_arguments, render
+from banyanline.core.answers import RefusalReason, UnknownReason
+from banyanline.core.counters import Counters, DropReason, FlowEnd
+from banyanline.core.types import Endpoint
+from banyanline.net import admin
+from banyanline.net.admin import AdminPages, AdminServer
+from banyanline.net.metrics import GAUGE_DOCS, DatagramTotals, Gauges, IoCounts, Metrics, Sources
+from banyanline.net.seal import RejectionReason
+from banyanline.net.status import Status, count_status, service_statuses
+
+TIMEOUT_S = 10.0
+WHY = {
+    "caller": "192.0.2.7:40000",
+    "service": "orders",
+    "slot": 17,
+    "home": "north-1",
+    "home_reason": "first of 3 live hosts for slot 17",
+    "upstream": "orders-1",
+    "upstream_reason": "known flow",
+    "owner": "south-1",
+    "owner_reason": "first of 2 live hosts of south",
+}
+
+
+def counted() -> tuple[Counters, IoCounts]:
+    counters, io_counts = Counters(), IoCounts()
+    counters.refuse(RefusalReason.QUEUE_FULL, "orders")
+    counters.lose_outcome(UnknownReason.OWNER_LOST, "orders")
+    counters.drop(DropReason.MALFORMED)
+    counters.end_flow(FlowEnd.DATA_CENTRE_OUT, "orders")
+    for latency_s in (0.0004, 0.003, 0.003, 99.0):
+        counters.answer("orders", latency_s)
+    io_counts.reject_frame(RejectionReason.REPLAYED)
+    return counters, io_counts
+
+
+def status_page(healthy: bool = True) -> Status:
+    counters, io_counts = counted()
+    return Status(
+        version="0.1.0",
+        host="north-1",
+        data_centre="north",
+        fabric_group="g",
+        healthy=healthy,
+        revision=12,
+        home_slots=341,
+        slots=1024,
+        view=[{"name": "north-1", "data_centre": "north", "state": "live"}],
+        owned=[
+            {
+                "name": "orders-1",
+                "service": "orders",
+                "data_centre": "north",
+                "state": "in_service",
+                "busy_slots": 1,
+                "slots": 2,
+                "queued": 4,
+                "connections": 700,
+            }
+        ],
+        services=service_statuses(counters, {"orders": 5}),
+        **count_status(counters, io_counts),
+    )
+
+
+def explain(caller, service):
+    return WHY if service == "orders" else None
+
+
+@contextlib.asynccontextmanager
+async def served(healthy: bool = True):
+    counters, io_counts = counted()
+    metrics = Metrics(
+        Sources(
+            counters,
+            io_counts,
+            lambda: Gauges(view_hosts=9, flows=5),
+            platform_calls=lambda: 3,
+            datagrams=lambda: {"caller": DatagramTotals(10, 9, 1, 0)},
+        )
+    )
+    pages = AdminPages(metrics.render, lambda: status_page(healthy), lambda: healthy, explain)
+    server = AdminServer(Endpoint("127.0.0.1", 0), pages)
+    await server.start()
+    try:
+        yield server
+    finally:
+        await server.stop()
+
+
+async def exchange(server: AdminServer, request: bytes) -> bytes:
+    async with asyncio.timeout(TIMEOUT_S):
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(request)
+        answer = b""
+        with contextlib.suppress(ConnectionResetError):
+            answer = await reader.read()
+        writer.close()
+    return answer
+
+
+def get(target: str) -> bytes:
+    return f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode()
+
+
+@pytest.mark.parametrize(
+    ("request_bytes", "status", "part"),
+    [
+        pytest.param(get("/healthz"), 200, b"ok", id="health"),
+        pytest.param(get("/status"), 200, b'"revision": 12', id="status"),
+        pytest.param(get("/metrics"), 200, b"banyanline_view_hosts 9", id="metrics"),
+        pytest.param(get("/why?caller=192.0.2.7:40000&service=orders"), 200, b"south-1", id="why"),
+        pytest.param(
+            get("/why?caller=192.0.2.7:1&service=none"), 404, b"no such service", id="why nothing"
+        ),
+        pytest.param(get("/why?caller=x&service=orders"), 400, b"ip:port", id="why bad caller"),
+        pytest.param(get("/why?" + "a=1&" * 20), 400, b"too many", id="why many fields"),
+        pytest.param(get("/nothing"), 404, b"no such page", id="no page"),
+        pytest.param(get("//[x"), 400, b"bad target", id="bad target"),
+        pytest.param(
+            b"POST /status HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc", 405, b"", id="POST"
+        ),
+        pytest.param(b"nonsense\r\n\r\n", 400, b"bad request", id="garbage"),
+        pytest.param(
+            b"GET / HTTP/1.1\r\nHost: x\r\n" + b"A: b\r\n" * 3000 + b"\r\n",
+            431,
+            b"",
+            id="large head",
+        ),
+    ],
+)
+async def test_requests(request_bytes, status, part):
+    async with served() as server:
+        answer = await exchange(server, request_bytes)
+        assert answer.startswith(b"HTTP/1.1 %d" % status)
+        assert part in answer
+
+
+async def test_unhealthy_is_503():
+    async with served(healthy=False) as server:
+        assert (await exchange(server, get("/healthz"))).startswith(b"HTTP/1.1 503")
+
+
+async def test_connections_are_bounded_and_idle_ones_end(monkeypatch):
+    monkeypatch.setattr(admin, "MAX_CONNECTIONS", 1)
+    monkeypatch.setattr(admin, "REQUEST_TIMEOUT_S", 0.2)
+    async with served() as server, asyncio.timeout(TIMEOUT_S):
+        idle_reader, idle_writer = await asyncio.open_connection("127.0.0.1", server.port)
+        idle_writer.write(b"GET /heal")
+        await asyncio.sleep(0.05)
+        assert await exchange(server, get("/healthz")) == b""
+        assert server.refused == 1
+        with contextlib.suppress(ConnectionResetError):
+            await idle_reader.read()
+        assert (await exchange(server, get("/healthz"))).startswith(b"HTTP/1.1 200")
+        idle_writer.close()
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        'banyanline_refusals_total{reason="queue_full",service="orders"} 1',
+        'banyanline_unknown_outcomes_total{reason="owner_lost",service="orders"} 1',
+        'banyanline_drops_total{reason="malformed"} 1',
+        'banyanline_peer_frame_rejections_total{reason="replayed"} 1',
+        'banyanline_flows_given_up_total{service="orders"} 1',
+        'banyanline_answer_latency_seconds_bucket{le="0.0005",service="orders"} 1.0',
+        'banyanline_answer_latency_seconds_bucket{le="0.005",service="orders"} 3.0',
+        'banyanline_answer_latency_seconds_bucket{le="30.0",service="orders"} 3.0',
+        'banyanline_answer_latency_seconds_bucket{le="+Inf",service="orders"} 4.0',
+        'banyanline_answer_latency_seconds_count{service="orders"} 4.0',
+        'banyanline_datagrams_total{fate="send_drops",socket="caller"} 1',
+        "banyanline_platform_calls_total 3",
+    ],
+)
+async def test_scrape_has(line):
+    async with served() as server:
+        await exchange(server, get("/metrics"))
+        second = await exchange(server, get("/metrics"))
+    assert line in second.decode().splitlines()
+
+
+def test_each_gauge_has_a_help_text():
+    assert tuple(gauge.name for gauge in GAUGE_DOCS) == Gauges._fields
+
+
+@pytest.mark.parametrize(
+    ("healthy", "code"),
+    [pytest.param(True, 0, id="healthy"), pytest.param(False, 1, id="unhealthy")],
+)
+async def test_status_program(healthy, code, snapshot):
+    async with served(healthy) as server:
+        question = Question(Endpoint("127.0.0.1", server.port), None, "", False, TIMEOUT_S)
+        reply = await ask(question)
+        assert reply.code == code
+        assert reply.output == snapshot
+        as_json = await ask(question._replace(as_json=True))
+        assert json.loads(as_json.output) == status_page(healthy)
+
+
+async def test_status_program_explains(snapshot):
+    async with served() as server:
+        admin_endpoint = Endpoint("127.0.0.1", server.port)
+        question = Question(
+            admin_endpoint, Endpoint("192.0.2.7", 40000), "orders", False, TIMEOUT_S
+        )
+        assert (await ask(question)).output == snapshot
+        absent = await ask(question._replace(service="none"))
+        assert (absent.code, absent.output) == (1, "")
+        assert absent.error.endswith("answered 404: no such service")
+
+
+@pytest.mark.parametrize(
+    ("words", "why", "error"),
+    [
+        pytest.param([], None, "usage", id="no address"),
+        pytest.param(["127.0.0.1:1", "x"], None, "usage", id="word too many"),
+        pytest.param(["127.0.0.1:1"], "192.0.2.7:1", "usage", id="no service"),
+        pytest.param(["127.0.0.1:0"], None, "ADMIN_ADDR", id="port 0"),
+        pytest.param(["127.0.0.1:1", "orders"], "192.0.2.7", "CALLER", id="caller without port"),
+    ],
+)
+def test_wrong_command_lines(words, why, error):
+    reply = parse_arguments(words, why=why, as_json=False, timeout_s=1.0)
+    assert reply[0] == 2
+    assert reply[2].startswith(error)
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"\xff", b'{"healthy": true}', b"null"])
+def test_unknown_answer_is_one_error_line(body):
+    question = Question(Endpoint("127.0.0.1", 1), None, "", False, TIMEOUT_S)
+    reply = render(question, body)
+    assert reply.code == 1
+    assert "unknown answer" in reply.error
--- /dev/null
+++ b/banyanline/tests/test_logs.py
@@ -0,0 +1,66 @@
+from __future__ import annotations
+
+import io
+
+import pytest
+import structlog
+
+from banyanline.net.logs import MAX_EVENTS, configure_logs
+
+
+@pytest.fixture
+def output():
+    stream = io.StringIO()
+    yield stream
+    structlog.reset_defaults()
+    structlog.contextvars.clear_contextvars()
+
+
+def test_line_is_logfmt_with_leading_keys(output):
+    configure_logs("info", host="north-1", output=output)
+    structlog.get_logger().info("frame_rejected", reason="bad mac", sender="south-1")
+    (line,) = output.getvalue().splitlines()
+    assert line.startswith("timestamp=")
+    assert line.endswith(
+        'level=info event=frame_rejected host=north-1 reason="bad mac" sender=south-1'
+    )
+
+
+@pytest.mark.parametrize(
+    ("level", "lines"),
+    [
+        pytest.param("debug", 3, id="debug"),
+        pytest.param("info", 2, id="info"),
+        pytest.param("error", 1, id="error"),
+    ],
+)
+def test_level(level, lines, output):
+    configure_logs(level, output=output)
+    logger = structlog.get_logger()
+    logger.debug("a")
+    logger.info("b")
+    logger.error("c")
+    assert len(output.getvalue().splitlines()) == lines
+
+
+def test_bursts_are_bounded_for_each_event_and_the_rest_is_counted(output):
+    now_s = [0.0]
+    configure_logs("info", output=output, clock=lambda: now_s[0])
+    logger = structlog.get_logger()
+    for _ in range(1000):
+        logger.info("frame_rejected")
+    logger.info("stopped")
+    now_s[0] = 1.5
+    logger.info("frame_rejected")
+    lines = output.getvalue().splitlines()
+    assert len(lines) == 12
+    assert "event=stopped" in lines[10]
+    assert "suppressed=990" in lines[11]
+
+
+def test_event_names_made_by_packets_are_bounded(output):
+    configure_logs("info", output=output, clock=lambda: 0.0)
+    logger = structlog.get_logger()
+    for number in range(MAX_EVENTS + 1000):
+        logger.info(f"event_{number}")
+    assert len(output.getvalue().splitlines()) == MAX_EVENTS + 10
