--- a/banyanline/net/control.py
+++ b/banyanline/net/control.py
@@ -132,8 +132,7 @@
             options=_SERVER_OPTIONS, maximum_concurrent_rpcs=MAX_CONCURRENT_CALLS
         )
         handlers = {
-            name: grpc.unary_unary_rpc_method_handler(self._answerer(name))
-            for name in self._methods
+            name: grpc.unary_unary_rpc_method_handler(self.answerer(name)) for name in self._methods
         }
         server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(SERVICE, handlers),))
         try:
@@ -148,7 +147,8 @@
         if self._server is not None:
             await self._server.stop(grace_s)
 
-    def _answerer(self, name: str) -> Callable[[bytes, Any], Awaitable[bytes]]:
+    def answerer(self, name: str) -> Callable[[bytes, Any], Awaitable[bytes]]:
+        """Return what answers the calls of one method, given a body and the gRPC context."""
         method = self._methods[name]
 
         async def answer(body: bytes, context: Any) -> bytes:
--- a/banyanline/net/http.py
+++ b/banyanline/net/http.py
@@ -73,20 +73,21 @@
         return HttpFailed(HttpFailure.UNREACHABLE, str(error))
     _set_keepalive(writer)
     try:
-        return await _exchange(endpoint, target, reader, writer, max_body_bytes)
+        return await exchange(endpoint, target, reader, writer, max_body_bytes)
     except OSError as error:
         return HttpFailed(HttpFailure.CLOSED_EARLY, str(error))
     finally:
         writer.transport.abort()
 
 
-async def _exchange(
+async def exchange(
     endpoint: Endpoint,
     target: str,
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
     max_body_bytes: int,
 ) -> HttpResult:
+    """Send a GET on an open connection and read its answer; only OSError is raised."""
     connection = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
     host = f"[{endpoint.ip}]:{endpoint.port}" if ":" in endpoint.ip else str(endpoint)
     headers = [("Host", host), ("Connection", "close"), ("Accept-Encoding", "identity")]
