Take frames in sequence without touching the replay bitmap

Cause: each frame shifted and masked a bitmap of 4,096 bits, three large integers a frame, though most frames come in sequence. Change: a run of counters in sequence is a number and is written into the bitmap when a frame comes out of order; windows are found by the sender's bytes, so that a name is decoded once.

--- a/banyanline/net/seal.py
+++ b/banyanline/net/seal.py
@@ -104,32 +104,50 @@
 class _Window:
     """The frames taken from one start of one sender.
 
-    Bit ``i`` of ``taken`` tells whether the counter ``greatest - i`` was taken.
+    The ``run`` greatest counters were taken one after the other. Below them, bit
+    ``i`` of ``taken`` tells whether the counter ``greatest - run - i`` was taken.
     """
 
-    __slots__ = ("greatest", "latest_us", "started_us", "taken")
+    __slots__ = ("greatest", "latest_us", "run", "sender", "started_us", "taken")
 
-    def __init__(self, started_us: int) -> None:
+    def __init__(self, sender: HostName, started_us: int) -> None:
+        self.sender = sender
         self.started_us = started_us
         self.greatest = 0
+        self.run = 0
         self.taken = 0
         self.latest_us = 0
 
     def take(self, counter: int, sealed_us: int) -> bool:
         """Take the counter, or return False if it was taken before or lies below the window."""
+        if counter == self.greatest + 1:
+            self.greatest = counter
+            self.run += 1
+        elif not self._take_out_of_order(counter):
+            return False
+        if sealed_us > self.latest_us:
+            self.latest_us = sealed_us
+        return True
+
+    def _take_out_of_order(self, counter: int) -> bool:
+        self._fold_run()
         ahead = counter - self.greatest
         if ahead > 0:
             shifted = self.taken << ahead if ahead < WINDOW_FRAMES else 0
             self.taken = shifted & _WINDOW_MASK | 1
             self.greatest = counter
-        else:
-            if -ahead >= WINDOW_FRAMES or self.taken >> -ahead & 1:
-                return False
-            self.taken |= 1 << -ahead
-        if sealed_us > self.latest_us:
-            self.latest_us = sealed_us
+            return True
+        if -ahead >= WINDOW_FRAMES or self.taken >> -ahead & 1:
+            return False
+        self.taken |= 1 << -ahead
         return True
 
+    def _fold_run(self) -> None:
+        """Write the run into ``taken``."""
+        run = min(self.run, WINDOW_FRAMES)
+        self.taken = (self.taken << run | (1 << run) - 1) & _WINDOW_MASK
+        self.run = 0
+
 
 def _keyed_hasher(key: Key, receiver: bytes) -> hashlib.blake2b:
     hasher = hashlib.blake2b(key=key.secret, digest_size=MAC_BYTES, person=_PERSONALISATION)
@@ -182,7 +200,7 @@
         self._started_us = int(wall_clock() * _US_PER_S)
         self._receivers: dict[HostName, _Receiver] = {}
         self._counter_floor = 0
-        self._windows: dict[HostName, _Window] = {}
+        self._windows: dict[bytes, _Window] = {}
         self._verifiers: dict[int, hashlib.blake2b] = {}
         self.set_keys(keys)
 
@@ -255,34 +273,37 @@
         hasher.update(frame[:-MAC_BYTES])
         if not compare_digest(hasher.digest(), frame[-MAC_BYTES:]):
             return _REJECTED[RejectionReason.BAD_MAC]
-        sender = frame[_HEADER.size : payload_at].decode(errors="replace")
-        reason = self._admit(sender, started_us, counter, sealed_us, int(now_wall * _US_PER_S))
-        if reason is not None:
-            return _REJECTED[reason]
-        return Opened(sender, frame[payload_at:-MAC_BYTES])
-
-    def _admit(
-        self, sender: HostName, started_us: int, counter: int, sealed_us: int, now_us: int
-    ) -> RejectionReason | None:
-        """Check a genuine frame's time and counter, and remember the counter."""
+        now_us = int(now_wall * _US_PER_S)
         if not now_us - _FRESHNESS_US <= sealed_us <= now_us + _FRESHNESS_US:
-            return RejectionReason.STALE
+            return _REJECTED[RejectionReason.STALE]
         if sealed_us < self._started_us - _START_SKEW_US:
-            return RejectionReason.STALE
-        window = self._windows.get(sender)
-        if window is None:
+            return _REJECTED[RejectionReason.STALE]
+        name = frame[_HEADER.size : payload_at]
+        window = self._windows.get(name)
+        if window is None or window.started_us != started_us:
+            added = self._add_window(name, window, started_us, now_us)
+            if isinstance(added, RejectionReason):
+                return _REJECTED[added]
+            window = added
+        if not window.take(counter, sealed_us):
+            return _REJECTED[RejectionReason.REPLAYED]
+        return Opened(window.sender, frame[payload_at:-MAC_BYTES])
+
+    def _add_window(
+        self, name: bytes, former: _Window | None, started_us: int, now_us: int
+    ) -> _Window | RejectionReason:
+        """Begin a window for a start of a sender that has none yet.
+
+        An earlier start than the remembered one is a replay, unless the sender's
+        clock went back and nothing of the remembered start is fresh any more.
+        """
+        if former is None:
             if not self._make_room(now_us):
                 return RejectionReason.TOO_MANY_SENDERS
-            window = self._windows[sender] = _Window(started_us)
-        elif window.started_us != started_us:
-            # An earlier start is a replay, unless the sender's clock went back and nothing of
-            # the remembered start is fresh any more.
-            if started_us < window.started_us and window.latest_us >= now_us - 2 * _FRESHNESS_US:
-                return RejectionReason.REPLAYED
-            window = self._windows[sender] = _Window(started_us)
-        if not window.take(counter, sealed_us):
+        elif started_us < former.started_us and former.latest_us >= now_us - 2 * _FRESHNESS_US:
             return RejectionReason.REPLAYED
-        return None
+        window = self._windows[name] = _Window(name.decode(errors="replace"), started_us)
+        return window
 
     def _make_room(self, now_us: int) -> bool:
         """Forget silent senders if the bound is reached; return whether one more fits.
@@ -293,9 +314,7 @@
             return True
         oldest_us = now_us - 2 * _FRESHNESS_US
         self._windows = {
-            sender: window
-            for sender, window in self._windows.items()
-            if window.latest_us >= oldest_us
+            name: window for name, window in self._windows.items() if window.latest_us >= oldest_us
         }
         return len(self._windows) < self._max_senders
 
