Let banyanline-status use what the programs share, and count control bytes

Cause: cli/common.py came with banyanline-config, and two ways to parse a command line stood beside each other. Change: banyanline-status uses it; the status page says which roles, lease and majority the balancer has; control bytes between balancers have a counter by kind.

--- a/banyanline/cli/status.py
+++ b/banyanline/cli/status.py
@@ -1,47 +1,73 @@
-"""banyanline-status: what a running balancer holds and does, asked over its admin port.
-
-usage: banyanline-status ADMIN_ADDR [--json]
-       banyanline-status ADMIN_ADDR --why CALLER SERVICE [--json]
-
-ADMIN_ADDR and CALLER are written ip:port, or [ip]:port for IPv6. The first form
-prints the balancer's view of the fleet, the revision of its configuration, its
-roles, flows and queues, and what it refused, retried and dropped. The second one
-tells through which home and owner a caller's flow goes to which upstream, and why.
-
-Exit code: 0 if the balancer is healthy, 1 if it is not or gives no answer, 2 if
-the command line is wrong.
-"""
+"""The program banyanline-status: what a running balancer holds and does, and why."""
 
 from __future__ import annotations
 
 import asyncio
 import json
-from collections.abc import Iterable, Mapping, Sequence
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
 from absl import flags
 
-from banyanline.cli.command import (
-    EXIT_FAILED,
-    EXIT_OK,
-    EXIT_USAGE,
-    Command,
+from banyanline.cli.common import (
+    ExitCode,
+    new_program,
+    parse_command_line,
     print_error,
-    run_command,
+    run_program,
+    usage_error,
 )
+from banyanline.cli.table import render_table
 from banyanline.core.types import Endpoint
 from banyanline.net.admin import parse_endpoint
 from banyanline.net.http import HttpFailed, http_get
 from banyanline.net.status import Explanation, ServiceStatus, Status
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
 MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_SHOWN_CHARACTERS = 200
 HTTP_OK = 200
-USAGE = "usage: banyanline-status ADMIN_ADDR [--json] [--why CALLER SERVICE]"
-COMMAND = Command("banyanline-status", __doc__, __name__)
 
-_FLAGS = flags.FLAGS
+PROGRAM = new_program(
+    "banyanline-status",
+    """
+    Asks a running balancer, over its admin port, what it holds and does.
+
+    Usage:
+      banyanline-status ADMIN_ADDR
+      banyanline-status ADMIN_ADDR --why CALLER SERVICE
+
+    ADMIN_ADDR and CALLER are written ip:port, or [ip]:port for IPv6. The first form
+    shows the balancer's view of the fleet, the revision of its configuration, its
+    roles, flows and queues, and what it refused, retried and dropped. The second one
+    tells through which home and owner a caller's flow goes to which upstream, and why.
+
+    Example:
+      banyanline-status 127.0.0.1:7102 --why 192.0.2.7:40000 orders
+
+    Exit status: 0 if the balancer is healthy, 1 if it is not or gives no answer, 2 for
+    a wrong command line.
+    """,
+)
+_JSON = flags.DEFINE_boolean(
+    "json", False, "Print the balancer's answer as JSON.", flag_values=PROGRAM.flag_values
+)
+_WHY = flags.DEFINE_string(
+    "why",
+    None,
+    "Tell where the flow of this caller (ip:port) at SERVICE goes, and why.",
+    flag_values=PROGRAM.flag_values,
+)
+_TIMEOUT_S = flags.DEFINE_float(
+    "timeout_s",
+    5.0,
+    "Seconds to wait for the answer.",
+    lower_bound=0.1,
+    flag_values=PROGRAM.flag_values,
+)
 
 
 class Question(NamedTuple):
@@ -50,37 +76,44 @@
     admin: Endpoint
     caller: Endpoint | None
     service: str
-    as_json: bool
+    is_json: bool
     timeout_s: float
 
 
 class Reply(NamedTuple):
-    """What to print, and the exit code; a non-empty ``error`` goes to stderr."""
+    """What to print on stdout and stderr, and the exit code."""
 
-    code: int
+    code: ExitCode
     output: str = ""
     error: str = ""
 
 
-def parse_arguments(
-    words: Sequence[str], *, why: str | None, as_json: bool, timeout_s: float
-) -> Question | Reply:
-    """Return the question that the command line puts, or the reply to a wrong one.
+class UsageProblem(NamedTuple):
+    """What is wrong with the command line."""
 
-    >>> parse_arguments(["127.0.0.1:port"], why=None, as_json=False, timeout_s=5.0).error
-    "ADMIN_ADDR: got '127.0.0.1:port', expected ip:port"
+    message: str
+
+
+def parse_question(
+    words: Sequence[str], *, why: str | None, is_json: bool, timeout_s: float
+) -> Question | UsageProblem:
+    """Return the question that the command line puts.
+
+    >>> parse_question(["127.0.0.1:port"], why=None, is_json=False, timeout_s=5.0)
+    UsageProblem(message="ADMIN_ADDR: got '127.0.0.1:port', accepted: ip:port")
     """
-    if len(words) != (1 if why is None else 2):
-        return Reply(EXIT_USAGE, error=USAGE)
+    expected = 1 if why is None else 2
+    if len(words) != expected:
+        return UsageProblem(f"got {len(words)} argument(s), accepted: {expected}")
     admin = parse_endpoint(words[0])
     if admin is None:
-        return Reply(EXIT_USAGE, error=f"ADMIN_ADDR: got {words[0]!r}, expected ip:port")
+        return UsageProblem(f"ADMIN_ADDR: got {words[0]!r}, accepted: ip:port")
     if why is None:
-        return Question(admin, None, "", as_json, timeout_s)
+        return Question(admin, None, "", is_json, timeout_s)
     caller = parse_endpoint(why)
     if caller is None:
-        return Reply(EXIT_USAGE, error=f"CALLER: got {why!r}, expected ip:port")
-    return Question(admin, caller, words[1], as_json, timeout_s)
+        return UsageProblem(f"CALLER: got {why!r}, accepted: ip:port")
+    return Question(admin, caller, words[1], is_json, timeout_s)
 
 
 async def ask(question: Question) -> Reply:
@@ -93,30 +126,29 @@
         question.admin, target, timeout_s=question.timeout_s, max_body_bytes=MAX_BODY_BYTES
     )
     if isinstance(response, HttpFailed):
-        return Reply(
-            EXIT_FAILED,
-            error=f"no answer from {question.admin}: {response.reason} ({response.detail})",
-        )
+        error = f"no answer from {question.admin}: {response.reason} ({response.detail})"
+        return Reply(ExitCode.PROBLEM, error=error)
     if response.status != HTTP_OK:
-        detail = response.body[:200].decode("ascii", "replace").strip()
-        return Reply(EXIT_FAILED, error=f"{question.admin} answered {response.status}: {detail}")
-    return render(question, response.body)
+        detail = response.body[:MAX_SHOWN_CHARACTERS].decode("ascii", "replace").strip()
+        error = f"{question.admin} answered {response.status}: {detail}"
+        return Reply(ExitCode.PROBLEM, error=error)
+    return render_reply(question, response.body)
 
 
-def render(question: Question, body: bytes) -> Reply:
+def render_reply(question: Question, body: bytes) -> Reply:
     """Return the reply for the JSON that a balancer answered."""
     try:
         if question.caller is not None:
-            explanation = msgspec.json.decode(body, type=Explanation)
-            text = _key_values(explanation)
-            code = EXIT_OK
+            text = _render_fields(msgspec.json.decode(body, type=Explanation))
+            code = ExitCode.OK
         else:
             status = msgspec.json.decode(body, type=Status)
             text = render_status(status)
-            code = EXIT_OK if status["healthy"] else EXIT_FAILED
+            code = ExitCode.OK if status["healthy"] else ExitCode.PROBLEM
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Reply(EXIT_FAILED, error=f"{question.admin} sent an unknown answer: {error}")
-    if question.as_json:
+        message = f"{question.admin} sent an unknown answer: {error}"
+        return Reply(ExitCode.PROBLEM, error=message)
+    if question.is_json:
         text = json.dumps(msgspec.json.decode(body), indent=2)
     return Reply(code, text)
 
@@ -126,31 +158,39 @@
     health = "healthy" if status["healthy"] else "UNHEALTHY"
     parts = [
         f"{status['host']} ({status['data_centre']}, fabric group {status['fabric_group']}), "
-        f"version {status['version']}: {health}",
+        f"version {status['version']}: {health}\n"
         f"revision {status['revision']}, home of {status['home_slots']} of {status['slots']} "
-        f"slots, owner of {len(status['owned'])} upstreams",
-        "View\n"
-        + _table(("host", "data centre", "state"), (row.values() for row in status["view"])),
-        "Owned upstreams\n"
-        + _table(
+        f"slots, owner of {len(status['owned'])} upstreams, "
+        f"{status['requests_open']} open requests",
+        _section("View", status["view"], ("host", "data_centre", "state")),
+        _section(
+            "Owned upstreams",
+            status["owned"],
             (
                 "upstream",
                 "service",
-                "data centre",
-                "state",
-                "busy",
+                "data_centre",
+                "stage",
+                "in_flight",
                 "slots",
                 "queued",
                 "connections",
+                "ramp",
             ),
-            (row.values() for row in status["owned"]),
         ),
-        "Services\n" + _table(("service", "flows", "answers"), _service_rows(status["services"])),
-        "Counts\n" + _table(("count", "service", "reason", "total"), _count_rows(status)),
+        "Services\n"
+        + render_table(("service", "flows", "answers"), _service_rows(status["services"])),
+        "Counts\n" + render_table(("count", "service", "reason", "total"), _count_rows(status)),
     ]
     return "\n\n".join(parts)
 
 
+def _section(title: str, rows: Sequence[Mapping[str, Any]], columns: Sequence[str]) -> str:
+    heading = [column.replace("_", " ") for column in columns]
+    cells = ([row[column] for column in columns] for row in rows)
+    return f"{title}\n{render_table(heading, cells)}"
+
+
 def _service_rows(services: Mapping[str, ServiceStatus]) -> Iterable[Sequence[object]]:
     return ((name, service["flows"], service["answers"]) for name, service in services.items())
 
@@ -166,71 +206,37 @@
         for kind, counts in by_kind.items():
             for reason, total in sorted(counts.items()):
                 yield kind, name, reason, total
-    of_no_service = {
-        "drop": status["drops"],
-        "peer frame rejection": status["peer_frame_rejections"],
-        "configuration refusal": status["config_refusals"],
-        "control failure": status["control_failures"],
-        "platform failure": status["platform_failures"],
-    }
-    for kind, counts in of_no_service.items():
+    for kind, counts in status["counts"].items():
         for reason, total in sorted(counts.items()):
-            yield kind, "-", reason, total
+            yield kind.replace("_", " "), "-", reason, total
 
 
-def _table(header: Sequence[str], rows: Iterable[Iterable[object]]) -> str:
-    """Return columns as wide as their widest cell.
+def _render_fields(values: Mapping[str, Any]) -> str:
+    rows = ((key.replace("_", " "), value) for key, value in values.items())
+    return render_table(("field", "value"), rows)
 
-    >>> print(_table(("host", "state"), [("north-1", "live")]))
-    host     state
-    north-1  live
-    """
-    cells = [list(header), *([str(cell) for cell in row] for row in rows)]
-    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
-    lines = (
-        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
-        for row in cells
-    )
-    return "\n".join(line.rstrip() for line in lines)
 
-
-def _key_values(values: Mapping[str, Any]) -> str:
-    width = max(map(len, values))
-    return "\n".join(
-        f"{key.replace('_', ' ').ljust(width)}  {value}" for key, value in values.items()
-    )
-
-
-def main(words: list[str]) -> int:
-    """Run the program on the words that are no flags; return the exit code."""
-    question = parse_arguments(
-        words, why=_FLAGS.why, as_json=_FLAGS.json, timeout_s=_FLAGS.timeout_s
+def main(argv: Sequence[str]) -> int:
+    """Run the program with ``argv``, whose first item is its own name."""
+    words = parse_command_line(PROGRAM, argv)
+    if isinstance(words, ExitCode):
+        return words
+    question = parse_question(
+        words, why=_WHY.value, is_json=_JSON.value, timeout_s=_TIMEOUT_S.value
     )
-    reply = question if isinstance(question, Reply) else asyncio.run(ask(question))
+    if isinstance(question, UsageProblem):
+        return usage_error(PROGRAM, question.message)
+    reply = asyncio.run(ask(question))
     if reply.output:
         print(reply.output)
     if reply.error:
-        print_error(COMMAND, reply.error)
+        print_error(PROGRAM, reply.error)
     return reply.code
 
 
 def run() -> None:
-    """Define the flags and run the program: the entry point of ``banyanline-status``."""
-    flags.DEFINE_bool("json", False, "Print the balancer's answer as JSON.", module_name=__name__)
-    flags.DEFINE_string(
-        "why",
-        None,
-        "Show where the flow of this caller (ip:port) at SERVICE goes, and why.",
-        module_name=__name__,
-    )
-    flags.DEFINE_float(
-        "timeout_s",
-        5.0,
-        "Seconds to wait for the answer.",
-        lower_bound=0.1,
-        module_name=__name__,
-    )
-    run_command(COMMAND, main)
+    """Run the program and exit."""
+    run_program(main)
 
 
 if __name__ == "__main__":
--- a/banyanline/net/metrics.py
+++ b/banyanline/net/metrics.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import aioprometheus
@@ -16,7 +17,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping, Sequence
-    from enum import StrEnum
 
     from banyanline.core.counters import Counters, LatencyHistogram
 
@@ -63,16 +63,31 @@
 )
 
 
+class ControlTraffic(StrEnum):
+    """What control bytes between balancers are sent for."""
+
+    PROBE = "probe"
+    CALL = "call"
+    RECOVERY = "recovery"
+
+
 class IoCounts:
     """Counts that the transport keeps beside those of the core."""
 
-    __slots__ = ("config_refusals", "control_failures", "peer_rejections", "platform_failures")
+    __slots__ = (
+        "config_refusals",
+        "control_bytes",
+        "control_failures",
+        "peer_rejections",
+        "platform_failures",
+    )
 
     def __init__(self) -> None:
         self.peer_rejections: defaultdict[StrEnum, int] = defaultdict(int)
         self.config_refusals: defaultdict[str, int] = defaultdict(int)
         self.control_failures: defaultdict[StrEnum, int] = defaultdict(int)
         self.platform_failures: defaultdict[StrEnum, int] = defaultdict(int)
+        self.control_bytes: defaultdict[ControlTraffic, int] = defaultdict(int)
 
     def reject_frame(self, reason: StrEnum) -> None:
         """Count a frame that claimed to come from a balancer and was dropped."""
@@ -86,6 +101,10 @@
         """Count a control call to another balancer that brought no answer."""
         self.control_failures[reason] += 1
 
+    def add_control_bytes(self, kind: ControlTraffic, size: int) -> None:
+        """Count bytes of a frame sent to another balancer that carries no caller's data."""
+        self.control_bytes[kind] += size
+
     def fail_platform_read(self, reason: StrEnum) -> None:
         """Count a call of the platform that brought no value."""
         self.platform_failures[reason] += 1
@@ -137,6 +156,9 @@
         )
         self._config = self._counter("config_refusals_total", "Configurations not accepted.")
         self._control = self._counter("control_failures_total", "Control calls without an answer.")
+        self._control_bytes = self._counter(
+            "control_bytes_total", "Bytes sent to other balancers that carry no caller's data."
+        )
         self._platform = self._counter("platform_failures_total", "Platform reads that failed.")
         self._platform_calls = self._counter("platform_calls_total", "Calls of the platform.")
         self._datagrams = self._counter("datagrams_total", "Datagrams by socket kind and fate.")
@@ -183,6 +205,7 @@
         _copy(self._rejections, "reason", counts.peer_rejections)
         _copy(self._config, "reason", counts.config_refusals)
         _copy(self._control, "reason", counts.control_failures)
+        _copy(self._control_bytes, "kind", counts.control_bytes)
         _copy(self._platform, "reason", counts.platform_failures)
         self._platform_calls.set({}, self._sources.platform_calls())
         for kind, totals in self._sources.datagrams().items():
--- a/banyanline/net/status.py
+++ b/banyanline/net/status.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypedDict
+from typing import TYPE_CHECKING, Any, TypedDict
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -13,28 +13,29 @@
 
 
 class HostStatus(TypedDict):
-    """A balancer as this one's view has it."""
+    """A balancer as this one's view has it; ``state`` is live, suspect, dead or leaving."""
 
-    name: str
+    host: str
     data_centre: str
     state: str
 
 
 class UpstreamStatus(TypedDict):
-    """An upstream that this balancer owns."""
+    """An upstream that this balancer owns; ``ramp`` is its share of full load, 0 to 1."""
 
-    name: str
+    upstream: str
     service: str
     data_centre: str
-    state: str
-    busy_slots: int
+    stage: str
+    in_flight: int
     slots: int
     queued: int
     connections: int
+    ramp: float
 
 
 class ServiceStatus(TypedDict):
-    """What this balancer, as home, holds and has counted for one service."""
+    """What this balancer holds as home for one service and has counted for it."""
 
     flows: int
     answers: int
@@ -45,38 +46,40 @@
 
 
 class Status(TypedDict):
-    """What ``/status`` shows. ``revision`` is 0 before the first configuration."""
+    """What ``/status`` shows. ``revision`` is 0 before the first configuration.
+
+    ``counts`` holds what belongs to no service: kind, reason, total.
+    """
 
     version: str
     host: str
     data_centre: str
     fabric_group: str
     healthy: bool
+    stopping: bool
+    platform_reader: bool
+    lease_fresh: bool
+    majority: bool
     revision: int
     home_slots: int
     slots: int
+    requests_open: int
     view: list[HostStatus]
     owned: list[UpstreamStatus]
     services: dict[str, ServiceStatus]
-    drops: dict[str, int]
-    peer_frame_rejections: dict[str, int]
-    config_refusals: dict[str, int]
-    control_failures: dict[str, int]
-    platform_failures: dict[str, int]
+    counts: dict[str, dict[str, int]]
 
 
 class Explanation(TypedDict):
-    """What ``/why`` shows: where a caller's flow goes, and for which reason."""
+    """What ``/why`` shows: where a caller's flow goes, and why; empty names are not known."""
 
     caller: str
     service: str
     slot: int
     home: str
-    home_reason: str
     upstream: str
-    upstream_reason: str
     owner: str
-    owner_reason: str
+    reason: str
 
 
 def service_statuses(counters: Counters, flows: Mapping[str, int]) -> dict[str, ServiceStatus]:
@@ -102,30 +105,23 @@
     }
 
 
-class CountStatus(TypedDict):
-    """The parts of :class:`Status` that are counts by reason."""
-
-    drops: dict[str, int]
-    peer_frame_rejections: dict[str, int]
-    config_refusals: dict[str, int]
-    control_failures: dict[str, int]
-    platform_failures: dict[str, int]
-
-
-def count_status(counters: Counters, io_counts: IoCounts) -> CountStatus:
-    """Return the counts by reason that belong to no service."""
-    return CountStatus(
-        drops=_plain(counters.drops),
-        peer_frame_rejections=_plain(io_counts.peer_rejections),
-        config_refusals=_plain(io_counts.config_refusals),
-        control_failures=_plain(io_counts.control_failures),
-        platform_failures=_plain(io_counts.platform_failures),
-    )
+def counts_by_reason(counters: Counters, io_counts: IoCounts) -> dict[str, dict[str, int]]:
+    """Return the counts that belong to no service, by kind and reason."""
+    kinds: dict[str, Mapping[Any, int]] = {
+        "drops": counters.drops,
+        "duplicates": counters.duplicates,
+        "claims": counters.claims,
+        "recovered": counters.recovered,
+        "peer_frame_rejections": io_counts.peer_rejections,
+        "config_refusals": io_counts.config_refusals,
+        "control_failures": io_counts.control_failures,
+        "platform_failures": io_counts.platform_failures,
+    }
+    return {
+        kind: {str(reason): count for reason, count in counts.items()}
+        for kind, counts in kinds.items()
+    }
 
 
 def _of_service(counts: Mapping[tuple[StrEnum, str], int], service: str) -> dict[str, int]:
-    return {reason.value: count for (reason, name), count in counts.items() if name == service}
-
-
-def _plain(counts: Mapping[str, int] | Mapping[StrEnum, int]) -> dict[str, int]:
-    return {str(reason): count for reason, count in counts.items()}
+    return {str(reason): count for (reason, name), count in counts.items() if name == service}
--- a/banyanline/tests/test_admin.py
+++ b/banyanline/tests/test_admin.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from banyanline.cli.status import Question, ask, parse_arguments, render
+from banyanline.cli.status import Question, UsageProblem, ask, main, parse_question, render_reply
 from banyanline.core.answers import RefusalReason, UnknownReason
 from banyanline.core.counters import Counters, DropReason, FlowEnd
 from banyanline.core.types import Endpoint
@@ -14,7 +14,7 @@
 from banyanline.net.admin import AdminPages, AdminServer
 from banyanline.net.metrics import GAUGE_DOCS, DatagramTotals, Gauges, IoCounts, Metrics, Sources
 from banyanline.net.seal import RejectionReason
-from banyanline.net.status import Status, count_status, service_statuses
+from banyanline.net.status import Status, counts_by_reason, service_statuses
 
 TIMEOUT_S = 10.0
 WHY = {
@@ -22,11 +22,9 @@
     "service": "orders",
     "slot": 17,
     "home": "north-1",
-    "home_reason": "first of 3 live hosts for slot 17",
     "upstream": "orders-1",
-    "upstream_reason": "known flow",
     "owner": "south-1",
-    "owner_reason": "first of 2 live hosts of south",
+    "reason": "the home's table has the flow",
 }
 
 
@@ -50,24 +48,30 @@
         data_centre="north",
         fabric_group="g",
         healthy=healthy,
+        stopping=False,
+        platform_reader=True,
+        lease_fresh=True,
+        majority=True,
         revision=12,
         home_slots=341,
         slots=1024,
-        view=[{"name": "north-1", "data_centre": "north", "state": "live"}],
+        requests_open=3,
+        view=[{"host": "north-1", "data_centre": "north", "state": "live"}],
         owned=[
             {
-                "name": "orders-1",
+                "upstream": "orders-1",
                 "service": "orders",
                 "data_centre": "north",
-                "state": "in_service",
-                "busy_slots": 1,
+                "stage": "active",
+                "in_flight": 1,
                 "slots": 2,
                 "queued": 4,
                 "connections": 700,
+                "ramp": 1.0,
             }
         ],
         services=service_statuses(counters, {"orders": 5}),
-        **count_status(counters, io_counts),
+        counts=counts_by_reason(counters, io_counts),
     )
 
 
@@ -202,7 +206,7 @@
         reply = await ask(question)
         assert reply.code == code
         assert reply.output == snapshot
-        as_json = await ask(question._replace(as_json=True))
+        as_json = await ask(question._replace(is_json=True))
         assert json.loads(as_json.output) == status_page(healthy)
 
 
@@ -221,22 +225,39 @@
 @pytest.mark.parametrize(
     ("words", "why", "error"),
     [
-        pytest.param([], None, "usage", id="no address"),
-        pytest.param(["127.0.0.1:1", "x"], None, "usage", id="word too many"),
-        pytest.param(["127.0.0.1:1"], "192.0.2.7:1", "usage", id="no service"),
+        pytest.param([], None, "got 0", id="no address"),
+        pytest.param(["127.0.0.1:1", "x"], None, "got 2", id="word too many"),
+        pytest.param(["127.0.0.1:1"], "192.0.2.7:1", "got 1", id="no service"),
         pytest.param(["127.0.0.1:0"], None, "ADMIN_ADDR", id="port 0"),
         pytest.param(["127.0.0.1:1", "orders"], "192.0.2.7", "CALLER", id="caller without port"),
     ],
 )
 def test_wrong_command_lines(words, why, error):
-    reply = parse_arguments(words, why=why, as_json=False, timeout_s=1.0)
-    assert reply[0] == 2
-    assert reply[2].startswith(error)
+    problem = parse_question(words, why=why, is_json=False, timeout_s=1.0)
+    assert isinstance(problem, UsageProblem)
+    assert problem.message.startswith(error)
+
+
+@pytest.mark.parametrize(
+    ("words", "code"),
+    [
+        pytest.param(["--help"], 0, id="help"),
+        pytest.param(["--version"], 0, id="version"),
+        pytest.param(["--nonsense"], 2, id="unknown flag"),
+        pytest.param([], 2, id="no address"),
+        pytest.param(["127.0.0.1:1"], 1, id="nobody there"),
+        pytest.param(["127.0.0.1:1", "--why", "192.0.2.7:1", "orders"], 1, id="why, nobody there"),
+    ],
+)
+def test_exit_codes(words, code, capsys):
+    assert main(["banyanline-status", *words]) == code
+    printed = capsys.readouterr()
+    assert len(printed.err.splitlines()) == (1 if code else 0)
 
 
 @pytest.mark.parametrize("body", [b"", b"[]", b"\xff", b'{"healthy": true}', b"null"])
 def test_unknown_answer_is_one_error_line(body):
     question = Question(Endpoint("127.0.0.1", 1), None, "", False, TIMEOUT_S)
-    reply = render(question, body)
+    reply = render_reply(question, body)
     assert reply.code == 1
     assert "unknown answer" in reply.error
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from banyanline.cli.status import Question, Reply, render
+from banyanline.cli.status import Question, Reply, render_reply
 from banyanline.core.keys import Key, KeyRing
 from banyanline.core.types import Endpoint
 from banyanline.net.admin import AdminPages, AdminServer, parse_endpoint, respond
@@ -188,7 +188,7 @@
 @given(body=damaged([b'{"healthy": true, "view": []}', b'{"caller": "192.0.2.7:1"}']))
 def test_status_program_prints_one_line_for_a_damaged_answer(body):
     for caller in (None, Endpoint("192.0.2.7", 1)):
-        reply = render(Question(Endpoint("127.0.0.1", 1), caller, "", False, 1.0), body)
+        reply = render_reply(Question(Endpoint("127.0.0.1", 1), caller, "", False, 1.0), body)
         assert isinstance(reply, Reply)
         assert reply.code == 1
         assert reply.error
