--- /dev/null
+++ b/banyanline/cli/status.py
@@ -0,0 +1,243 @@
+"""The program banyanline-status: what a running balancer holds and does, and why."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any, NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+from absl import flags
+
+from banyanline.cli.common import (
+    ExitCode,
+    new_program,
+    parse_command_line,
+    print_error,
+    run_program,
+    usage_error,
+)
+from banyanline.cli.table import render_table
+from banyanline.core.types import Endpoint
+from banyanline.net.admin import parse_endpoint
+from banyanline.net.http import HttpFailed, http_get
+from banyanline.net.status import Explanation, ServiceStatus, Status
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_SHOWN_CHARACTERS = 200
+HTTP_OK = 200
+
+PROGRAM = new_program(
+    "banyanline-status",
+    """
+    Asks a running balancer, over its admin port, what it holds and does.
+
+    Usage:
+      banyanline-status ADMIN_ADDR
+      banyanline-status ADMIN_ADDR --why CALLER SERVICE
+
+    ADMIN_ADDR and CALLER are written ip:port, or [ip]:port for IPv6. The first form
+    shows the balancer's view of the fleet, the revision of its configuration, its
+    roles, flows and queues, and what it refused, retried and dropped. The second one
+    tells through which home and owner a caller's flow goes to which upstream, and why.
+
+    Example:
+      banyanline-status 127.0.0.1:7102 --why 192.0.2.7:40000 orders
+
+    Exit status: 0 if the balancer is healthy, 1 if it is not or gives no answer, 2 for
+    a wrong command line.
+    """,
+)
+_JSON = flags.DEFINE_boolean(
+    "json", False, "Print the balancer's answer as JSON.", flag_values=PROGRAM.flag_values
+)
+_WHY = flags.DEFINE_string(
+    "why",
+    None,
+    "Tell where the flow of this caller (ip:port) at SERVICE goes, and why.",
+    flag_values=PROGRAM.flag_values,
+)
+_TIMEOUT_S = flags.DEFINE_float(
+    "timeout_s",
+    5.0,
+    "Seconds to wait for the answer.",
+    lower_bound=0.1,
+    flag_values=PROGRAM.flag_values,
+)
+
+
+class Question(NamedTuple):
+    """What to ask which balancer; with ``caller`` it is where that caller's flow goes."""
+
+    admin: Endpoint
+    caller: Endpoint | None
+    service: str
+    is_json: bool
+    timeout_s: float
+
+
+class Reply(NamedTuple):
+    """What to print on stdout and stderr, and the exit code."""
+
+    code: ExitCode
+    output: str = ""
+    error: str = ""
+
+
+class UsageProblem(NamedTuple):
+    """What is wrong with the command line."""
+
+    message: str
+
+
+def parse_question(
+    words: Sequence[str], *, why: str | None, is_json: bool, timeout_s: float
+) -> Question | UsageProblem:
+    """Return the question that the command line puts.
+
+    >>> parse_question(["127.0.0.1:port"], why=None, is_json=False, timeout_s=5.0)
+    UsageProblem(message="ADMIN_ADDR: got '127.0.0.1:port', accepted: ip:port")
+    """
+    expected = 1 if why is None else 2
+    if len(words) != expected:
+        return UsageProblem(f"got {len(words)} argument(s), accepted: {expected}")
+    admin = parse_endpoint(words[0])
+    if admin is None:
+        return UsageProblem(f"ADMIN_ADDR: got {words[0]!r}, accepted: ip:port")
+    if why is None:
+        return Question(admin, None, "", is_json, timeout_s)
+    caller = parse_endpoint(why)
+    if caller is None:
+        return UsageProblem(f"CALLER: got {why!r}, accepted: ip:port")
+    return Question(admin, caller, words[1], is_json, timeout_s)
+
+
+async def ask(question: Question) -> Reply:
+    """Put the question to the balancer and render what it answers."""
+    target = "/status"
+    if question.caller is not None:
+        fields = {"caller": str(question.caller), "service": question.service}
+        target = f"/why?{urlencode(fields)}"
+    response = await http_get(
+        question.admin, target, timeout_s=question.timeout_s, max_body_bytes=MAX_BODY_BYTES
+    )
+    if isinstance(response, HttpFailed):
+        error = f"no answer from {question.admin}: {response.reason} ({response.detail})"
+        return Reply(ExitCode.PROBLEM, error=error)
+    if response.status != HTTP_OK:
+        detail = response.body[:MAX_SHOWN_CHARACTERS].decode("ascii", "replace").strip()
+        error = f"{question.admin} answered {response.status}: {detail}"
+        return Reply(ExitCode.PROBLEM, error=error)
+    return render_reply(question, response.body)
+
+
+def render_reply(question: Question, body: bytes) -> Reply:
+    """Return the reply for the JSON that a balancer answered."""
+    try:
+        if question.caller is not None:
+            text = _render_fields(msgspec.json.decode(body, type=Explanation))
+            code = ExitCode.OK
+        else:
+            status = msgspec.json.decode(body, type=Status)
+            text = render_status(status)
+            code = ExitCode.OK if status["healthy"] else ExitCode.PROBLEM
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        message = f"{question.admin} sent an unknown answer: {error}"
+        return Reply(ExitCode.PROBLEM, error=message)
+    if question.is_json:
+        text = json.dumps(msgspec.json.decode(body), indent=2)
+    return Reply(code, text)
+
+
+def render_status(status: Status) -> str:
+    """Return the tables that show a status page."""
+    health = "healthy" if status["healthy"] else "UNHEALTHY"
+    parts = [
+        f"{status['host']} ({status['data_centre']}, fabric group {status['fabric_group']}), "
+        f"version {status['version']}: {health}\n"
+        f"revision {status['revision']}, home of {status['home_slots']} of {status['slots']} "
+        f"slots, owner of {len(status['owned'])} upstreams, "
+        f"{status['requests_open']} open requests",
+        _section("View", status["view"], ("host", "data_centre", "state")),
+        _section(
+            "Owned upstreams",
+            status["owned"],
+            (
+                "upstream",
+                "service",
+                "data_centre",
+                "stage",
+                "in_flight",
+                "slots",
+                "queued",
+                "connections",
+                "ramp",
+            ),
+        ),
+        "Services\n"
+        + render_table(("service", "flows", "answers"), _service_rows(status["services"])),
+        "Counts\n" + render_table(("count", "service", "reason", "total"), _count_rows(status)),
+    ]
+    return "\n\n".join(parts)
+
+
+def _section(title: str, rows: Sequence[Mapping[str, Any]], columns: Sequence[str]) -> str:
+    heading = [column.replace("_", " ") for column in columns]
+    cells = ([row[column] for column in columns] for row in rows)
+    return f"{title}\n{render_table(heading, cells)}"
+
+
+def _service_rows(services: Mapping[str, ServiceStatus]) -> Iterable[Sequence[object]]:
+    return ((name, service["flows"], service["answers"]) for name, service in services.items())
+
+
+def _count_rows(status: Status) -> Iterable[Sequence[object]]:
+    for name, service in status["services"].items():
+        by_kind = {
+            "refusal": service["refusals"],
+            "retry": service["retries"],
+            "unknown outcome": service["unknown_outcomes"],
+            "flow end": service["flow_ends"],
+        }
+        for kind, counts in by_kind.items():
+            for reason, total in sorted(counts.items()):
+                yield kind, name, reason, total
+    for kind, counts in status["counts"].items():
+        for reason, total in sorted(counts.items()):
+            yield kind.replace("_", " "), "-", reason, total
+
+
+def _render_fields(values: Mapping[str, Any]) -> str:
+    rows = ((key.replace("_", " "), value) for key, value in values.items())
+    return render_table(("field", "value"), rows)
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run the program with ``argv``, whose first item is its own name."""
+    words = parse_command_line(PROGRAM, argv)
+    if isinstance(words, ExitCode):
+        return words
+    question = parse_question(
+        words, why=_WHY.value, is_json=_JSON.value, timeout_s=_TIMEOUT_S.value
+    )
+    if isinstance(question, UsageProblem):
+        return usage_error(PROGRAM, question.message)
+    reply = asyncio.run(ask(question))
+    if reply.output:
+        print(reply.output)
+    if reply.error:
+        print_error(PROGRAM, reply.error)
+    return reply.code
+
+
+def run() -> None:
+    """Run the program and exit."""
+    run_program(main)
+
+
+if __name__ == "__main__":
+    run()
