--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -131,7 +131,7 @@
 async def _serve(path: str) -> None:
     settings = configparser.ConfigParser()
     settings.read(path)
-    balancer = HashBalancer(settings["host"]["bind_address"])
+    balancer = HashBalancer(settings["host"]["address"])
     address = _parse_address(settings["platform"]["addresses"].split(",")[0])
     key = settings["platform"]["configuration_key"]
     watch = asyncio.create_task(_watch(balancer, address, key))
--- /dev/null
+++ b/bench/coap_upstream.py
@@ -0,0 +1,208 @@
+"""The stand-in for a CoAP upstream.
+
+It has a few slots, starts cold, sheds, honours cancellation and serves Observe
+streams, orders, readings and block-wise sheets. It records every execution in a
+:class:`~bench.runlog.RunLog`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import OrderedDict
+from typing import Any, NamedTuple
+
+from bench import coap
+from bench.sheet import BLOCK_EXPONENT, sheet_content, sheet_etag
+from bench.sockets import Address
+from bench.upstream import Upstream, is_health_request
+
+FALL_OVER_S = 3.0
+SHED_MAX_AGE_S = 1
+ANSWERS_KEPT = 4096
+SERVICE_TIME_SPREAD = 0.5
+"""Service times are uniform within this share around the mean."""
+
+
+class _Exchange(NamedTuple):
+    source: Address
+    message_id: int
+
+
+class _Stream:
+    """One observation: where its notifications go and how far they are."""
+
+    def __init__(self, key: str, source: Address, token: bytes) -> None:
+        self.key = key
+        self.source = source
+        self.token = token
+        self.sequence = 1
+
+
+class CoapUpstream(Upstream):
+    """An upstream that answers CoAP requests."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        self._active: dict[_Exchange, asyncio.TimerHandle] = {}
+        self._answers: OrderedDict[_Exchange, bytes] = OrderedDict()
+        self._streams: dict[str, _Stream] = {}
+        self._message_id = 0
+        super().__init__(*args, **kwargs)
+
+    @property
+    def active(self) -> int:
+        """Requests that run now."""
+        return len(self._active)
+
+    @property
+    def streams(self) -> int:
+        """Streams that are open here."""
+        return len(self._streams)
+
+    def clear(self) -> None:
+        """Forget running requests, answers and streams."""
+        for timer in self._active.values():
+            timer.cancel()
+        self._active.clear()
+        self._answers.clear()
+        self._streams.clear()
+
+    def on_datagram(self, data: bytes, source: Address) -> None:
+        """Take a request, a cancellation or garbage."""
+        message = coap.decode(data)
+        if message is None:
+            return
+        exchange = _Exchange(source, message.mid)
+        if message.mtype == coap.Kind.RST:
+            self._on_reset(exchange)
+        elif message.code.is_request():
+            self._on_request(exchange, message)
+
+    def _on_reset(self, exchange: _Exchange) -> None:
+        timer = self._active.pop(exchange, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _on_request(self, exchange: _Exchange, message: Any) -> None:
+        if exchange in self._active:
+            return
+        if exchange in self._answers:
+            self.send(self._answers[exchange], exchange.source)
+            return
+        if is_health_request(message):
+            self._answer(exchange, message, self.health_response())
+            return
+        if tuple(message.opt.uri_path[:1]) != (self._spec.service,):
+            self._counts.misdelivered += 1
+        if message.opt.observe == 1:
+            self._on_deregister(exchange, message)
+            return
+        self._on_work(exchange, message)
+
+    def _on_work(self, exchange: _Exchange, message: Any) -> None:
+        now = time.monotonic()
+        key = _request_key(message)
+        is_stream = message.opt.observe == 0
+        block = message.opt.block2
+        continues = (is_stream and key in self._streams) or (block and block.block_number > 0)
+        if not continues:
+            self._counts.new_work.append(now)
+        if not self._cold.bears(now, len(self._active)):
+            self._counts.cold_overloads += 1
+            self.restart(FALL_OVER_S)
+            return
+        if len(self._active) >= self._spec.slots or coap.deadline_ms(message) == 0:
+            self._shed(exchange, message, key)
+            return
+        self._runs.add(key, self._spec.name, now, idempotent=message.code != coap.POST)
+        spread = self._rng.uniform(1 - SERVICE_TIME_SPREAD, 1 + SERVICE_TIME_SPREAD)
+        delay_s = self._spec.service_time_s * spread
+        self._active[exchange] = self._loop.call_later(
+            delay_s, self._finish, exchange, message, key
+        )
+
+    def _shed(self, exchange: _Exchange, message: Any, key: str) -> None:
+        self._counts.shed += 1
+        self._runs.add_attempt(key)
+        self._answer(
+            exchange,
+            message,
+            coap.Response(coap.SERVICE_UNAVAILABLE, b"not-run:shed", max_age=SHED_MAX_AGE_S),
+        )
+
+    def _finish(self, exchange: _Exchange, message: Any, key: str) -> None:
+        self._active.pop(exchange, None)
+        if message.code == coap.POST:
+            response = coap.Response(coap.CHANGED, self.echo(key).encode())
+        elif message.opt.observe == 0:
+            response = self._open_stream(exchange, message, key)
+        elif message.opt.uri_path[-1] == "sheet":
+            response = self._sheet_block(message)
+        else:
+            response = coap.Response(coap.CONTENT, self.echo(key).encode())
+        self._answer(exchange, message, response)
+
+    def _answer(self, exchange: _Exchange, message: Any, response: coap.Response) -> None:
+        data = coap.encode_response(response, coap.Kind.ACK, message.mid, message.token)
+        self._answers[exchange] = data
+        if len(self._answers) > ANSWERS_KEPT:
+            self._answers.popitem(last=False)
+        self.send(data, exchange.source)
+
+    def _sheet_block(self, message: Any) -> coap.Response:
+        wanted = message.opt.block2
+        number = wanted.block_number if wanted else 0
+        exponent = min(wanted.size_exponent, BLOCK_EXPONENT) if wanted else BLOCK_EXPONENT
+        key = coap.query_value(message, "k")
+        content = sheet_content(self._spec.name, self.boot, key)
+        block = coap.Block(number, False, exponent)
+        start = number * block.size
+        block = block._replace(more=start + block.size < len(content))
+        return coap.Response(
+            coap.CONTENT,
+            content[start : start + block.size],
+            block=block,
+            etag=sheet_etag(self._spec.name, self.boot),
+        )
+
+    def _open_stream(self, exchange: _Exchange, message: Any, key: str) -> coap.Response:
+        stream = self._streams.get(key)
+        if stream is None:
+            stream = _Stream(key, exchange.source, message.token)
+            self._streams[key] = stream
+        stream.source = exchange.source
+        stream.token = message.token
+        return coap.Response(
+            coap.CONTENT, self.echo(key, str(stream.sequence)).encode(), observe=stream.sequence
+        )
+
+    def _on_deregister(self, exchange: _Exchange, message: Any) -> None:
+        key = _request_key(message)
+        for candidate, stream in list(self._streams.items()):
+            is_same_source = stream.source == exchange.source
+            if stream.token == message.token and (is_same_source or candidate == key):
+                del self._streams[candidate]
+        response = coap.Response(coap.CONTENT, self.echo(key).encode())
+        self._answer(exchange, message, response)
+
+    def on_tick(self) -> None:
+        """Notify all streams."""
+        for stream in self._streams.values():
+            stream.sequence += 1
+            self._message_id = (self._message_id + 1) % 65536
+            response = coap.Response(
+                coap.CONTENT,
+                self.echo(stream.key, str(stream.sequence)).encode(),
+                observe=stream.sequence,
+            )
+            data = coap.encode_response(response, coap.Kind.NON, self._message_id, stream.token)
+            self.send(data, stream.source)
+
+
+def _request_key(message: Any) -> str:
+    """Return the caller's key of a request; each block of a sheet has its own."""
+    if message.code == coap.POST:
+        return str(message.payload.decode("utf-8", "replace").partition(" ")[0])
+    key = coap.query_value(message, "k")
+    block = message.opt.block2
+    return f"{key}/{block.block_number}" if block and block.block_number else key
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -45,6 +45,7 @@
     services=(
         ServiceSize("stup-napajanje", 7, ("post", "get"), streams=60),
         ServiceSize("raspored-izlaz", 3, ("sheet",)),
+        ServiceSize("stup-javljanje", 3, (), streams=12, protocol="udp"),
     ),
     caller_group="lamp-posts",
     time_zone="Europe/Zagreb",
@@ -56,6 +57,7 @@
     services=(
         ServiceSize("meter", 7, ("post", "get"), streams=60),
         ServiceSize("porocila", 3, ("sheet",)),
+        ServiceSize("zanka-javljanje", 3, (), streams=12, protocol="udp"),
     ),
     caller_group="installers",
     time_zone="Europe/Ljubljana",
@@ -85,8 +87,9 @@
     """Return the upstreams, spread over the data centres in turn."""
     specs: list[UpstreamSpec] = []
     for service in deployment.services:
+        first = len(specs)
         specs.extend(
-            upstream_spec(deployment, plan, service.name, idx, len(specs) + idx)
+            upstream_spec(deployment, plan, service.name, idx, first + idx)
             for idx in range(service.upstreams)
         )
     return specs
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -211,13 +211,14 @@
 
     def _write_settings(self, balancer: Balancer) -> Path:
         path = self._directory / f"{balancer.name}.ini"
+        bind_line = f"bind_address = {balancer.ip}\n" if self._is_relayed else ""
         path.write_text(
             "[host]\n"
             f"name = {balancer.name}\n"
             f"data_centre = {balancer.data_centre}\n"
             f"fabric_group = {FABRIC_GROUP}\n"
             f"address = {self._advertised(balancer)}\n"
-            f"bind_address = {balancer.ip}\n"
+            f"{bind_line}"
             f"peer_port = {PEER_PORT}\n"
             f"control_port = {CONTROL_PORT}\n"
             f"admin_port = {ADMIN_PORT}\n"
--- a/bench/mixture.py
+++ b/bench/mixture.py
@@ -7,8 +7,8 @@
 from collections.abc import Awaitable, Callable
 
 from bench.fleet import Balancer
+from bench.health import HealthFault
 from bench.platform import ReaderView
-from bench.upstream import HealthFault
 from bench.world import World
 
 MEAN_PAUSE_S = 1.5
@@ -150,7 +150,7 @@
 
 async def _mislead(world: World, rng: random.Random) -> None:
     upstream = rng.choice(list(world.upstreams.values()))
-    upstream.health_fault = rng.choice(
+    upstream.health.fault = rng.choice(
         (
             HealthFault(load=0.0, state="warm"),
             HealthFault(load=1.0, state="draining"),
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -6,10 +6,10 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from bench.health import HealthFault
 from bench.link import Faults
 from bench.mixture import all_at_once
 from bench.platform import ReaderView
-from bench.upstream import HealthFault
 from bench.world import World
 
 PAUSE_S = 10.0
@@ -232,8 +232,8 @@
     upstreams = [u for u in world.upstreams.values() if u.spec.service == service]
     idle, draining = world.rng.sample(upstreams, 2)
     await asyncio.sleep(seconds / 4)
-    idle.health_fault = HealthFault(load=0.0, state="warm")
-    draining.health_fault = HealthFault(load=1.0, state="draining")
+    idle.health.fault = HealthFault(load=0.0, state="warm")
+    draining.health.fault = HealthFault(load=1.0, state="draining")
     world.note(f"{idle.spec.name} and {draining.spec.name} mislead")
     await asyncio.sleep(seconds * 3 / 4)
 
--- /dev/null
+++ b/bench/tests/test_stand_ins.py
@@ -0,0 +1,212 @@
+"""The stand-ins must misbehave and detect as the scenarios rely on."""
+
+import asyncio
+import json
+import random
+from typing import Any
+
+import pytest
+
+from bench import coap, streams
+from bench.addresses import PLATFORM_PORT, SERVICE_PORT, UPSTREAM_PORT, AddressPlan
+from bench.baseline import read_key
+from bench.caller import Caller, CallerTimes
+from bench.coap_upstream import CoapUpstream
+from bench.fabric import Fabric, Member, ServiceRoute
+from bench.health import HealthFault
+from bench.link import Cuts, Faults, Link
+from bench.observations import FlowEnd, Observations, Outcome
+from bench.platform import Platform, ReaderView
+from bench.runlog import RunLog
+from bench.sockets import UdpSocket
+from bench.upstream import UpstreamSpec
+
+SERVICE = "orders"
+TIMES = CallerTimes(patience_s=1.0, ack_timeout_s=0.3)
+
+
+class Site:
+    """Two upstreams and a caller on loopback, without balancers."""
+
+    def __init__(self) -> None:
+        self.plan = AddressPlan.acquire(hint=200)
+        self.runs = RunLog()
+        self.observations = Observations()
+        self.upstreams = [self.new_upstream(idx) for idx in range(2)]
+        self.opened: list[Any] = []
+
+    def new_upstream(self, idx: int, *, cold: bool = False) -> CoapUpstream:
+        address = (self.plan.upstream(idx), UPSTREAM_PORT)
+        spec = UpstreamSpec(f"orders-{idx}", SERVICE, "north", address, service_time_s=0.01)
+        return CoapUpstream(spec, self.runs, random.Random(idx), cold=cold)
+
+    def new_caller(self, address):
+        route = ServiceRoute(SERVICE, address, 6000)
+        caller = Caller(
+            "c0",
+            (self.plan.caller(0), 40000),
+            {SERVICE: route},
+            self.observations,
+            TIMES,
+            random.Random(3),
+        )
+        self.opened.append(caller)
+        return caller
+
+    def new_forwarder(self, choose):
+        """Return a service address that forwards each datagram to ``choose(message)``."""
+        back = {}
+
+        def from_caller(data, source):
+            back["caller"] = source
+            far.send(data, choose(coap.decode(data)).spec.address)
+
+        def from_upstream(data, source):
+            near.send(data, back["caller"])
+
+        near = UdpSocket((self.plan.service(0), SERVICE_PORT), from_caller)
+        far = UdpSocket((self.plan.balancer(0), 0), from_upstream)
+        self.opened += [near, far]
+        return near.address
+
+    def close(self) -> None:
+        for upstream in self.upstreams:
+            upstream.stop()
+        for opened in self.opened:
+            opened.close()
+        self.plan.release()
+
+
+@pytest.fixture
+async def site():
+    site = Site()
+    yield site
+    site.close()
+
+
+def post(key: str, message_id: int) -> bytes:
+    return coap.encode_request(
+        coap.Request(coap.POST, message_id, b"t", (SERVICE, "orders"), payload=f"{key} x".encode())
+    )
+
+
+async def test_order_that_reaches_two_upstreams_is_doubled(site):
+    sender = UdpSocket((site.plan.balancer(1), 0), lambda data, source: None)
+    site.opened.append(sender)
+    for upstream in site.upstreams:
+        sender.send(post("k1", 1), upstream.spec.address)
+    sender.send(post("k2", 2), site.upstreams[0].spec.address)
+    sender.send(post("k2", 2), site.upstreams[0].spec.address)
+    await asyncio.sleep(0.1)
+    assert site.runs.doubled == ["k1"]
+
+
+@pytest.mark.parametrize(
+    ("pick", "outcome"),
+    [
+        pytest.param(lambda number: 0, Outcome.ANSWERED, id="one upstream"),
+        pytest.param(lambda number: number % 2, Outcome.WRONG, id="two upstreams in turn"),
+    ],
+)
+async def test_download_of_mixed_blocks_is_wrong(site, pick, outcome):
+    def choose(message):
+        return site.upstreams[pick(message.opt.block2.block_number)]
+
+    caller = site.new_caller(site.new_forwarder(choose))
+    await caller.download(SERVICE)
+    assert [record.outcome for record in site.observations.requests] == [outcome]
+
+
+async def test_cold_upstream_falls_over_under_load(site):
+    site.upstreams[0].stop()
+    site.upstreams[0] = upstream = site.new_upstream(0, cold=True)
+    sender = UdpSocket((site.plan.balancer(1), 0), lambda data, source: None)
+    site.opened.append(sender)
+    for message_id in range(4):
+        sender.send(post(f"k{message_id}", message_id), upstream.spec.address)
+    await asyncio.sleep(0.1)
+    assert upstream.counts.cold_overloads == 1
+    assert len(upstream.restarts) == 1
+
+
+async def test_answer_to_an_unknown_token_is_misdelivered(site):
+    address = site.new_forwarder(lambda message: site.upstreams[0])
+    caller = site.new_caller(address)
+    response = coap.encode_response(coap.Response(coap.CONTENT, b"x"), coap.Kind.NON, 9, b"z")
+    site.opened[0].send(response, (site.plan.caller(0), 40000))
+    await caller.get(SERVICE)
+    assert site.observations.misdelivered == 1
+
+
+@pytest.mark.parametrize(
+    ("harm", "end"),
+    [
+        pytest.param(lambda upstream: None, FlowEnd.CLOSED, id="undisturbed"),
+        pytest.param(lambda upstream: upstream.stop(), FlowEnd.SILENT, id="upstream silent"),
+        pytest.param(lambda upstream: upstream.restart(0.0), FlowEnd.SILENT, id="restarted"),
+    ],
+)
+async def test_broken_stream_is_recorded(site, monkeypatch, harm, end):
+    monkeypatch.setattr(streams, "GAP_S", 0.5)
+    caller = site.new_caller(site.new_forwarder(lambda message: site.upstreams[0]))
+    task = asyncio.create_task(streams.Stream(caller, SERVICE).run())
+    await asyncio.sleep(0.3)
+    harm(site.upstreams[0])
+    await asyncio.sleep(1.0)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    assert [flow.end for flow in site.observations.flows] == [end]
+
+
+async def test_fabric_sprays_over_reachable_members(site):
+    seen = {"b1": 0, "b2": 0}
+    cuts = Cuts()
+    route = ServiceRoute(SERVICE, (site.plan.service(0), SERVICE_PORT), 6000)
+    link = Link(random.Random(1), Faults())
+    fabric = Fabric(site.plan, (route,), ("north", "south"), link, cuts, random.Random(2))
+    site.opened.append(fabric)
+    for idx, (name, data_centre) in enumerate((("b1", "north"), ("b2", "south"))):
+
+        def count(data, source, name=name):
+            seen[name] += 1
+
+        site.opened.append(UdpSocket((site.plan.balancer(idx), 6000), count))
+        fabric.add(Member(name, data_centre, site.plan.balancer(idx)))
+    sender = UdpSocket((site.plan.caller(0), 40000), lambda data, source: None)
+    site.opened.append(sender)
+    for _ in range(20):
+        sender.send(b"x", route.address)
+    await asyncio.sleep(0.05)
+    assert seen["b1"] > 0
+    assert seen["b2"] > 0
+    cuts.separate(["north"], ["south"])
+    before = seen["b2"]
+    sender.send(b"x", route.address)
+    await asyncio.sleep(0.05)
+    assert (sum(seen.values()), seen["b2"]) == (21, before)
+
+
+async def test_platform_serves_readers_different_revisions(site):
+    platform = Platform()
+    readers = [site.plan.platform(idx) for idx in range(3)]
+    for reader in readers:
+        await platform.listen(reader, PLATFORM_PORT)
+    platform.set("k", b"1")
+    platform.set_view(readers[1], ReaderView(stale_index=platform.index))
+    platform.set_view(readers[2], ReaderView(is_down=True))
+    waiting = asyncio.create_task(read_key((readers[0], PLATFORM_PORT), "k", 1))
+    await asyncio.sleep(0.1)
+    platform.set("k", b"2")
+    assert await waiting == (2, b"2")
+    assert await read_key((readers[1], PLATFORM_PORT), "k", 0) == (1, b"1")
+    with pytest.raises((ConnectionError, OSError), match=r"no index|reset"):
+        await read_key((readers[2], PLATFORM_PORT), "k", 0)
+    assert platform.calls == {readers[0]: 1, readers[1]: 1}
+    await platform.close()
+
+
+async def test_health_endpoint_misleads(site):
+    upstream = site.upstreams[0]
+    upstream.health.fault = HealthFault(load=0.7, state="draining")
+    health = json.loads(upstream.health_response().payload)
+    assert (health["load"], health["state"], health["boot"]) == (0.7, "draining", upstream.boot)
