--- a/bench/execute.py
+++ b/bench/execute.py
@@ -13,6 +13,7 @@
 from bench.judge import Result, judge, violations
 from bench.resources import snapshots, usage
 from bench.scenarios import Scenario
+from bench.streams import GAP_S
 from bench.world import Options, World
 
 IDLE_WINDOW_S = 2.0
@@ -81,7 +82,9 @@
     world.load.start_requests()
     await job.scenario.act(world, job.seconds)
     seconds = time.monotonic() - began
-    await world.load.stop()
+    await world.load.stop_requests()
+    await asyncio.sleep(GAP_S + 1.0)
+    await world.load.stop_streams()
     at_end = usage({}, await snapshots(world.fleet.balancers))
     result = judge(world, job.scenario.name, seconds, idle, at_end.rss_mb)
     found = violations(result, is_planned=job.scenario.is_planned)
--- a/bench/judge.py
+++ b/bench/judge.py
@@ -154,7 +154,10 @@
     if any(flow.opened_at <= at <= until for at in upstream.restarts):
         return True
     spans = world.out_at.get(upstream.spec.data_centre, [])
-    return any(began <= until and flow.opened_at <= ended for began, ended in spans)
+    return any(
+        flow.opened_at <= began <= until and flow.ended_at <= ended + SETTLING_S
+        for began, ended in spans
+    )
 
 
 def _packets_after_out(world: World, upstream: Upstream) -> int:
--- a/bench/load.py
+++ b/bench/load.py
@@ -69,15 +69,19 @@
             for kind in service.kinds:
                 self._drivers.append(asyncio.create_task(self._drive(service, kind)))
 
-    async def stop(self) -> None:
-        """End the arrivals, wait for open requests, close the streams."""
+    async def stop_requests(self) -> None:
+        """End the arrivals and wait for open requests."""
         for task in self._drivers:
             task.cancel()
+        await asyncio.gather(*self._drivers, return_exceptions=True)
         if self._requests:
             await asyncio.wait(self._requests)
+
+    async def stop_streams(self) -> None:
+        """Close the streams and flows."""
         for task in self._stream_tasks:
             task.cancel()
-        await asyncio.gather(*self._drivers, *self._stream_tasks, return_exceptions=True)
+        await asyncio.gather(*self._stream_tasks, return_exceptions=True)
 
     async def _drive(self, service: ServiceSize, kind: str) -> None:
         loop = asyncio.get_running_loop()
--- a/bench/world.py
+++ b/bench/world.py
@@ -114,6 +114,11 @@
             deployment, self.callers, self.udp_flows, self._new_rng(), options.load_share
         )
 
+    @property
+    def routes(self) -> tuple[ServiceRoute, ...]:
+        """The service addresses and their host ports."""
+        return self._routes
+
     async def start(self) -> None:
         """Start upstreams and balancers; return when every balancer answers."""
         self.start_upstreams()
