Print the bench's configuration through the operators' library

Cause: the bench rendered the document by hand, so a change of the schema would have gone unseen.

Change: it uses the builders and the check of banyanline.config.

Conclusion: the document that the bench publishes is one that operators could.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
-import json
-from typing import Any
-
+from banyanline import config
+from banyanline.core.model import Configuration
 from bench.addresses import AddressPlan
-from bench.deployments import CONNECTIONS, Deployment, service_routes
+from bench.deployments import CONNECTIONS, Deployment, ServiceSize, ramp_of, service_routes
 from bench.upstream import UpstreamSpec
 
 IDLE_TIMEOUT_S = 300.0
 
 
+class InvalidDocumentError(Exception):
+    """The bench made a document that the operators' library does not accept."""
+
+
 class ConfigurationDocument:
     """The document of ``docs/design/protocols.md``; each change raises its revision."""
 
@@ -21,7 +24,6 @@
         self._revision = 1
         self._deployment = deployment
         self._plan = plan
-        self._patience_s = deployment.patience_s
         self._upstreams = {spec.name: spec for spec in specs}
         self._leaving: set[str] = set()
         self._out: set[str] = set()
@@ -73,59 +75,47 @@
         self._revision += 1
 
     def encode(self) -> bytes:
-        """Return the JSON document."""
+        """Return the JSON document, printed by the operators' library."""
         deployment = self._deployment
-        document = {
-            "schema_version": 1,
-            "revision": self._revision,
-            "data_centres": [
-                {"name": name, "state": "out" if name in self._out else "in_service"}
-                for name in deployment.data_centres
-            ],
-            "caller_groups": [
-                {
-                    "name": deployment.caller_group,
-                    "networks": [self._plan.caller_network],
-                    "time_zone": deployment.time_zone,
-                    "default_patience_s": self._patience_s,
-                    "windows": [],
-                }
+        network = self._plan.caller_network
+        group = config.caller_group(
+            deployment.caller_group, [network], deployment.time_zone, deployment.patience_s
+        )
+        document = config.document(
+            self._revision,
+            [config.data_centre(name, out=name in self._out) for name in deployment.data_centres],
+            [self._service(size) for size in deployment.services],
+            [group],
+        )
+        checked = config.check_document(document)
+        if not isinstance(checked, Configuration):
+            raise InvalidDocumentError(str(checked))
+        return config.render_document(checked)
+
+    def _service(self, size: ServiceSize) -> config.ServiceDocument:
+        routes = {route.name: route for route in service_routes(self._deployment, self._plan)}
+        route = routes[size.name]
+        ramp = ramp_of(self._deployment)
+        return config.service(
+            size.name,
+            f"{route.address[0]}:{route.address[1]}",
+            [
+                self._upstream(spec)
+                for spec in self._upstreams.values()
+                if spec.service == size.name
             ],
-            "services": self._services(),
-        }
-        return json.dumps(document).encode()
-
-    def _services(self) -> list[dict[str, Any]]:
-        routes = service_routes(self._deployment, self._plan)
-        sizes = self._deployment.services
-        return [
-            {
-                "name": route.name,
-                "address": f"{route.address[0]}:{route.address[1]}",
-                "host_port": route.host_port,
-                "protocol": size.protocol,
-                "idle_timeout_s": IDLE_TIMEOUT_S,
-                "health_path": "health",
-                "cold_start": {
-                    "duration_s": self._deployment.cold_start_s,
-                    "initial_slots": 1,
-                    "initial_rate": 5.0,
-                },
-                "upstreams": [
-                    self._upstream(spec)
-                    for spec in self._upstreams.values()
-                    if spec.service == route.name
-                ],
-            }
-            for route, size in zip(routes, sizes, strict=True)
-        ]
-
-    def _upstream(self, spec: UpstreamSpec) -> dict[str, Any]:
-        return {
-            "name": spec.name,
-            "data_centre": spec.data_centre,
-            "address": f"{spec.address[0]}:{spec.address[1]}",
-            "state": "leaving" if spec.name in self._leaving else "in_service",
-            "slots": spec.slots,
-            "connections": CONNECTIONS,
-        }
+            protocol="udp" if size.protocol == "udp" else "coap",
+            host_port=route.host_port,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+            cold_start=config.cold_start(ramp.duration_s, ramp.initial_slots, ramp.initial_rate),
+        )
+
+    def _upstream(self, spec: UpstreamSpec) -> config.UpstreamDocument:
+        return config.upstream(
+            spec.name,
+            spec.data_centre,
+            f"{spec.address[0]}:{spec.address[1]}",
+            slots=spec.slots,
+            connections=CONNECTIONS,
+            leaving=spec.name in self._leaving,
+        )
