--- a/banyanline/tests/test_settings.py
+++ b/banyanline/tests/test_settings.py
@@ -10,6 +10,7 @@
 from banyanline.settings import BalancerSettings, Delivery, SettingsError, load_settings
 from banyanline.settings.example import render_example
 from banyanline.settings.keys import KeysError, parse_keys
+from banyanline.settings.reference import render_reference
 
 EXAMPLE_PATH = Path(banyanline.__file__).parent.parent / "settings.example.ini"
 REQUIRED = (
@@ -111,3 +112,8 @@
     assert isinstance(error, KeysError)
     assert error.line == line
     assert KEY_HEX[:-2] not in str(error)
+
+
+def test_settings_page_is_current():
+    page = EXAMPLE_PATH.parent / "docs" / "operators" / "settings.md"
+    assert page.read_text(encoding="utf-8").endswith(render_reference())
