Say a change of patience across midnight in one line

Cause: a window from 23:00 to 06:00 that changed was told as two changes, one on each side of midnight.

--- a/banyanline/config/changes.py
+++ b/banyanline/config/changes.py
@@ -165,7 +165,10 @@
 
 @dataclass(frozen=True)
 class PatienceChanged:
-    """The patience of a group changes in some hours of its local day, in minutes."""
+    """The patience of a group changes in some hours of its local day, in minutes.
+
+    The hours may cross midnight; an end equal to the start means the whole day.
+    """
 
     group: GroupName
     start_minute: int
--- a/banyanline/config/describe.py
+++ b/banyanline/config/describe.py
@@ -127,5 +127,6 @@
 @describe.register
 def _(change: changes.PatienceChanged) -> str:
     hours = f"{clock_time(change.start_minute)} to {clock_time(change.end_minute)}"
+    hours = "all day" if change.start_minute == change.end_minute else hours
     values = f"{_value(change.old_s)} s -> {_value(change.new_s)} s"
     return f"caller group {change.group}: patience {hours}: {values}"
--- a/banyanline/config/difference.py
+++ b/banyanline/config/difference.py
@@ -157,15 +157,14 @@
 
 
 def _patience_changes(old: CallerGroup, new: CallerGroup) -> Iterator[Change]:
+    """Yield one change for each run of minutes, also across midnight."""
     pairs = list(zip(patience_by_minute(old), patience_by_minute(new), strict=True))
-    start = 0
-    for minute in range(1, MINUTES_PER_DAY + 1):
-        if minute < MINUTES_PER_DAY and pairs[minute] == pairs[start]:
-            continue
+    starts = [minute for minute in range(MINUTES_PER_DAY) if pairs[minute] != pairs[minute - 1]]
+    starts = starts or [0]
+    for start, end in zip(starts, [*starts[1:], starts[0]], strict=True):
         before, after = pairs[start]
         if before != after:
-            yield PatienceChanged(new.name, start, minute % MINUTES_PER_DAY, before, after)
-        start = minute
+            yield PatienceChanged(new.name, start, end, before, after)
 
 
 def diff(old: Configuration, new: Configuration) -> list[Change]:
--- a/banyanline/tests/test_config_changes.py
+++ b/banyanline/tests/test_config_changes.py
@@ -73,6 +73,11 @@
     pytest.param(
         OLD, with_controllers(default_patience_s=12.0, windows=()), id="patience all through"
     ),
+    pytest.param(
+        with_controllers(windows=()),
+        with_controllers(default_patience_s=12.0, windows=()),
+        id="patience of the whole day",
+    ),
 ]
 
 
