--- a/banyanline/core/gate/gate.py
+++ b/banyanline/core/gate/gate.py
@@ -353,7 +353,8 @@
         if self.is_circuit_open and not self._may_try(work, now):
             return RefusalReason.NO_UPSTREAM
         if work.is_stream:
-            reason = self._connections.open(work.request_id, now, self._start_interval_s(now))
+            # The start of the registration is paced like that of any request.
+            reason = self._connections.open(work.request_id, now, 0.0)
         if reason is None:
             reason = self._queue.admit(work, now, self._admission_pace(now))
             if reason is not None and work.is_stream:
--- a/banyanline/core/home/entry.py
+++ b/banyanline/core/home/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import NamedTuple
 
 from banyanline.core.coap import Request
 from banyanline.core.messages import NO_BALLOT, Ballot, FlowKey, RequestKey
@@ -21,6 +22,13 @@
     SUPERSEDED = "superseded"
 
 
+class Refusal(NamedTuple):
+    """A refusal that a home is about to give, and when another try is worth it."""
+
+    reason: str
+    retry_after_s: float
+
+
 class Entry:
     """A request from its first datagram until its lifetime ends.
 
@@ -45,6 +53,7 @@
         "owner",
         "phase",
         "pinned",
+        "refusal",
         "request",
         "resends",
         "serial",
@@ -66,6 +75,7 @@
         self.is_unseen = False
         self.may_have_run = False
         self.pinned: UpstreamName | None = None
+        self.refusal: Refusal | None = None
         self.upstream: UpstreamName = ""
         self.owner: HostName = ""
         self.serial = 0
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -17,7 +17,7 @@
     ClaimState,
     ClaimUndecided,
 )
-from banyanline.core.home.entry import Entry, Phase
+from banyanline.core.home.entry import Entry, Phase, Refusal
 from banyanline.core.home.policies import Policies
 from banyanline.core.ledger import KeyTable
 from banyanline.core.messages import (
@@ -47,7 +47,7 @@
 REPLY_MARGIN_S = 0.010
 """Part of the patience that is kept for the answer's way to the caller."""
 
-FIRST_RESEND_S = 0.05
+FIRST_RESEND_S = 0.1
 RESEND_LIMIT_S = 0.8
 UNANSWERED_RESENDS = 2
 """After so many unanswered resends an idempotent request is tried with another owner."""
@@ -193,7 +193,7 @@
                 return
             case ClaimFree():
                 entry.is_unseen = True
-                self._dispatch(entry, now)
+                self._go_on(entry, now)
             case ClaimCarried(owner, upstream, outcome):
                 self._join(entry, owner, upstream, outcome, now)
             case ClaimUndecided(is_final):
@@ -203,6 +203,13 @@
                     entry.phase = Phase.WAITING_TO_CLAIM
                     self._timers.add(now + RECLAIM_DELAY_S, (entry, Phase.WAITING_TO_CLAIM, 0))
 
+    def _go_on(self, entry: Entry, now: Seconds) -> None:
+        """Do what the claim was made for: dispatch the request or refuse it."""
+        if entry.refusal is None:
+            self._dispatch(entry, now)
+        else:
+            self._refuse(entry, *entry.refusal, now)
+
     def _join(
         self,
         entry: Entry,
@@ -378,7 +385,9 @@
                 self._resend(entry, now)
 
     def _readmit(self, entry: Entry, now: Seconds) -> None:
-        if self._context.may_decide(now):
+        if entry.refusal is not None:
+            self._claim(entry, slot_of(entry.hash), now)
+        elif self._context.may_decide(now):
             self._admit(entry, now)
         else:
             self._wait_for_lease(entry, now)
@@ -442,7 +451,15 @@
     # -- answers
 
     def _refuse(self, entry: Entry, reason: str, retry_after_s: float, now: Seconds) -> None:
-        """Refuse with a promise that nothing ran, or without one where it would not be true."""
+        """Refuse with a promise that nothing ran, or without one where it would not be true.
+
+        A home that has not held the slot for long asks the owners first whether the
+        request ran for an earlier home.
+        """
+        if not entry.is_unseen and not entry.may_have_run and entry.refusal is None:
+            entry.refusal = Refusal(reason, retry_after_s)
+            self._claim(entry, slot_of(entry.hash), now)
+            return
         if not entry.may_promise_not_run:
             self._finish_unknown(entry, reason, now)
             return
--- a/bench/resources.py
+++ b/bench/resources.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from contextlib import suppress
+from pathlib import Path
 from typing import NamedTuple
 
 import psutil
@@ -75,12 +76,26 @@
     return Usage(sum(shares) / len(shares), rss_mb, rate)
 
 
+async def write_pages(balancers: list[Balancer], directory: Path) -> None:
+    """Write the status page of each running balancer into ``directory``."""
+    for balancer in balancers:
+        try:
+            page = await _read_page(balancer, "/status")
+        except (OSError, TimeoutError):
+            continue
+        (directory / f"{balancer.name}.status.json").write_text(page.partition("\r\n\r\n")[2])
+
+
 async def read_metrics(balancer: Balancer) -> str:
     """Return the text of the balancer's metrics; raise OSError when there is none."""
+    return await _read_page(balancer, "/metrics")
+
+
+async def _read_page(balancer: Balancer, path: str) -> str:
     opening = asyncio.open_connection(balancer.ip, ADMIN_PORT)
     reader, writer = await asyncio.wait_for(opening, METRICS_WAIT_S)
     try:
-        writer.write(b"GET /metrics HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n")
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n".encode())
         raw = await asyncio.wait_for(reader.read(-1), METRICS_WAIT_S)
     finally:
         writer.close()
