Drop control channels to absent hosts, and count control calls apart in the replay window

(2) datagrams and control calls shared one counter, so 4,096 datagrams sent while a call was on its way made the call look replayed. (3) gRPC's C core wrote lines of its own form to stderr. Changes: a channel is closed when its last call found the host unreachable; a sealer has a purpose that is part of the MAC, one for datagrams and one for control; GRPC_VERBOSITY is NONE unless it is set.

--- a/banyanline/net/control.py
+++ b/banyanline/net/control.py
@@ -8,17 +8,22 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any, NamedTuple, TypeAlias, TypeVar
 
-import grpc
 import msgspec
 
 from banyanline.net.seal import Opened, Rejected, RejectionReason, Sealer
 
+# The C core of gRPC writes lines of its own form to stderr unless it is told so before import.
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
+import grpc
+
 if TYPE_CHECKING:
     from banyanline.core.types import Endpoint, Host, HostName
 
@@ -187,6 +192,7 @@
         self._max_channels = max_channels
         self._wall_clock = wall_clock
         self._channels: OrderedDict[str, _Channel] = OrderedDict()
+        self._closing: set[asyncio.Future[None]] = set()
 
     @property
     def channels(self) -> int:
@@ -202,13 +208,15 @@
         timeout_s: float,
     ) -> ResponseT | CallFailed:
         """Call ``method`` of ``host`` and wait at most ``timeout_s`` for the answer."""
-        channel = self._channel(_target(host.control_endpoint))
+        target = _target(host.control_endpoint)
+        channel = self._channel(target)
         frame = self._sealer.seal(host.name, msgspec.msgpack.encode(request))
         channel.calls += 1
         try:
             call = channel.grpc_channel.unary_unary(f"/{SERVICE}/{method}")
             body = await call(frame, timeout=timeout_s)
         except grpc.aio.AioRpcError as error:
+            channel.is_broken |= error.code() is grpc.StatusCode.UNAVAILABLE
             return CallFailed(
                 _FAILURES.get(error.code(), CallFailure.CALLEE_ERROR), error.details()
             )
@@ -216,6 +224,8 @@
             return CallFailed(CallFailure.UNREACHABLE, str(error))
         finally:
             channel.calls -= 1
+            if channel.is_broken and channel.calls == 0:
+                self._drop_channel(target, channel)
         return self._read_response(host, body, response_type)
 
     async def close(self) -> None:
@@ -224,6 +234,8 @@
         self._channels.clear()
         for channel in channels:
             await channel.grpc_channel.close()
+        if self._closing:
+            await asyncio.wait(self._closing)
 
     def _read_response(
         self, host: Host, body: bytes, response_type: type[ResponseT]
@@ -253,25 +265,30 @@
             return
         for target, channel in self._channels.items():
             if channel.calls == 0:
-                del self._channels[target]
-                task = asyncio.ensure_future(channel.grpc_channel.close())
-                _closing.add(task)
-                task.add_done_callback(_closing.discard)
+                self._drop_channel(target, channel)
                 return
 
+    def _drop_channel(self, target: str, channel: _Channel) -> None:
+        """Close a channel that carries no call; to an absent host it would try to connect again."""
+        if self._channels.get(target) is not channel:
+            return
+        del self._channels[target]
+        task = asyncio.ensure_future(channel.grpc_channel.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
 
 class _Channel:
-    """A gRPC channel and the number of calls that it carries."""
+    """A gRPC channel, the number of calls that it carries, and whether it lost its host."""
 
-    __slots__ = ("calls", "grpc_channel")
+    __slots__ = ("calls", "grpc_channel", "is_broken")
 
     def __init__(self, grpc_channel: Any) -> None:
         self.grpc_channel = grpc_channel
         self.calls = 0
+        self.is_broken = False
 
 
-_closing: set[asyncio.Future[None]] = set()
-
 _FAILURES = {
     grpc.StatusCode.UNAVAILABLE: CallFailure.UNREACHABLE,
     grpc.StatusCode.DEADLINE_EXCEEDED: CallFailure.TIMEOUT,
--- a/banyanline/net/seal.py
+++ b/banyanline/net/seal.py
@@ -54,7 +54,17 @@
 _FRESHNESS_US = int(FRESHNESS_S * _US_PER_S)
 _START_SKEW_US = int(START_SKEW_S * _US_PER_S)
 _WINDOW_MASK = (1 << WINDOW_FRAMES) - 1
-_PERSONALISATION = b"banyanline frame"
+
+
+class Purpose(StrEnum):
+    """What a sealer's frames are for; a frame opens only under its own purpose.
+
+    Each purpose has its own counters, so that a control call which is slow to
+    arrive is not overtaken by more datagrams than the replay window spans.
+    """
+
+    DATAGRAM = "datagram"
+    CONTROL = "control"
 
 
 class RejectionReason(StrEnum):
@@ -149,8 +159,8 @@
         self.run = 0
 
 
-def _keyed_hasher(key: Key, receiver: bytes) -> hashlib.blake2b:
-    hasher = hashlib.blake2b(key=key.secret, digest_size=MAC_BYTES, person=_PERSONALISATION)
+def _keyed_hasher(key: Key, purpose: Purpose, receiver: bytes) -> hashlib.blake2b:
+    hasher = hashlib.blake2b(key=key.secret, digest_size=MAC_BYTES, person=purpose.value.encode())
     hasher.update(bytes((len(receiver),)) + receiver)
     return hasher
 
@@ -189,8 +199,10 @@
         local: HostName,
         wall_clock: Callable[[], float],
         *,
+        purpose: Purpose = Purpose.DATAGRAM,
         max_senders: int = MAX_SENDERS,
     ) -> None:
+        self._purpose = purpose
         self._keys = keys
         self._local = local
         self._local_bytes = _encode_name(local)
@@ -219,7 +231,8 @@
         self._keys = keys
         self._signing_tag = _tag(keys.signing.identity)
         self._verifiers = {
-            _tag(key.identity): _keyed_hasher(key, self._local_bytes) for key in keys.keys
+            _tag(key.identity): _keyed_hasher(key, self._purpose, self._local_bytes)
+            for key in keys.keys
         }
         self._forget_receivers()
 
@@ -322,7 +335,7 @@
         if len(self._receivers) >= MAX_RECEIVERS:
             self._forget_receivers()
         name = _encode_name(receiver)
-        hasher = _keyed_hasher(self._keys.signing, name)
+        hasher = _keyed_hasher(self._keys.signing, self._purpose, name)
         state = _Receiver(hasher, _tag(receiver), self._counter_floor)
         self._receivers[receiver] = state
         return state
--- a/banyanline/tests/test_control.py
+++ b/banyanline/tests/test_control.py
@@ -37,7 +37,7 @@
 
 
 @contextlib.asynccontextmanager
-async def served(client_sealer, **client_options):
+async def served(client_sealer, name="south"):
     seen: list[tuple[str, int]] = []
     rejections: list[RejectionReason] = []
 
@@ -51,14 +51,14 @@
 
     server = ControlServer(
         Endpoint("127.0.0.1", 0),
-        sealer("south"),
+        sealer(name),
         {"Increment": ControlMethod(Number, increment)},
         count_rejection=rejections.append,
         wall_clock=lambda: NOW_S,
     )
     await server.start()
-    client = ControlClient(client_sealer, wall_clock=lambda: NOW_S, **client_options)
-    host = Host("south", "dc", "g", "127.0.0.1", 1, server.port)
+    client = ControlClient(client_sealer, wall_clock=lambda: NOW_S)
+    host = Host(name, "dc", "g", "127.0.0.1", 1, server.port)
     try:
         yield client, host, seen, rejections
     finally:
@@ -173,10 +173,23 @@
 
 
 async def test_channels_are_bounded():
-    async with served(sealer("north"), max_channels=2) as (client, host, _seen, _rejections):
-        for address in ("127.0.0.2", "127.0.0.3", "127.0.0.4"):
-            await client.call(
-                host._replace(address=address), "Increment", Number(1), Number, TIMEOUT_S
-            )
+    async with contextlib.AsyncExitStack() as stack:
+        fleet = [
+            await stack.enter_async_context(served(sealer("north"), name))
+            for name in ("south-1", "south-2", "south-3")
+        ]
+        client = ControlClient(sealer("north"), wall_clock=lambda: NOW_S, max_channels=2)
+        for _client, host, _seen, _rejections in [*fleet, fleet[0]]:
+            result = await client.call(host, "Increment", Number(1), Number, TIMEOUT_S)
+            assert result == Number(2)
         assert client.channels == 2
-        assert await client.call(host, "Increment", Number(1), Number, TIMEOUT_S) == Number(2)
+        await client.close()
+
+
+async def test_no_channel_to_an_absent_host_is_kept():
+    async with served(sealer("north")) as (client, host, _seen, _rejections):
+        absent = host._replace(control_port=1)
+        calls = [client.call(absent, "Increment", Number(1), Number, TIMEOUT_S) for _ in range(3)]
+        results = await asyncio.gather(*calls)
+        assert {result.reason for result in results} == {CallFailure.UNREACHABLE}
+        assert client.channels == 0
--- a/banyanline/tests/test_seal.py
+++ b/banyanline/tests/test_seal.py
@@ -6,7 +6,7 @@
 
 from banyanline.core.keys import Key, KeyRing
 from banyanline.net import seal
-from banyanline.net.seal import Opened, OpenResult, Rejected, RejectionReason, Sealer
+from banyanline.net.seal import Opened, OpenResult, Purpose, Rejected, RejectionReason, Sealer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -107,6 +107,12 @@
     assert reason_of(receiver.open(second, NOW_S)) is RejectionReason.REPLAYED
 
 
+def test_frame_for_another_purpose_is_rejected():
+    frame = sealer().seal("south", b"")
+    receiver = Sealer(KeyRing((OLD,)), "south", Clock(), purpose=Purpose.CONTROL)
+    assert reason_of(receiver.open(frame, NOW_S)) is RejectionReason.BAD_MAC
+
+
 @pytest.mark.parametrize(
     ("order", "taken"),
     [
