Write the wait of a blocking query in seconds

Cause: docs/design/protocols.md says wait=<seconds>s, the reader sent milliseconds, and a platform that reads only seconds answered each watch with an error, so that changes came by retries alone. Change: seconds, with a fraction if need be, as Consul takes them too.

--- a/banyanline/platform/consul.py
+++ b/banyanline/platform/consul.py
@@ -117,7 +117,7 @@
         timeout_s = ANSWER_TIMEOUT_S
         if index > 0:
             wait_s = self._watch.wait_s
-            target += f"&index={index}&wait={max(1, round(wait_s * 1000))}ms"
+            target += f"&index={index}&wait={wait_s:g}s"
             timeout_s += wait_s * (1 + WAIT_JITTER_SHARE)
         self._calls += 1
         response = await http_get(
