--- a/banyanline/tests/test_http.py
+++ b/banyanline/tests/test_http.py
@@ -152,7 +152,7 @@
         pytest.param(
             [answer(b"a", "5"), answer(b"a", "5"), answer(b"b", "6")],
             [(b"a", 5), (b"b", 6)],
-            ["", "&index=5&wait=1s", "&index=5&wait=1000ms"],
+            ["", "&index=5&wait=1s", "&index=5&wait=1s"],
             id="wait ended without change",
         ),
         pytest.param(
