--- a/bench/execute.py
+++ b/bench/execute.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple, TypedDict
 
 from bench.deployments import Deployment
-from bench.judge import Result, judge, violations
+from bench.judge import Footprint, Result, judge, violations
 from bench.resources import snapshots, usage
 from bench.scenarios import Scenario
 from bench.streams import GAP_S
@@ -46,6 +46,7 @@
     seed: int
     seconds: float
     is_baseline: bool = False
+    is_relayed: bool = False
 
 
 async def execute(job: Job) -> RunOutput:
@@ -55,7 +56,7 @@
         deployment=job.deployment,
         seed=job.seed,
         is_baseline=job.is_baseline,
-        is_relayed=scenario.is_relayed and not job.is_baseline,
+        is_relayed=(scenario.is_relayed or job.is_relayed) and not job.is_baseline,
         faults=scenario.faults,
     )
     with tempfile.TemporaryDirectory(prefix="banyanline-bench-") as directory:
@@ -73,9 +74,7 @@
 
 async def _run(world: World, job: Job) -> RunOutput:
     await world.start()
-    before = await snapshots(world.fleet.balancers)
-    await asyncio.sleep(IDLE_WINDOW_S)
-    idle = usage(before, await snapshots(world.fleet.balancers))
+    footprint = await _measure_idle(world)
     world.load.start_streams()
     await asyncio.sleep(WARM_UP_S)
     began = time.monotonic()
@@ -85,12 +84,25 @@
     await world.load.stop_requests()
     await asyncio.sleep(GAP_S + 1.0)
     await world.load.stop_streams()
-    at_end = usage({}, await snapshots(world.fleet.balancers))
-    result = judge(world, job.scenario.name, seconds, idle, at_end.rss_mb)
+    at_end = usage({}, snapshots(world.fleet.balancers))
+    footprint = footprint._replace(rss_mb=at_end.rss_mb)
+    result = judge(world, job.scenario.name, seconds, footprint)
     found = violations(result, is_planned=job.scenario.is_planned)
     return RunOutput(result, found, _series(world, began))
 
 
+async def _measure_idle(world: World) -> Footprint:
+    """Measure what the balancers use for control alone, before callers begin."""
+    balancers = world.fleet.balancers
+    before = snapshots(balancers)
+    bytes_before = world.relay.relayed_bytes
+    await asyncio.sleep(IDLE_WINDOW_S)
+    idle = usage(before, snapshots(balancers))
+    sent = world.relay.relayed_bytes - bytes_before
+    rate = sent / IDLE_WINDOW_S / len(balancers) if world.options.is_relayed else None
+    return Footprint(rate, idle.cpu_share, idle.rss_mb)
+
+
 def _series(world: World, began: float) -> Series:
     return Series(
         events=[(round(event.at - began, 3), event.what) for event in world.events],
--- a/bench/judge.py
+++ b/bench/judge.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import TYPE_CHECKING, TypedDict
+from typing import TYPE_CHECKING, NamedTuple, TypedDict
 
 from bench.observations import FlowEnd, FlowRecord, Outcome, RequestRecord
 
 if TYPE_CHECKING:
-    from bench.resources import Usage
     from bench.upstream import Upstream
     from bench.world import World
 
@@ -43,6 +42,17 @@
     refusal_p99: float
 
 
+class Footprint(NamedTuple):
+    """What a balancer uses; the first two while no caller is at work.
+
+    The bytes are None when the balancers' traffic did not go through the relay.
+    """
+
+    control_bytes_per_node_s: float | None
+    control_cpu_share: float
+    rss_mb: float
+
+
 class Result(TypedDict):
     """One line of the result table."""
 
@@ -102,7 +112,7 @@
     return values[min(len(values) - 1, int(share * len(values)))]
 
 
-def judge(world: World, scenario: str, seconds: float, idle: Usage, rss_mb: float) -> Result:
+def judge(world: World, scenario: str, seconds: float, footprint: Footprint) -> Result:
     """Return the result of a run that has ended."""
     requests = world.observations.requests
     flows = world.observations.flows
@@ -141,9 +151,9 @@
         retry_amplification=round(world.runs.amplification, 4),
         imbalance_max_over_mean=round(_imbalance(world, upstreams), 3),
         latency_ms=_latency(requests),
-        control_bytes_per_node_s=idle.control_bytes_per_s,
-        control_cpu_share=round(idle.cpu_share, 4),
-        rss_mb=round(rss_mb, 1),
+        control_bytes_per_node_s=footprint.control_bytes_per_node_s,
+        control_cpu_share=round(footprint.control_cpu_share, 4),
+        rss_mb=round(footprint.rss_mb, 1),
     )
 
 
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -21,6 +21,7 @@
 from bench.sockets import Address, UdpSocket
 
 READ_BYTES = 65536
+IP_UDP_HEADER_BYTES = 28
 
 ListBalancers = Callable[[], list[Balancer]]
 
@@ -51,6 +52,7 @@
         self._sockets: list[UdpSocket] = []
         self._servers: list[asyncio.Server] = []
         self._pipes: set[_Pipe] = set()
+        self._bytes = 0
         cuts.subscribe(self._close_cut_pipes)
 
     @property
@@ -58,6 +60,11 @@
         """The link between balancers."""
         return self._link
 
+    @property
+    def relayed_bytes(self) -> int:
+        """Bytes that balancers sent each other, with the IP and UDP headers of datagrams."""
+        return self._bytes
+
     async def listen(self, balancer: Balancer) -> None:
         """Take the traffic for ``balancer`` at its alias."""
         on_datagram = partial(self._on_datagram, balancer)
@@ -75,6 +82,7 @@
             pipe.abort()
 
     def _on_datagram(self, receiver: Balancer, data: bytes, source: Address) -> None:
+        self._bytes += len(data) + IP_UDP_HEADER_BYTES
         sender = self._data_centre_at(source[0])
         if self._cuts.is_blocked(sender, receiver.data_centre):
             return
@@ -108,8 +116,8 @@
         self._pipes.add(pipe)
         await asyncio.wait(
             (
-                asyncio.create_task(_copy(reader, far_writer)),
-                asyncio.create_task(_copy(far_reader, writer)),
+                asyncio.create_task(self._copy(reader, far_writer)),
+                asyncio.create_task(self._copy(far_reader, writer)),
             ),
             return_when=asyncio.FIRST_COMPLETED,
         )
@@ -130,9 +138,9 @@
             if self._cuts.is_blocked(pipe.one, pipe.other):
                 pipe.abort()
 
-
-async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    with suppress(OSError):
-        while data := await reader.read(READ_BYTES):
-            writer.write(data)
-            await writer.drain()
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                self._bytes += len(data)
+                writer.write(data)
+                await writer.drain()
--- a/bench/run.py
+++ b/bench/run.py
@@ -22,6 +22,11 @@
     flags.DEFINE_float("seconds", 20.0, "How long callers work.", lower_bound=1.0)
     flags.DEFINE_string("json", None, "Where to write the result; series go beside it.")
     flags.DEFINE_enum("deployment", "split", sorted(DEPLOYMENTS), "Whose deployment.")
+    flags.DEFINE_bool(
+        "relayed",
+        False,
+        "Pass the balancers' own traffic through the relay, which counts its bytes.",
+    )
     flags.DEFINE_enum(
         "baseline",
         "none",
--- a/bench/tests/test_judge.py
+++ b/bench/tests/test_judge.py
@@ -8,15 +8,14 @@
 
 from bench.deployments import SPLIT
 from bench.fleet import StopRecord
-from bench.judge import Result, judge, violations
+from bench.judge import Footprint, Result, judge, violations
 from bench.observations import FlowEnd, FlowRecord, Outcome, RequestRecord
-from bench.resources import Usage
 from bench.world import Options, World
 
 NAME = "stup-napajanje-1"
 DATA_CENTRE = "split-sjever"
 SERVICE = "stup-napajanje"
-IDLE = Usage(0.0, 0.0, None)
+FOOTPRINT = Footprint(None, 0.0, 0.0)
 
 
 def add_request(world: World, outcome: Outcome, key: str = "k") -> None:
@@ -97,9 +96,9 @@
     ],
 )
 async def test_breach_is_counted(world, plant, key):
-    assert violations(judge(world, "steady", 1.0, IDLE, 0.0), is_planned=True) == []
+    assert violations(judge(world, "steady", 1.0, FOOTPRINT), is_planned=True) == []
     plant(world)
-    result: Mapping[str, object] = judge(world, "steady", 1.0, IDLE, 0.0)
+    result: Mapping[str, object] = judge(world, "steady", 1.0, FOOTPRINT)
     assert result[key] == 1
     assert f"{key}=1" in violations(cast("Result", result), is_planned=True)
 
@@ -118,5 +117,5 @@
     plant_broken_flow(world)
     world.out_at[DATA_CENTRE] = out_at
     world.upstreams[NAME].restarts.extend(restarted_at)
-    result = judge(world, "steady", 1.0, IDLE, 0.0)
+    result = judge(world, "steady", 1.0, FOOTPRINT)
     assert (result["flows_given_up"], result["flows_broken"]) == (given_up, 1 - given_up)
