Keep logs and pages of a run on request; test the relay

Cause: a failed run left nothing to look into; the mixture could pick a balancer twice within the fabric's lag.

Conclusion: the relay cuts what it must.

--- a/bench/execute.py
+++ b/bench/execute.py
@@ -6,11 +6,13 @@
 import json
 import tempfile
 import time
+from contextlib import AbstractContextManager, nullcontext
 from pathlib import Path
 from typing import NamedTuple, TypedDict
 
 from bench.deployments import Deployment
 from bench.judge import Footprint, Result, judge, violations
+from bench.pages import write_pages
 from bench.resources import snapshots, usage
 from bench.scenarios import Scenario
 from bench.streams import GAP_S
@@ -47,6 +49,7 @@
     seconds: float
     is_baseline: bool = False
     is_relayed: bool = False
+    logs: Path | None = None
 
 
 async def execute(job: Job) -> RunOutput:
@@ -59,7 +62,7 @@
         is_relayed=(scenario.is_relayed or job.is_relayed) and not job.is_baseline,
         faults=scenario.faults,
     )
-    with tempfile.TemporaryDirectory(prefix="banyanline-bench-") as directory:
+    with _directory(job.logs) as directory:
         world = World(options, Path(directory))
         try:
             return await _run(world, job)
@@ -67,6 +70,14 @@
             await world.close()
 
 
+def _directory(logs: Path | None) -> AbstractContextManager[str]:
+    """Return where settings and logs go: a folder that stays, or a temporary one."""
+    if logs is None:
+        return tempfile.TemporaryDirectory(prefix="banyanline-bench-")
+    logs.mkdir(parents=True, exist_ok=True)
+    return nullcontext(str(logs.resolve()))
+
+
 def run_job(job: Job) -> RunOutput:
     """Run ``job`` on an event loop of its own."""
     return asyncio.run(execute(job))
@@ -84,6 +95,8 @@
     await world.load.stop_requests()
     await asyncio.sleep(GAP_S + 1.0)
     await world.load.stop_streams()
+    if job.logs is not None:
+        await write_pages(world.fleet.balancers, job.logs)
     at_end = usage({}, snapshots(world.fleet.balancers))
     footprint = footprint._replace(rss_mb=at_end.rss_mb)
     result = judge(world, job.scenario.name, seconds, footprint)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -44,6 +44,7 @@
         self.ip = plan.balancer(idx)
         self.alias = plan.alias(idx)
         self.state = "live"
+        self.is_busy = False
         self.process: asyncio.subprocess.Process | None = None
 
     @property
--- a/bench/mixture.py
+++ b/bench/mixture.py
@@ -47,7 +47,7 @@
     balancers = [
         balancer
         for balancer in world.fleet.balancers
-        if balancer.name in serving and balancer.state == "live"
+        if balancer.name in serving and not balancer.is_busy
     ]
     minimum = len(world.options.deployment.data_centres) + 1
     return balancers if len(balancers) > minimum else []
@@ -58,7 +58,7 @@
     if not spare:
         return
     victim = rng.choice(spare)
-    victim.state = "leaving"
+    victim.is_busy = True
     world.note(f"stop {victim.name}")
     await world.fleet.stop(victim)
     await world.add_balancer(victim.data_centre)
@@ -69,7 +69,7 @@
     if not spare:
         return
     victim = rng.choice(spare)
-    victim.state = "leaving"
+    victim.is_busy = True
     world.note(f"crash {victim.name}")
     await world.fleet.crash(victim)
     await world.add_balancer(victim.data_centre)
@@ -81,7 +81,9 @@
         return
     victim = rng.choice(spare)
     world.note(f"pause {victim.name}")
+    victim.is_busy = True
     await world.fleet.pause(victim, rng.uniform(0.5, LONGEST_FREEZE_S))
+    victim.is_busy = False
     world.note(f"resume {victim.name}")
 
 
--- a/bench/run.py
+++ b/bench/run.py
@@ -20,6 +20,7 @@
     flags.DEFINE_enum("scenario", "steady", sorted(SCENARIOS), "What is done to the system.")
     flags.DEFINE_integer("seed", 1, "Seed of all random choices of the bench.")
     flags.DEFINE_float("seconds", 20.0, "How long callers work.", lower_bound=1.0)
+    flags.DEFINE_string("logs", None, "A folder that keeps settings, logs and status pages.")
     flags.DEFINE_string("json", None, "Where to write the result; series go beside it.")
     flags.DEFINE_enum("deployment", "split", sorted(DEPLOYMENTS), "Whose deployment.")
     flags.DEFINE_bool(
--- /dev/null
+++ b/bench/tests/test_relay.py
@@ -0,0 +1,79 @@
+"""The relay must cut both datagrams and connections, and nothing within a side."""
+
+import asyncio
+import random
+
+import pytest
+
+from bench.addresses import CONTROL_PORT, PEER_PORT, AddressPlan
+from bench.fleet import Balancer
+from bench.link import Cuts, Link
+from bench.relay import PeerRelay
+from bench.sockets import UdpSocket
+
+
+@pytest.fixture
+async def network():
+    plan = AddressPlan.acquire(hint=220)
+    names = (("n1", "north"), ("n2", "north"), ("s1", "south"))
+    balancers = [Balancer(name, dc, idx, plan) for idx, (name, dc) in enumerate(names)]
+    cuts = Cuts()
+    relay = PeerRelay(Link(random.Random(1)), cuts, lambda: balancers)
+    for balancer in balancers:
+        await relay.listen(balancer)
+    yield balancers, cuts, relay
+    relay.close()
+    plan.release()
+
+
+@pytest.mark.parametrize(
+    ("sender", "is_cut", "arrives"),
+    [
+        pytest.param(1, False, True, id="same side"),
+        pytest.param(2, False, True, id="other side before the cut"),
+        pytest.param(1, True, True, id="same side during the cut"),
+        pytest.param(2, True, False, id="other side during the cut"),
+    ],
+)
+async def test_datagram_passes_unless_cut(network, sender, is_cut, arrives):
+    balancers, cuts, relay = network
+    got = []
+    receiver = UdpSocket((balancers[0].ip, PEER_PORT), lambda data, source: got.append(data))
+    source = UdpSocket((balancers[sender].ip, PEER_PORT), lambda data, source: None)
+    if is_cut:
+        cuts.separate(["north"], ["south"])
+    source.send(b"x", (balancers[0].alias, PEER_PORT))
+    await asyncio.sleep(0.05)
+    assert got == ([b"x"] if arrives else [])
+    assert relay.relayed_bytes == 29
+    receiver.close()
+    source.close()
+
+
+async def test_cut_closes_connections_between_sides_only(network):
+    balancers, cuts, _ = network
+
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    server = await asyncio.start_server(echo, balancers[0].ip, CONTROL_PORT)
+    streams = []
+    for sender in balancers[1:]:
+        streams.append(
+            await asyncio.open_connection(
+                balancers[0].alias, CONTROL_PORT, local_addr=(sender.ip, 0)
+            )
+        )
+        streams[-1][1].write(b"x")
+        assert await streams[-1][0].readexactly(1) == b"x"
+    cuts.separate(["north"], ["south"])
+    (near, near_writer), (far, far_writer) = streams
+    near_writer.write(b"y")
+    assert await near.readexactly(1) == b"y"
+    with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
+        await far.readexactly(1)
+    for writer in (near_writer, far_writer):
+        writer.close()
+    server.close()
