--- a/bench/execute.py
+++ b/bench/execute.py
@@ -11,8 +11,9 @@
 from typing import NamedTuple, TypedDict
 
 from bench.deployments import Deployment
-from bench.judge import Result, judge, violations
-from bench.resources import snapshots, usage, write_pages
+from bench.judge import Footprint, Result, judge, violations
+from bench.pages import write_pages
+from bench.resources import snapshots, usage
 from bench.scenarios import Scenario
 from bench.streams import GAP_S
 from bench.world import Options, World
@@ -47,6 +48,7 @@
     seed: int
     seconds: float
     is_baseline: bool = False
+    is_relayed: bool = False
     logs: Path | None = None
 
 
@@ -57,7 +59,7 @@
         deployment=job.deployment,
         seed=job.seed,
         is_baseline=job.is_baseline,
-        is_relayed=scenario.is_relayed and not job.is_baseline,
+        is_relayed=(scenario.is_relayed or job.is_relayed) and not job.is_baseline,
         faults=scenario.faults,
     )
     with _directory(job.logs) as directory:
@@ -73,7 +75,7 @@
     if logs is None:
         return tempfile.TemporaryDirectory(prefix="banyanline-bench-")
     logs.mkdir(parents=True, exist_ok=True)
-    return nullcontext(str(logs))
+    return nullcontext(str(logs.resolve()))
 
 
 def run_job(job: Job) -> RunOutput:
@@ -83,9 +85,7 @@
 
 async def _run(world: World, job: Job) -> RunOutput:
     await world.start()
-    before = await snapshots(world.fleet.balancers)
-    await asyncio.sleep(IDLE_WINDOW_S)
-    idle = usage(before, await snapshots(world.fleet.balancers))
+    footprint = await _measure_idle(world)
     world.load.start_streams()
     await asyncio.sleep(WARM_UP_S)
     began = time.monotonic()
@@ -97,12 +97,25 @@
     await world.load.stop_streams()
     if job.logs is not None:
         await write_pages(world.fleet.balancers, job.logs)
-    at_end = usage({}, await snapshots(world.fleet.balancers))
-    result = judge(world, job.scenario.name, seconds, idle, at_end.rss_mb)
+    at_end = usage({}, snapshots(world.fleet.balancers))
+    footprint = footprint._replace(rss_mb=at_end.rss_mb)
+    result = judge(world, job.scenario.name, seconds, footprint)
     found = violations(result, is_planned=job.scenario.is_planned)
     return RunOutput(result, found, _series(world, began))
 
 
+async def _measure_idle(world: World) -> Footprint:
+    """Measure what the balancers use for control alone, before callers begin."""
+    balancers = world.fleet.balancers
+    before = snapshots(balancers)
+    bytes_before = world.relay.relayed_bytes
+    await asyncio.sleep(IDLE_WINDOW_S)
+    idle = usage(before, snapshots(balancers))
+    sent = world.relay.relayed_bytes - bytes_before
+    rate = sent / IDLE_WINDOW_S / len(balancers) if world.options.is_relayed else None
+    return Footprint(rate, idle.cpu_share, idle.rss_mb)
+
+
 def _series(world: World, began: float) -> Series:
     return Series(
         events=[(round(event.at - began, 3), event.what) for event in world.events],
--- a/bench/run.py
+++ b/bench/run.py
@@ -23,6 +23,11 @@
     flags.DEFINE_string("logs", None, "A folder that keeps settings, logs and status pages.")
     flags.DEFINE_string("json", None, "Where to write the result; series go beside it.")
     flags.DEFINE_enum("deployment", "split", sorted(DEPLOYMENTS), "Whose deployment.")
+    flags.DEFINE_bool(
+        "relayed",
+        False,
+        "Pass the balancers' own traffic through the relay, which counts its bytes.",
+    )
     flags.DEFINE_enum(
         "baseline",
         "none",
