--- a/bench/execute.py
+++ b/bench/execute.py
@@ -6,11 +6,13 @@
 import json
 import tempfile
 import time
+from contextlib import AbstractContextManager, nullcontext
 from pathlib import Path
 from typing import NamedTuple, TypedDict
 
 from bench.deployments import Deployment
-from bench.judge import Result, judge, violations
+from bench.judge import Footprint, Result, judge, violations
+from bench.pages import write_pages
 from bench.resources import snapshots, usage
 from bench.scenarios import Scenario
 from bench.streams import GAP_S
@@ -46,6 +48,8 @@
     seed: int
     seconds: float
     is_baseline: bool = False
+    is_relayed: bool = False
+    logs: Path | None = None
 
 
 async def execute(job: Job) -> RunOutput:
@@ -55,10 +59,10 @@
         deployment=job.deployment,
         seed=job.seed,
         is_baseline=job.is_baseline,
-        is_relayed=scenario.is_relayed and not job.is_baseline,
+        is_relayed=(scenario.is_relayed or job.is_relayed) and not job.is_baseline,
         faults=scenario.faults,
     )
-    with tempfile.TemporaryDirectory(prefix="banyanline-bench-") as directory:
+    with _directory(job.logs) as directory:
         world = World(options, Path(directory))
         try:
             return await _run(world, job)
@@ -66,6 +70,14 @@
             await world.close()
 
 
+def _directory(logs: Path | None) -> AbstractContextManager[str]:
+    """Return where settings and logs go: a folder that stays, or a temporary one."""
+    if logs is None:
+        return tempfile.TemporaryDirectory(prefix="banyanline-bench-")
+    logs.mkdir(parents=True, exist_ok=True)
+    return nullcontext(str(logs.resolve()))
+
+
 def run_job(job: Job) -> RunOutput:
     """Run ``job`` on an event loop of its own."""
     return asyncio.run(execute(job))
@@ -73,9 +85,7 @@
 
 async def _run(world: World, job: Job) -> RunOutput:
     await world.start()
-    before = await snapshots(world.fleet.balancers)
-    await asyncio.sleep(IDLE_WINDOW_S)
-    idle = usage(before, await snapshots(world.fleet.balancers))
+    footprint = await _measure_idle(world)
     world.load.start_streams()
     await asyncio.sleep(WARM_UP_S)
     began = time.monotonic()
@@ -85,12 +95,27 @@
     await world.load.stop_requests()
     await asyncio.sleep(GAP_S + 1.0)
     await world.load.stop_streams()
-    at_end = usage({}, await snapshots(world.fleet.balancers))
-    result = judge(world, job.scenario.name, seconds, idle, at_end.rss_mb)
+    if job.logs is not None:
+        await write_pages(world.fleet.balancers, job.logs)
+    at_end = usage({}, snapshots(world.fleet.balancers))
+    footprint = footprint._replace(rss_mb=at_end.rss_mb)
+    result = judge(world, job.scenario.name, seconds, footprint)
     found = violations(result, is_planned=job.scenario.is_planned)
     return RunOutput(result, found, _series(world, began))
 
 
+async def _measure_idle(world: World) -> Footprint:
+    """Measure what the balancers use for control alone, before callers begin."""
+    balancers = world.fleet.balancers
+    before = snapshots(balancers)
+    bytes_before = world.relay.relayed_bytes
+    await asyncio.sleep(IDLE_WINDOW_S)
+    idle = usage(before, snapshots(balancers))
+    sent = world.relay.relayed_bytes - bytes_before
+    rate = sent / IDLE_WINDOW_S / len(balancers) if world.options.is_relayed else None
+    return Footprint(rate, idle.cpu_share, idle.rss_mb)
+
+
 def _series(world: World, began: float) -> Series:
     return Series(
         events=[(round(event.at - began, 3), event.what) for event in world.events],
