Fuzz the settings, and refuse addresses that nobody can send to

Cause: host.address took 0.0.0.0 and multicast, and numbers took Python's underscores; no fuzz test covered INI and key files. Change: unicast addresses for host.address and platform.addresses, plain decimal numbers, property tests over files, overrides and key files. The docstring of PatienceWindow in the core's model says how midnight is crossed.

--- a/banyanline/config/parse.py
+++ b/banyanline/config/parse.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from banyanline.config import rules
-from banyanline.config.document import MAX_DOCUMENT_BYTES, SCHEMA_VERSION, ConfigurationDocument
+from banyanline.config.document import MAX_DOCUMENT_BYTES, SCHEMA_VERSION
 from banyanline.config.errors import ConfigurationError, ConfigurationErrors, shown
 from banyanline.config.reading import ErrorLog, ObjectReader
 from banyanline.core.model import (
@@ -166,7 +166,7 @@
             self._log.add(reader.path_of("data_centre"), shown(name), accepted)
 
 
-def check_document(document: ConfigurationDocument | object) -> Configuration | ConfigurationErrors:
+def check_document(document: object) -> Configuration | ConfigurationErrors:
     """Return the configuration that a decoded document holds, or all its errors."""
     log = ErrorLog()
     configuration = _DocumentReader(log).configuration(ObjectReader(log, "", document))
--- a/banyanline/core/model.py
+++ b/banyanline/core/model.py
@@ -64,7 +64,11 @@
 
 
 class PatienceWindow(NamedTuple):
-    """Patience from ``start_minute`` to ``end_minute`` of the local day, in minutes."""
+    """Patience from ``start_minute`` to ``end_minute`` of the local day, in minutes.
+
+    The start belongs to the window and the end does not. A window whose end is
+    less than its start crosses midnight.
+    """
 
     start_minute: int
     end_minute: int
--- a/banyanline/settings/validators.py
+++ b/banyanline/settings/validators.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import ipaddress
-import math
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -15,6 +14,7 @@
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _INTEGER = re.compile(r"[+-]?[0-9]{1,18}")
+_NUMBER = re.compile(r"[+-]?[0-9]{1,18}(?:\.[0-9]{1,18})?")
 _LARGEST_PORT = 65535
 
 
@@ -47,11 +47,10 @@
 
 
 def _parse_number(text: str, low: float, high: float) -> float | None:
-    try:
-        value = float(text)
-    except ValueError:
+    if not _NUMBER.fullmatch(text):
         return None
-    return value if math.isfinite(value) and low <= value <= high else None
+    value = float(text)
+    return value if low <= value <= high else None
 
 
 def number(low: float, high: float) -> Validator:
@@ -95,13 +94,21 @@
         return None
 
 
+def _parse_unicast(text: str) -> str | None:
+    ip = _parse_address(text)
+    if ip is None:
+        return None
+    parsed = ipaddress.IPv4Address(ip)
+    return None if parsed.is_unspecified or parsed.is_multicast else ip
+
+
 def address() -> Validator:
-    """Accept IPv4 addresses."""
-    return Validator("an IPv4 address such as 192.0.2.1", _parse_address)
+    """Accept IPv4 addresses that others can send to."""
+    return Validator("a unicast IPv4 address such as 192.0.2.1", _parse_unicast)
 
 
 def optional_address() -> Validator:
-    """Accept IPv4 addresses, and nothing at all."""
+    """Accept IPv4 addresses, 0.0.0.0 among them, and nothing at all."""
     return Validator(
         "an IPv4 address such as 192.0.2.1, or nothing",
         lambda text: _parse_address(text) if text else "",
@@ -110,7 +117,7 @@
 
 def _parse_endpoint(text: str) -> Endpoint | None:
     ip_text, colon, port_text = text.partition(":")
-    ip = _parse_address(ip_text)
+    ip = _parse_unicast(ip_text)
     port_number = _parse_integer(port_text, 1, _LARGEST_PORT)
     if not colon or ip is None or port_number is None:
         return None
--- a/banyanline/tests/test_settings.py
+++ b/banyanline/tests/test_settings.py
@@ -75,6 +75,8 @@
         pytest.param("limits.flow=1", "did you mean flows?", id="unknown key"),
         pytest.param("limits.flows=-1", "--set: [limits] flows: got '-1'", id="bad value"),
         pytest.param("host.address=a.b", "[host] address: got 'a.b'", id="not an address"),
+        pytest.param("host.address=0.0.0.0", "a unicast IPv4 address", id="not to be sent to"),
+        pytest.param("stop.grace_s=1_0", "[stop] grace_s: got '1_0'", id="not a plain number"),
         pytest.param("platform.addresses=192.0.2.9", "ip:port", id="endpoint without port"),
     ],
 )
--- /dev/null
+++ b/properties/test_settings.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from banyanline.core.keys import KeyRing
+from banyanline.settings import (
+    BalancerSettings,
+    KeysError,
+    SettingsError,
+    load_settings,
+    parse_keys,
+)
+from banyanline.settings.example import render_example
+from banyanline.settings.options import OPTIONS
+
+profile = settings(
+    max_examples=100,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+EXAMPLE = render_example()
+VALUES = st.text(max_size=12) | st.sampled_from(["1e9", "0x10", "-1", "1.", "192.0.2.1:0", "%(x)s"])
+
+
+@pytest.fixture
+def path(tmp_path):
+    return tmp_path / "balancer.ini"
+
+
+@profile
+@given(data=st.binary(max_size=300))
+def test_no_file_raises(path, data):
+    path.write_bytes(data)
+    error = load_settings(str(path))
+    assert isinstance(error, SettingsError)
+    assert len(str(error).splitlines()) == 1
+
+
+@profile
+@given(start=st.integers(0, len(EXAMPLE)), length=st.integers(0, 20), text=st.text(max_size=20))
+def test_no_damaged_example_raises(path, start, length, text):
+    damaged = EXAMPLE[:start] + text + EXAMPLE[start + length :]
+    path.write_text(damaged, encoding="utf-8", errors="replace")
+    assert isinstance(load_settings(str(path)), BalancerSettings | SettingsError)
+
+
+@profile
+@given(option=st.sampled_from(OPTIONS), value=VALUES)
+def test_no_override_raises(path, option, value):
+    path.write_text(EXAMPLE, encoding="utf-8")
+    result = load_settings(str(path), [f"{option.section}.{option.key}={value}"])
+    if isinstance(result, SettingsError):
+        assert (result.section, result.key) == (option.section, option.key)
+        assert len(str(result).splitlines()) == 1
+
+
+@profile
+@given(
+    st.text(max_size=100) | st.from_regex(r"([a-z]{1,3} [0-9a-f]{30,34}\n){1,9}", fullmatch=True)
+)
+def test_no_key_file_raises(text):
+    result = parse_keys(text)
+    assert isinstance(result, KeyRing | KeysError)
+    if isinstance(result, KeyRing):
+        assert all(len(key.secret) >= 16 for key in result.keys)
