Take durations in milliseconds at the platform stand-in

Cause: the balancer asks with wait=60000ms, as Consul allows; the stand-in answered 405, so no balancer ever saw a second revision and drain-upstream counted 170 to 192 works after leaving.

Change: durations in ms, s and m.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -20,7 +20,7 @@
 
 FLAGS = flags.FLAGS
 DEMO_S = 18.0
-CHANGES = 6
+PAUSES = 7
 
 
 class BrokenDemoError(Exception):
@@ -42,7 +42,7 @@
 
 async def planned_changes(world: World, seconds: float) -> None:
     """Make one planned change of each kind."""
-    pause_s = seconds / CHANGES
+    pause_s = seconds / PAUSES
     data_centres = world.options.deployment.data_centres
     service = world.options.deployment.services[0].name
     await ask_with_stock_client(world)
@@ -62,7 +62,7 @@
     await asyncio.sleep(pause_s)
     _say(f"data centre {data_centres[2]} is taken out of service")
     world.take_out(data_centres[2])
-    await asyncio.sleep(pause_s)
+    await asyncio.sleep(2 * pause_s)
     _say(f"data centre {data_centres[2]} is back")
     world.bring_back(data_centres[2])
     await asyncio.sleep(pause_s)
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -179,6 +179,18 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
 
+def parse_duration_s(text: str) -> float:
+    """Return a duration of Consul's API in seconds; raise ValueError for any other text.
+
+    >>> parse_duration_s("1500ms"), parse_duration_s("10s"), parse_duration_s("2m")
+    (1.5, 10.0, 120.0)
+    """
+    for suffix, scale_s in (("ms", 0.001), ("s", 1.0), ("m", 60.0)):
+        if text.endswith(suffix):
+            return float(text.removesuffix(suffix)) * scale_s
+    raise ValueError(f"no duration: {text!r}")
+
+
 def _parse_target(target: str) -> _Query | None:
     parts = urlsplit(target)
     if not parts.path.startswith(KV_PREFIX):
@@ -187,7 +199,7 @@
     wait = values.get("wait", [f"{DEFAULT_WAIT_S}s"])[0]
     try:
         seen = int(values.get("index", ["0"])[0])
-        wait_s = float(wait.removesuffix("s"))
+        wait_s = parse_duration_s(wait)
     except ValueError:
         return None
     return _Query(parts.path.removeprefix(KV_PREFIX), seen, wait_s)
--- a/bench/run.py
+++ b/bench/run.py
@@ -39,7 +39,14 @@
 def main(argv: list[str]) -> None:
     """Run, print the table, and exit with 1 when something that must hold did not."""
     del argv
-    job = Job(SCENARIOS[FLAGS.scenario], DEPLOYMENTS[FLAGS.deployment], FLAGS.seed, FLAGS.seconds)
+    job = Job(
+        SCENARIOS[FLAGS.scenario],
+        DEPLOYMENTS[FLAGS.deployment],
+        FLAGS.seed,
+        FLAGS.seconds,
+        is_relayed=FLAGS.relayed,
+        logs=Path(FLAGS.logs) if FLAGS.logs else None,
+    )
     path = Path(FLAGS.json) if FLAGS.json else None
     columns = {}
     found: list[str] = []
