Keep block-wise transfers over a change of home; settle founders at once

Cause: a crash or pause within the request lifetime of the fleet's start made 28 % of requests unknown, as every slot counted as unsettled; the second block of a sheet was answered 4.08 after its home had moved.

--- a/banyanline/core/context.py
+++ b/banyanline/core/context.py
@@ -17,6 +17,7 @@
     SendToUpstream,
     TransferToPeer,
 )
+from banyanline.core.founding import Founding
 from banyanline.core.invariants import require
 from banyanline.core.membership import Membership
 from banyanline.core.messages import DataMessage, FlowKey
@@ -58,11 +59,13 @@
         membership: Membership,
         slots: SlotTable,
         ownership: OwnershipTable,
+        founding: Founding,
         limits: Limits,
         rng: random.Random,
         wall_clock: Callable[[], float],
     ) -> None:
         self._local = local
+        self._founding = founding
         self._limits = limits
         self._rng = rng
         self._wall_clock = wall_clock
@@ -158,9 +161,28 @@
         return None if configured is None else key_of(configured)
 
     def is_settled(self, slot: int, period_s: Seconds, now: Seconds) -> bool:
-        """Whether this balancer has been home of the slot for ``period_s``."""
-        since = self.slots.home_since(slot, self._local.name)
-        return since is not None and now - since >= period_s
+        """Whether this balancer alone has been home of the slot for ``period_s``.
+
+        While its lease was not fresh another host may have been home.
+        """
+        home_since = self.slots.home_since(slot, self._local.name)
+        lease_since = self.membership.lease_since(now)
+        if home_since is None or lease_since is None:
+            return False
+        since = max(home_since, lease_since)
+        if since <= self._founding.ends_at and self.is_founder(now):
+            return True
+        return now - since >= period_s
+
+    def is_founder(self, now: Seconds) -> bool:
+        """Whether this process was there when the fleet began."""
+        return self._founding.is_founder(self.membership.view, now)
+
+    def previous_homes(self, slot: int, now: Seconds) -> list[HostName]:
+        """Return the earlier homes of a slot whose requests may still be repeated."""
+        began = self._founding.ends_at if self.is_founder(now) else float("-inf")
+        homes = self.slots.previous_homes(slot, now)
+        return [home.host for home in homes if home.until > began]
 
     def owners_of_service(self, service: ServiceName) -> dict[HostName, list[UpstreamName]]:
         """Return the owners of all reachable upstreams of a service."""
@@ -179,10 +201,12 @@
 
         That takes a fresh lease, so that a process that was paused stands back, and
         a majority of the listed hosts, so that of two sides of a partition at most
-        one goes on.
+        one goes on. A process that has just started waits until its view is complete.
         """
-        return self.membership.lease_fresh(now) and self.membership.has_majority(
-            self._local.fabric_group, now
+        return (
+            self._founding.is_over(now)
+            and self.membership.lease_fresh(now)
+            and self.membership.has_majority(self._local.fabric_group, now)
         )
 
     def ensure_same_service(self, service: ServiceName, upstream: UpstreamName) -> None:
--- a/banyanline/core/home/claims.py
+++ b/banyanline/core/home/claims.py
@@ -82,7 +82,7 @@
         """Ask all owners of the key's service."""
         context = self._context
         ballot = self._next_ballot()
-        previous = tuple(home.host for home in context.slots.previous_homes(slot, now))
+        previous = tuple(context.previous_homes(slot, now))
         owners = context.owners_of_service(key.service)
         asks = {
             owner: Claim(key, ballot, previous, tuple(upstreams))
--- a/banyanline/core/home/datagrams.py
+++ b/banyanline/core/home/datagrams.py
@@ -117,8 +117,8 @@
         """Whether a previous home of the flow is gone, so that both witnesses may be lost."""
         context = self._context
         view = context.membership.view
-        homes = context.slots.previous_homes(context.slot_of(flow), now)
-        return any(not view.is_alive(home.host) for home in homes)
+        homes = context.previous_homes(context.slot_of(flow), now)
+        return any(not view.is_alive(home) for home in homes)
 
     def receive_settled(self, flow: FlowKey, payload: bytes, now: Seconds) -> None:
         """Forward a datagram whose flow was looked up."""
@@ -180,6 +180,6 @@
         for home, flows in moved.items():
             for start in range(0, len(flows), HANDOVER_CHUNK):
                 chunk = tuple(flows[start : start + HANDOVER_CHUNK])
-                self._context.transfer(home, HomeHandover(chunk, ()))
+                self._context.transfer(home, HomeHandover(flows=chunk))
             for flow, _ in flows:
                 self._flows.close(flow)
--- a/banyanline/core/home/entry.py
+++ b/banyanline/core/home/entry.py
@@ -16,6 +16,7 @@
     WAITING_FOR_LEASE = "waiting_for_lease"
     CLAIMING = "claiming"
     WAITING_TO_CLAIM = "waiting_to_claim"
+    FINDING_TRANSFER = "finding_transfer"
     DISPATCHED = "dispatched"
     WAITING_TO_RETRY = "waiting_to_retry"
     ANSWERED = "answered"
--- a/banyanline/core/home/home.py
+++ b/banyanline/core/home/home.py
@@ -109,6 +109,7 @@
     def placement_changed(self, now: Seconds) -> None:
         """Hand flows over whose slot has moved, and follow upstreams to their new owners."""
         self._streams.hand_over()
+        self._transfers.hand_over()
         self._datagrams.hand_over()
         self._streams.owners_changed(now)
 
@@ -116,6 +117,7 @@
         """Take flows and streams from their previous home."""
         self._datagrams.take_over(message.flows, now)
         self._streams.take_over(message.streams, now)
+        self._transfers.take_over(message.transfers, now)
 
     def host_lost(self, host: HostName, now: Seconds) -> None:
         """End or move what waits for a host that is no longer alive."""
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -25,17 +25,20 @@
     CancelDispatch,
     ClaimReply,
     Dispatch,
+    FindTransfer,
     FlowKey,
     NotRun,
     Pending,
     RequestKey,
     Result,
     Superseded,
+    TransferFound,
     Unknown,
 )
 from banyanline.core.placement import slot_of
 from banyanline.core.retry import AttemptOutcome, RetryAt
 from banyanline.core.timers import TimerHeap
+from banyanline.core.transfers import transfer_key
 from banyanline.core.types import Endpoint, HostName, Seconds, UpstreamName
 
 if TYPE_CHECKING:
@@ -53,6 +56,7 @@
 """After so many unanswered resends an idempotent request is tried with another owner."""
 
 RECLAIM_DELAY_S = 0.05
+FIND_TRANSFER_S = 0.15
 LEASE_RETRY_S = 0.05
 LEASE_WAIT_S = 0.6
 
@@ -144,7 +148,7 @@
         slot = slot_of(entry.hash)
         entry.is_unseen = context.is_settled(slot, context.limits.request_lifetime_s, now)
         if not self._pin(entry, now):
-            self._finish(entry, coap.transfer_restart(), now)
+            self._find_transfer(entry, now)
         elif entry.is_idempotent:
             self._dispatch(entry, now)
         elif not context.may_decide(now):
@@ -165,6 +169,31 @@
             return entry.pinned is not None
         return True
 
+    def _find_transfer(self, entry: Entry, now: Seconds) -> None:
+        """Ask the owners for the upstream of the earlier blocks, or make the caller start anew."""
+        request = entry.request
+        assert request is not None
+        if entry.is_unseen or entry.phase is Phase.FINDING_TRANSFER:
+            self._finish(entry, coap.transfer_restart(), now)
+            return
+        entry.phase = Phase.FINDING_TRANSFER
+        message = FindTransfer(entry.key, transfer_key(entry.flow, request.message))
+        for owner in self._context.owners_of_service(entry.key.service):
+            self._context.send(owner, message)
+        self._timers.add(now + FIND_TRANSFER_S, (entry, Phase.FINDING_TRANSFER, 0))
+
+    def receive_transfer(self, message: TransferFound, now: Seconds) -> None:
+        """Take an owner's word on the upstream of a block-wise transfer in."""
+        entry = self._ledger.get(message.key)
+        if entry is None or entry.phase is not Phase.FINDING_TRANSFER:
+            return
+        request = entry.request
+        assert request is not None
+        self._context.ensure_same_service(entry.key.service, message.upstream)
+        self._context.counters.recovered["transfer"] += 1
+        self._transfers.learn(entry.flow, request.message, message.upstream, now)
+        self._admit(entry, now)
+
     def _wait_for_lease(self, entry: Entry, now: Seconds) -> None:
         if now - entry.arrived_at >= LEASE_WAIT_S:
             self._finish_unknown(entry, UnknownReason.NO_QUORUM, now)
@@ -372,7 +401,7 @@
 
     def _continue(self, entry: Entry, serial: int, now: Seconds) -> None:
         match entry.phase:
-            case Phase.WAITING_FOR_LEASE:
+            case Phase.WAITING_FOR_LEASE | Phase.FINDING_TRANSFER:
                 self._readmit(entry, now)
             case Phase.CLAIMING:
                 self._claims.resend(entry.key)
@@ -387,7 +416,7 @@
     def _readmit(self, entry: Entry, now: Seconds) -> None:
         if entry.refusal is not None:
             self._claim(entry, slot_of(entry.hash), now)
-        elif self._context.may_decide(now):
+        elif entry.phase is Phase.FINDING_TRANSFER or self._context.may_decide(now):
             self._admit(entry, now)
         else:
             self._wait_for_lease(entry, now)
--- a/banyanline/core/home/streams.py
+++ b/banyanline/core/home/streams.py
@@ -353,7 +353,7 @@
         for home, states in moved.items():
             for start in range(0, len(states), HANDOVER_CHUNK):
                 chunk = tuple(states[start : start + HANDOVER_CHUNK])
-                self._context.transfer(home, HomeHandover((), chunk))
+                self._context.transfer(home, HomeHandover(streams=chunk))
             for state in states:
                 self._stop_resuming(self._streams.pop(state.stream))
 
--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -204,6 +204,36 @@
     known: tuple[tuple[FlowKey, UpstreamName], ...]
 
 
+class TransferKey(NamedTuple):
+    """A resource that a caller is transferring block by block (RFC 7959)."""
+
+    flow: FlowKey
+    path: tuple[str, ...]
+    query: tuple[str, ...]
+
+
+class TransferState(NamedTuple):
+    """The upstream of a block-wise transfer and the version (ETag) of its blocks, if known."""
+
+    transfer: TransferKey
+    upstream: UpstreamName
+    version: bytes | None
+
+
+class FindTransfer(_Message, frozen=True, tag="ft"):
+    """A new home asks an owner for the upstream that sent the earlier blocks."""
+
+    key: RequestKey
+    transfer: TransferKey
+
+
+class TransferFound(_Message, frozen=True, tag="tf"):
+    """The owner knows the transfer."""
+
+    key: RequestKey
+    upstream: UpstreamName
+
+
 class Claim(_Message, frozen=True, tag="cl"):
     """A new home asks an owner for a request key before it dispatches the key.
 
@@ -279,10 +309,11 @@
 
 
 class HomeHandover(_Message, frozen=True, tag="hh"):
-    """Flows and streams that move to a new home, in chunks."""
+    """Flows, streams and block-wise transfers that move to a new home, in chunks."""
 
-    flows: tuple[tuple[FlowKey, UpstreamName], ...]
-    streams: tuple[StreamState, ...]
+    flows: tuple[tuple[FlowKey, UpstreamName], ...] = ()
+    streams: tuple[StreamState, ...] = ()
+    transfers: tuple[TransferState, ...] = ()
 
 
 class Cede(_Message, frozen=True, tag="ce"):
@@ -326,6 +357,8 @@
     | LookupReply
     | Claim
     | ClaimReply
+    | FindTransfer
+    | TransferFound
     | HomeHandover
     | Cede
     | Released
--- a/banyanline/core/node.py
+++ b/banyanline/core/node.py
@@ -15,6 +15,7 @@
 from banyanline.core.counters import DropReason, FlowEnd
 from banyanline.core.directory import Directory
 from banyanline.core.effects import Effect, SendProbe
+from banyanline.core.founding import Founding
 from banyanline.core.home import Home
 from banyanline.core.membership import (
     Membership,
@@ -33,6 +34,7 @@
     ClaimReply,
     DataMessage,
     Dispatch,
+    FindTransfer,
     FlowData,
     FlowKey,
     FlowRefused,
@@ -45,6 +47,7 @@
     Result,
     StreamEnded,
     ToHome,
+    TransferFound,
 )
 from banyanline.core.model import Configuration
 from banyanline.core.owner import Owner
@@ -82,11 +85,13 @@
         lifetime_s = settings.limits.request_lifetime_s
         history_s = max(lifetime_s, settings.flow_idle_timeout_s)
         membership = Membership(local, settings.membership, rng, now, settings.incarnation)
+        self._founding = Founding(local.fabric_group, settings.incarnation, now)
         self._context = Context(
             local,
             membership,
             SlotTable(history_s),
             OwnershipTable(local.fabric_group, history_s),
+            self._founding,
             settings.limits,
             rng,
             wall_clock,
@@ -304,6 +309,14 @@
     def _(self, message: ClaimReply, sender: HostName, now: Seconds) -> None:
         self._home.requests.receive_claim_reply(sender, message, now)
 
+    @_dispatch.register
+    def _(self, message: FindTransfer, sender: HostName, now: Seconds) -> None:
+        self._owner.find_transfer(sender, message, now)
+
+    @_dispatch.register
+    def _(self, message: TransferFound, sender: HostName, now: Seconds) -> None:
+        self._home.requests.receive_transfer(message, now)
+
     @_dispatch.register
     def _(self, message: HomeHandover, sender: HostName, now: Seconds) -> None:
         self._home.take_over(message, now)
@@ -332,7 +345,11 @@
     def _view_changed(self, now: Seconds) -> None:
         context = self._context
         view = context.membership.view
-        context.slots.update(view.homes(context.local.fabric_group), now)
+        homes = view.homes(context.local.fabric_group)
+        if not self._founding.is_over(now):
+            # For a host that has just come the home before it is the home without it.
+            context.slots.update([name for name in homes if name != context.local.name], now)
+        context.slots.update(homes, now)
         alive = frozenset(member.host.name for member in view.members if member.is_live)
         lost = self._alive - alive
         self._alive = alive
--- a/banyanline/core/owner/owner.py
+++ b/banyanline/core/owner/owner.py
@@ -11,6 +11,7 @@
     Cede,
     Claim,
     Dispatch,
+    FindTransfer,
     FlowData,
     FlowKey,
     Lookup,
@@ -37,7 +38,7 @@
         self._flows = OwnerFlows(context, self._owned, flow_idle_timeout_s, now)
         self._claims = ClaimJudge(context, self._ledger, self._owned)
         self._succession = Succession(
-            context, self._ledger, self._owned, self._requests, self._flows.table, now
+            context, self._ledger, self._owned, self._requests, self._flows.table
         )
 
     @property
@@ -87,6 +88,10 @@
         """Deregister a stream."""
         self._requests.cancel_stream(message)
 
+    def find_transfer(self, sender: HostName, message: FindTransfer, now: Seconds) -> None:
+        """Tell a new home the upstream of a block-wise transfer."""
+        self._requests.find_transfer(sender, message, now)
+
     def claim(self, sender: HostName, message: Claim, now: Seconds) -> None:
         """Answer a home's claim."""
         self._claims.receive(sender, message, now)
--- a/banyanline/core/owner/requests.py
+++ b/banyanline/core/owner/requests.py
@@ -27,6 +27,7 @@
     CancelDispatch,
     CancelStream,
     Dispatch,
+    FindTransfer,
     FlowKey,
     KeyState,
     Notification,
@@ -38,12 +39,14 @@
     StreamEnded,
     StreamKey,
     Superseded,
+    TransferFound,
     Unknown,
 )
 from banyanline.core.owner.exchanges import Exchange, OwnedStream, PendingWork
 from banyanline.core.owner.owned import OwnedUpstream
 from banyanline.core.owner.tenure import Stage
 from banyanline.core.timers import TimerHeap
+from banyanline.core.transfers import TransferTable, transfer_key
 from banyanline.core.types import HostName, Seconds, UpstreamName
 
 RESULT_MARGIN_S = 0.005
@@ -59,6 +62,7 @@
         self._context = context
         self._ledger = ledger
         self._owned = owned
+        self._transfers = TransferTable(context.limits.requests)
         self._timers: TimerHeap[tuple[OwnedUpstream, Exchange]] = TimerHeap()
 
     @property
@@ -315,9 +319,25 @@
             effects = owned.gate.finished(key, Answered(), now)
             outcome = AnsweredOutcome(payload)
             self._settle_stream(owned, exchange, response)
+            self._note_transfer(owned, exchange, response, now)
         self._conclude(owned, key, outcome, now)
         self.run(owned, effects, now)
 
+    def _note_transfer(
+        self, owned: OwnedUpstream, exchange: Exchange, response: coap.Response, now: Seconds
+    ) -> None:
+        """Remember a block-wise transfer, should its home be lost."""
+        if coap.starts_transfer(response.message):
+            flow = FlowKey(*exchange.key[:3])
+            key = transfer_key(flow, coap.message(exchange.request))
+            self._transfers.put(key, owned.name, coap.etag(response.message), now)
+
+    def find_transfer(self, sender: HostName, message: FindTransfer, now: Seconds) -> None:
+        """Tell a new home the upstream of a transfer, if it is known here."""
+        upstream = self._transfers.upstream_of(message.transfer, now)
+        if upstream is not None:
+            self._context.send(sender, TransferFound(message.key, upstream))
+
     def _settle_stream(
         self, owned: OwnedUpstream, exchange: Exchange, response: coap.Response
     ) -> None:
@@ -392,6 +412,7 @@
 
     def tick(self, now: Seconds) -> None:
         """End the exchanges whose time is over."""
+        self._transfers.expire(now)
         for owned, exchange in self._timers.due(now):
             if owned.exchanges.by_key(exchange.key) is exchange:
                 self._send_reset(owned, exchange)
--- a/banyanline/core/owner/succession.py
+++ b/banyanline/core/owner/succession.py
@@ -26,9 +26,6 @@
 HANDOVER_WAIT_S = 1.5
 KEYS_PER_CHUNK = 400
 FLOWS_PER_CHUNK = 2000
-YOUNG_FLEET_S = 60.0
-"""A fleet whose hosts all started within this time has no owners before them."""
-
 UNKNOWN_HOST: HostName = ""
 
 
@@ -42,14 +39,14 @@
         owned: dict[UpstreamName, OwnedUpstream],
         requests: OwnerRequests,
         flows: FlowTable[FlowKey],
-        started_at: Seconds,
     ) -> None:
         self._context = context
         self._ledger = ledger
         self._owned = owned
         self._requests = requests
         self._flows = flows
-        self._started_at = started_at
+        self._lease_since: Seconds | None = None
+        self._was_interrupted = False
         self._known: set[UpstreamName] = set()
 
     # -- taking over
@@ -106,7 +103,7 @@
         lifetime_s = context.limits.request_lifetime_s
         if predecessor is not None and view.is_alive(predecessor):
             return Tenure(Stage.AWAITING_HANDOVER, now + HANDOVER_WAIT_S, predecessor)
-        if previous or (not is_new_upstream and self._joined_running_fleet(now)):
+        if previous or not (is_new_upstream or context.is_founder(now)):
             wait_s = context.membership.takeover_wait_s
             tenure = Tenure(Stage.WAITING_OUT_LEASE, now + wait_s, predecessor)
             tenure.lose(predecessor or UNKNOWN_HOST, now + lifetime_s)
@@ -126,23 +123,28 @@
         ]
         return assign(keys, others).get(key_of(upstream))
 
-    def _joined_running_fleet(self, now: Seconds) -> bool:
-        """Whether this process has just started and others have run for long."""
-        context = self._context
-        if now - self._started_at > YOUNG_FLEET_S:
-            return True
-        view = context.membership.view
-        group = context.local.fabric_group
-        own = context.membership.incarnation
-        oldest = min(
-            (
-                member.incarnation
-                for member in view.members
-                if member.host.fabric_group == group and member.is_live and member.incarnation > 0
-            ),
-            default=own,
-        )
-        return own - oldest > YOUNG_FLEET_S * 1000
+    def check_lease(self, now: Seconds) -> None:
+        """Start anew with all upstreams after a time in which others may have owned them."""
+        lease_since = self._context.membership.lease_since(now)
+        if lease_since is None or lease_since == self._lease_since:
+            return
+        is_first = self._lease_since is None
+        self._lease_since = lease_since
+        if is_first:
+            return
+        self._was_interrupted = True
+        self._context.log("lease_regained")
+        for owned in self._owned.values():
+            if owned.is_active:
+                self._interrupt(owned, now)
+
+    def _interrupt(self, owned: OwnedUpstream, now: Seconds) -> None:
+        self._requests.run(owned, owned.gate.cede(now), now)
+        predecessor = self._likely_predecessor(owned.upstream, self._context.membership.view)
+        lost = owned.tenure.lost(now)
+        owned.tenure = Tenure(Stage.AWAITING_HANDOVER, now + HANDOVER_WAIT_S, predecessor)
+        for earlier in lost:
+            owned.tenure.lose(earlier.host, earlier.until)
 
     def receive_cede(self, sender: HostName, message: Cede, now: Seconds) -> None:
         """Take in what the previous owner hands over."""
@@ -154,7 +156,9 @@
             self._flows.open(flow, message.upstream, now)
             owned.gate.adopt_connection(flow)
         for host, remaining_s in message.uncertain:
-            owned.tenure.lose(host, now + remaining_s)
+            # What this process has carried itself stands in its own ledger.
+            if host != self._context.local.name or not owned.has_served:
+                owned.tenure.lose(host, now + remaining_s)
         is_expected = owned.tenure.stage is Stage.AWAITING_HANDOVER
         if message.last and is_expected and sender == owned.tenure.predecessor:
             self._activate(owned, StartHandedOver(message.gate), now)
@@ -187,6 +191,7 @@
 
     def tick(self, now: Seconds) -> None:
         """End the waits that are over and forget what was ceded and has ended."""
+        self.check_lease(now)
         for owned in list(self._owned.values()):
             tenure = owned.tenure
             if owned.is_ceded and owned.is_idle:
@@ -216,16 +221,13 @@
     def _miss_handover(self, owned: OwnedUpstream, now: Seconds) -> None:
         context = self._context
         tenure = owned.tenure
-        if self._is_fresh_fleet(now):
+        if context.is_founder(now) and not self._was_interrupted:
             self._activate(owned, StartCold(), now)
             return
         tenure.stage = Stage.WAITING_OUT_LEASE
         tenure.until = now + context.membership.takeover_wait_s
         tenure.lose(tenure.predecessor or UNKNOWN_HOST, now + context.limits.request_lifetime_s)
 
-    def _is_fresh_fleet(self, now: Seconds) -> bool:
-        return not self._joined_running_fleet(now)
-
     @staticmethod
     def _start_after_loss(owned: OwnedUpstream) -> GateStart:
         report = owned.health.last
@@ -253,7 +255,7 @@
 
     def _note_unfinished(self, owned: OwnedUpstream, now: Seconds) -> None:
         tenure = owned.tenure
-        if tenure.predecessor is not None and not self._is_fresh_fleet(now):
+        if tenure.predecessor is not None and not self._context.is_founder(now):
             tenure.lose(tenure.predecessor, now + self._context.limits.request_lifetime_s)
 
     def _chunks(self, owned: OwnedUpstream, now: Seconds) -> Iterator[Cede]:
