Take hours as UTC where a host lacks a time zone

Cause: a peer's update is not checked again by name, so that a zone that this host's database lacks would raise in PatienceTable and stop the balancer. Change: such hours follow UTC, and unknown_time_zones names the zones.

--- a/banyanline/core/patience.py
+++ b/banyanline/core/patience.py
@@ -36,6 +36,13 @@
     return minute >= window.start_minute or minute < window.end_minute
 
 
+def _load_time_zone(name: str) -> dt.tzinfo | None:
+    try:
+        return zoneinfo.ZoneInfo(name)
+    except (zoneinfo.ZoneInfoNotFoundError, ValueError, OSError):
+        return None
+
+
 class _GroupPatience:
     """The patience of one group, kept for the minute that was last asked for.
 
@@ -45,9 +52,9 @@
 
     __slots__ = ("_group", "_time_zone", "minute", "patience_s")
 
-    def __init__(self, group: CallerGroup) -> None:
+    def __init__(self, group: CallerGroup, time_zone: dt.tzinfo) -> None:
         self._group = group
-        self._time_zone = zoneinfo.ZoneInfo(group.time_zone)
+        self._time_zone = time_zone
         self.minute = _NO_MINUTE
         self.patience_s = group.default_patience_s
 
@@ -90,7 +97,9 @@
 class PatienceTable:
     """Finds the patience of a caller; the most specific network wins.
 
-    The time zones are loaded when the table is built, so that lookups do no I/O.
+    The time zones are loaded when the table is built, so that lookups do no I/O. A
+    configuration that a peer has checked may name a zone that this host's database
+    lacks; its hours then follow UTC, and :attr:`unknown_time_zones` tells.
 
     >>> from banyanline.core.model import CallerGroup, PatienceWindow
     >>> night = PatienceWindow(start_minute=22 * 60, end_minute=6 * 60, patience_s=2.0)
@@ -105,10 +114,16 @@
     ) -> None:
         self._default_patience_s = default_patience_s
         self._by_length: dict[int, _Prefixes] = {}
+        self._unknown_time_zones: set[str] = set()
         for group in groups:
             self._add(group)
         self._longest_first = [self._by_length[n] for n in sorted(self._by_length, reverse=True)]
 
+    @property
+    def unknown_time_zones(self) -> frozenset[str]:
+        """The time zones that this host does not know."""
+        return frozenset(self._unknown_time_zones)
+
     def group_of(self, caller_ip: str) -> GroupName | None:
         """Return the name of the group that the caller belongs to, if there is one."""
         group = self._find(_address_number(caller_ip))
@@ -129,7 +144,10 @@
         return group.patience_s
 
     def _add(self, group: CallerGroup) -> None:
-        patience = _GroupPatience(group)
+        time_zone = _load_time_zone(group.time_zone)
+        if time_zone is None:
+            self._unknown_time_zones.add(group.time_zone)
+        patience = _GroupPatience(group, time_zone or dt.UTC)
         for network in group.networks:
             ip, _, length_text = network.partition("/")
             length = int(length_text)
--- a/banyanline/tests/test_patience.py
+++ b/banyanline/tests/test_patience.py
@@ -89,3 +89,10 @@
     assert PatienceTable([], 7.0).patience_s(CALLER, 0.0) == 7.0
     everywhere = group(networks=("0.0.0.0/0",))
     assert PatienceTable([everywhere]).patience_s("203.0.113.1", 0.0) == 9.0
+
+
+def test_unknown_time_zone_follows_utc():
+    table = PatienceTable([group(("22:00", "06:00"), time_zone="Europe/Split")])
+    assert table.unknown_time_zones == {"Europe/Split"}
+    assert table.patience_s(CALLER, utc_s("2026-07-04 21:59")) == 9.0
+    assert table.patience_s(CALLER, utc_s("2026-07-04 22:00")) == 2.0
