--- a/bench/run.py
+++ b/bench/run.py
@@ -44,6 +44,7 @@
         DEPLOYMENTS[FLAGS.deployment],
         FLAGS.seed,
         FLAGS.seconds,
+        is_relayed=FLAGS.relayed,
         logs=Path(FLAGS.logs) if FLAGS.logs else None,
     )
     path = Path(FLAGS.json) if FLAGS.json else None
