Let a balancer declare a host dead only after its own probe has failed

Change: who hears of a suspicion probes the host itself before agreeing; a death that is declared is told to some peers at once; queue and views cost little at any fleet size; benches for membership and ownership. The messages after a whole data centre crashes are still too many.

--- a/banyanline/core/membership/detector.py
+++ b/banyanline/core/membership/detector.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from collections import Counter
 from dataclasses import dataclass
 from functools import singledispatchmethod
 
@@ -35,11 +36,14 @@
 from banyanline.core.types import Host, HostName, Seconds
 
 _ANNOUNCEMENT_FANOUT = 4
-"""Peers that hear at once that this process is leaving."""
+"""Peers that hear at once that this process is leaving or has declared a host dead."""
 
 _SEQUENCE_BITS = 31
 """The first sequence is random, so that no late datagram answers a restarted process."""
 
+_CHECKS_AT_ONCE = 2
+"""Hosts suspected by others that this process probes at the same time."""
+
 _FILLED_BELOW = 1
 """A probe with fewer updates carries what is held of one random host as well."""
 
@@ -97,9 +101,11 @@
         self._next_probe_at = now + rng.random() * settings.probe_interval_s
         self._next_reconnect_at = now + settings.reconnect_interval_s
         self._due_at = now
-        self._view = View(0, (self._table.local.member(),))
+        self._view = View(0, self._table.members)
         self._removable_incarnation = incarnation
         self._table_version = -1
+        self._standing_version = -1
+        self._majorities: frozenset[str] = frozenset()
         self._queue.put(self._table.local.update(with_place=True))
         self._refresh(now, [])
 
@@ -150,12 +156,7 @@
         Hosts count that are listed by the platform or known otherwise, unless they have
         left. A process that has never seen a list has no majority.
         """
-        votes = [
-            record.is_live
-            for record in self._table
-            if record.host.fabric_group == fabric_group and not record.has_left
-        ]
-        return self._is_seeded and 2 * sum(votes) > len(votes)
+        return self._is_seeded and fabric_group in self._majorities
 
     def set_revision(self, revision: int) -> None:
         """Tell peers from now on that this process holds configuration ``revision``."""
@@ -181,9 +182,7 @@
         if not local.is_leaving:
             self._table.leave(now)
             self._queue.put(local.update(with_place=True))
-            peers = [record for record in self._table.peers() if record.is_live]
-            for record in self._rng.sample(peers, min(_ANNOUNCEMENT_FANOUT, len(peers))):
-                effects.append(self._probe(record, now))
+            self._announce(now, effects)
         self._refresh(now, effects)
         return effects
 
@@ -192,7 +191,8 @@
         effects: list[MembershipEffect] = []
         self._notice_stall(now)
         self._expire_probes(now, effects)
-        self._expire_suspicions(now)
+        self._expire_suspicions(now, effects)
+        self._check_suspicions(now, effects)
         if now >= self._next_probe_at:
             self._next_probe_at = now + self._settings.probe_interval_s
             self._probe_next(now, effects)
@@ -260,6 +260,7 @@
         self._answered_at = now
         self._health_penalty = max(0, self._health_penalty - 1)
         self._state_answers += 1
+        self._restart_suspicion(probe.target, now)
         self._contacts.record(probe.target, probe.sent_at)
         self._contacts.merge(message.contacts, probe.sent_at, now)
 
@@ -267,8 +268,12 @@
         if update.name == self.local.name:
             self._defend(update, now)
             return
-        if self._table.apply(update, now):
-            self._queue.put(update)
+        if not self._table.apply(update, now):
+            return
+        record = self._table.get(update.name)
+        if record is not None and record.status is MemberStatus.ALIVE:
+            update = record.update(with_place=not record.is_listed)
+        self._queue.put(update)
 
     def _defend(self, update: MemberUpdate, now: Seconds) -> None:
         """Refute a claim about this process that would win over its own."""
@@ -290,6 +295,7 @@
         for record in self._table.suspects:
             if record.suspicion is not None:
                 record.suspicion.since += stalled_s
+                record.suspicion.is_checked = False
         self._health_penalty = self._settings.max_health_penalty
         self._next_probe_at = now
         self._due_at = now
@@ -343,16 +349,58 @@
             host_identity(self.local.name),
         )
         self._apply(suspect, now)
+        if record.suspicion is not None:
+            record.suspicion.is_own = True
         effects.append(self._probe(record, now))
 
-    def _expire_suspicions(self, now: Seconds) -> None:
+    def _expire_suspicions(self, now: Seconds, effects: list[MembershipEffect]) -> None:
+        """Declare hosts dead that have not refuted their suspicion in time."""
+        expired = [
+            record for record in self._table.suspects if now >= self._suspicion_deadline(record)
+        ]
+        for record in expired:
+            self._apply(MemberUpdate(record.host.name, MemberStatus.DEAD, record.incarnation), now)
+        if expired:
+            self._announce(now, effects)
+
+    def _announce(self, now: Seconds, effects: list[MembershipEffect]) -> None:
+        """Probe some peers at once, so that the latest updates spread without delay."""
+        peers = [record for record in self._table.peers() if record.status is MemberStatus.ALIVE]
+        for record in self._rng.sample(peers, min(_ANNOUNCEMENT_FANOUT, len(peers))):
+            effects.append(self._probe(record, now))
+
+    def _check_suspicions(self, now: Seconds, effects: list[MembershipEffect]) -> None:
+        """Probe hosts that others suspect, a few at once, before this process agrees."""
+        at_once = sum(
+            record.suspicion is not None and record.suspicion.is_checked
+            for record in self._table.suspects
+        )
         for record in self._table.suspects:
-            if now >= self._suspicion_deadline(record):
-                dead = MemberUpdate(record.host.name, MemberStatus.DEAD, record.incarnation)
-                self._apply(dead, now)
+            if at_once == _CHECKS_AT_ONCE:
+                return
+            if record.suspicion is not None and now >= self._check_at(record):
+                record.suspicion.is_checked = True
+                at_once += 1
+                effects.append(self._probe(record, now))
+
+    def _restart_suspicion(self, name: HostName, now: Seconds) -> None:
+        """Hold nothing against a host that has answered but has not refuted yet."""
+        record = self._table.get(name)
+        if record is not None and record.suspicion is not None:
+            record.suspicion.since = now
+            record.suspicion.is_own = False
+            record.suspicion.is_checked = False
+
+    def _check_at(self, record: Record) -> Seconds:
+        """Return when a host that others suspect is to be probed."""
+        suspicion = record.suspicion
+        if suspicion is None or suspicion.is_own or suspicion.is_checked:
+            return math.inf
+        return suspicion.since + self._settings.suspicion_min_s
 
     def _suspicion_deadline(self, record: Record) -> Seconds:
-        if record.suspicion is None:
+        """Return when a host is declared dead by this process."""
+        if record.suspicion is None or not record.suspicion.is_own:
             return math.inf
         settings = self._settings
         return record.suspicion.deadline(
@@ -380,7 +428,7 @@
             self._outstanding[self._sequence] = _Outstanding(
                 record.host.name,
                 now,
-                now + self._settings.ack_timeout_s * stretch,
+                now + self._settings.ack_timeout_s * stretch if record.is_live else math.inf,
                 now + self._settings.probe_failed_s * stretch,
             )
         message = Probe(
@@ -444,37 +492,34 @@
         """Announce the view if its shape has changed, and set when the next tick is due."""
         if self._table.version != self._table_version:
             self._table_version = self._table.version
-            self._rebuild(now)
+            self._view = View(self._view.version + 1, self._table.members)
+            if self._table.standing_version != self._standing_version:
+                self._standing_version = self._table.standing_version
+                self._rebuild(now)
             effects.append(ViewChanged(self._view))
+        probes = self._outstanding.values()
+        suspects = self._table.suspects
         self._due_at = min(
             self._next_probe_at,
             self._next_reconnect_at,
-            min(
-                (min(probe.indirect_at, probe.fail_at) for probe in self._outstanding.values()),
-                default=math.inf,
-            ),
-            min(
-                (self._suspicion_deadline(record) for record in self._table.suspects),
-                default=math.inf,
-            ),
+            *(min(probe.indirect_at, probe.fail_at) for probe in probes),
+            *(self._suspicion_deadline(record) for record in suspects),
         )
 
     def _rebuild(self, now: Seconds) -> None:
-        members = sorted(
-            (record.member() for record in self._table), key=lambda member: member.host.name
-        )
-        self._view = View(self._view.version + 1, tuple(members))
+        """Find anew whom to probe, whose contacts count and which groups have a majority."""
+        peers: dict[bool, list[HostName]] = {True: [], False: []}
+        voters: list[HostName] = []
+        votes: Counter[str] = Counter()
         own_group = self.local.fabric_group
-        group: list[HostName] = []
-        others: list[HostName] = []
-        for record in self._table.peers():
-            if record.is_live:
-                peers = group if record.host.fabric_group == own_group else others
-                peers.append(record.host.name)
-        self._schedule.rebuild(group, others)
-        voters = [
-            record.host.name
-            for record in self._table
-            if record.host.fabric_group == own_group and not record.has_left
-        ]
+        for record in self._table:
+            group = record.host.fabric_group
+            if record.is_live and record.host.name != self.local.name:
+                peers[group == own_group].append(record.host.name)
+            if not record.has_left:
+                votes[group] += 1 if record.is_live else -1
+                if group == own_group:
+                    voters.append(record.host.name)
+        self._majorities = frozenset(group for group, lead in votes.items() if lead > 0)
+        self._schedule.rebuild(group=peers[True], others=peers[False])
         self._contacts.set_voters(voters, now)
--- a/banyanline/core/membership/settings.py
+++ b/banyanline/core/membership/settings.py
@@ -22,7 +22,7 @@
     probe_failed_s: Seconds = 0.4
     indirect_probes: int = 3
     suspicion_min_s: Seconds = 0.5
-    suspicion_max_s: Seconds = 0.9
+    suspicion_max_s: Seconds = 0.8
     suspicion_confirmations: int = 2
     reconnect_interval_s: Seconds = 1.0
     forget_after_s: Seconds = 60.0
@@ -30,7 +30,7 @@
     clock_margin_s: Seconds = 0.1
     stall_s: Seconds = 0.5
     max_health_penalty: int = 2
-    update_bytes: int = 240
+    update_bytes: int = 160
     state_bytes: int = 1000
     state_answers: int = 3
     contact_entries: int = 20
--- a/banyanline/core/membership/table.py
+++ b/banyanline/core/membership/table.py
@@ -21,10 +21,16 @@
 
 @dataclass(slots=True)
 class Suspicion:
-    """When a host was suspected, and by which balancers independently."""
+    """When a host was suspected, and by which balancers independently.
+
+    ``is_own`` says that a probe of this process has failed too. Only then may it declare
+    the host dead. ``is_checked`` says that such a probe is on its way.
+    """
 
     since: Seconds
     origins: set[int] = field(default_factory=set)
+    is_own: bool = False
+    is_checked: bool = False
 
     def deadline(self, shortest_s: Seconds, longest_s: Seconds, confirmations: int) -> Seconds:
         """Return when the host is declared dead (Lifeguard, section IV-B).
@@ -62,10 +68,9 @@
         return not self.is_live and (self.is_leaving or self.is_listed_leaving)
 
     @property
-    def shape(self) -> tuple[Host, int, bool, bool]:
-        """The part of the record whose change makes a new view."""
-        is_leaving = self.is_leaving or self.is_listed_leaving
-        return self.host, self.incarnation, self.is_live, is_leaving
+    def standing(self) -> tuple[str, bool, bool]:
+        """The part of the record that decides whom to probe and who has a vote."""
+        return self.host.fabric_group, self.is_live, self.is_leaving or self.is_listed_leaving
 
     @property
     def claim(self) -> tuple[int, MemberStatus]:
@@ -96,8 +101,10 @@
     def __init__(self, local: Host, incarnation: int, now: Seconds) -> None:
         self._records = {local.name: Record(local, MemberStatus.ALIVE, incarnation, now)}
         self._local_name = local.name
+        self._members = {local.name: self.local.member()}
         self._suspects: dict[HostName, Record] = {}
         self._version = 0
+        self._standing_version = 0
 
     def __iter__(self) -> Iterator[Record]:
         return iter(self._records.values())
@@ -112,9 +119,19 @@
 
     @property
     def version(self) -> int:
-        """Grows whenever a host comes, goes, dies, restarts, moves or starts to leave."""
+        """Grows like :attr:`standing_version`, and when a host restarts or moves as well."""
         return self._version
 
+    @property
+    def standing_version(self) -> int:
+        """Grows whenever a host comes, goes, dies, returns or starts to leave."""
+        return self._standing_version
+
+    @property
+    def members(self) -> dict[HostName, Member]:
+        """A copy of what a view shows."""
+        return self._members.copy()
+
     @property
     def suspects(self) -> tuple[Record, ...]:
         """The hosts that are suspected at present."""
@@ -139,26 +156,28 @@
             return self._admit(update, now)
         if (update.incarnation, update.status) <= record.claim:
             return self._confirm(record, update)
-        before = record.shape
+        before = record.standing
         self._set_status(record, update, now)
         if update.place is not None:
             record.host = host_at(update.name, update.place)
         record.incarnation = update.incarnation
         record.changed_at = now
-        if record.shape != before:
-            self._version += 1
+        self._note_change(record, before)
         return True
 
     def refute(self, incarnation: int, now: Seconds) -> None:
         """Make the local host's claim win over one of ``incarnation``."""
         self.local.incarnation = incarnation + 1
         self.local.changed_at = now
-        self._version += 1
+        self._note_change(self.local, self.local.standing)
 
     def leave(self, now: Seconds) -> None:
         """Mark the local host as leaving."""
+        before = self.local.standing
         self.local.is_leaving = True
-        self.refute(self.local.incarnation, now)
+        self.local.incarnation += 1
+        self.local.changed_at = now
+        self._note_change(self.local, before)
 
     def list_hosts(self, hosts: Iterable[Host], status: MemberStatus, now: Seconds) -> None:
         """Take over the platform's list; a host not known before gets ``status``."""
@@ -168,13 +187,14 @@
             self._list_host(host, status, now)
         for record in self._records.values():
             if record.is_listed and record.host.name not in listed:
+                before = record.standing
                 record.is_listed = False
-                record.unlisted_since = now
-                self._version += record.is_listed_leaving
                 record.is_listed_leaving = False
+                record.unlisted_since = now
+                self._note_change(record, before)
 
-    def forget_unlisted(self, before: Seconds) -> bool:
-        """Drop hosts that have been dead and unlisted since ``before``; return whether any."""
+    def forget_unlisted(self, before: Seconds) -> None:
+        """Drop hosts that have been dead and unlisted since ``before``."""
         gone = [
             record.host.name
             for record in self.peers()
@@ -184,22 +204,39 @@
         ]
         for name in gone:
             del self._records[name]
+            del self._members[name]
         self._version += len(gone)
-        return bool(gone)
+        self._standing_version += len(gone)
 
     def _list_host(self, host: Host, status: MemberStatus, now: Seconds) -> None:
         record = self._records.get(host.name)
         if record is None:
-            record = Record(host, status, LISTED_INCARNATION, now)
-            self._records[host.name] = record
-            self._version += 1
-        before = record.shape
+            self._add(Record(host, status, LISTED_INCARNATION, now))
+            record = self._records[host.name]
+        before = record.standing
         if record.incarnation == LISTED_INCARNATION or not record.is_live:
             record.host = host._replace(state=HostState.LIVE)
         record.is_listed = True
         record.is_listed_leaving = host.state is HostState.LEAVING
-        if record.shape != before:
-            self._version += 1
+        self._note_change(record, before)
+
+    def _add(self, record: Record) -> None:
+        self._records[record.host.name] = record
+        self._members[record.host.name] = record.member()
+        self._version += 1
+        self._standing_version += 1
+
+    def _note_change(self, record: Record, before: tuple[str, bool, bool]) -> None:
+        """Renew what the view shows of ``record``, and the versions if need be."""
+        name = record.host.name
+        old, new = self._members[name], record.member()
+        if old == new:
+            return
+        self._members[name] = new
+        is_news = (old.host, old.incarnation) != (new.host, new.incarnation)
+        has_moved = record.standing != before
+        self._version += is_news or has_moved
+        self._standing_version += has_moved
 
     def _set_status(self, record: Record, update: MemberUpdate, now: Seconds) -> None:
         record.suspicion = None
@@ -217,7 +254,7 @@
     def _admit(self, update: MemberUpdate, now: Seconds) -> bool:
         if update.place is None or update.status >= MemberStatus.SUSPECT:
             return False
-        self._records[update.name] = Record(
+        record = Record(
             host_at(update.name, update.place),
             MemberStatus.ALIVE,
             update.incarnation,
@@ -225,7 +262,7 @@
             is_leaving=update.status is MemberStatus.LEAVING,
             unlisted_since=now,
         )
-        self._version += 1
+        self._add(record)
         return True
 
     def _confirm(self, record: Record, update: MemberUpdate) -> bool:
--- a/banyanline/core/membership/update_queue.py
+++ b/banyanline/core/membership/update_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 
 import msgspec
@@ -25,10 +26,10 @@
 
 
 class UpdateQueue:
-    """The last claim for each host, sent least often first (SWIM, section 4.1)."""
+    """The last claim for each host: new ones first, then in turn (SWIM, section 4.1)."""
 
     def __init__(self) -> None:
-        self._pending: dict[HostName, _Pending] = {}
+        self._pending: OrderedDict[HostName, _Pending] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._pending)
@@ -36,23 +37,23 @@
     def put(self, update: MemberUpdate) -> None:
         """Queue ``update`` in place of any earlier claim about the same host."""
         self._pending[update.name] = _Pending(update, encoded_bytes(update))
-
-    def drop(self, name: HostName) -> None:
-        """Forget the claim about ``name``."""
-        self._pending.pop(name, None)
+        self._pending.move_to_end(update.name, last=False)
 
     def take(self, budget_bytes: int, max_transmissions: int) -> list[MemberUpdate]:
         """Return updates of at most ``budget_bytes`` and count them as sent once more.
 
         An update that was sent ``max_transmissions`` times is dropped.
         """
-        taken: list[MemberUpdate] = []
-        for pending in sorted(self._pending.values(), key=lambda entry: entry.transmissions):
+        taken: list[_Pending] = []
+        while self._pending:
+            name, pending = next(iter(self._pending.items()))
             if pending.size > budget_bytes:
-                continue
+                break
             budget_bytes -= pending.size
-            taken.append(pending.update)
+            taken.append(pending)
+            del self._pending[name]
+        for pending in taken:
             pending.transmissions += 1
-            if pending.transmissions >= max_transmissions:
-                del self._pending[pending.update.name]
-        return taken
+            if pending.transmissions < max_transmissions:
+                self._pending[pending.update.name] = pending
+        return [pending.update for pending in taken]
--- a/banyanline/core/membership/view.py
+++ b/banyanline/core/membership/view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from functools import cached_property
 from typing import NamedTuple
 
@@ -37,33 +38,29 @@
 
     >>> north = Member(Host("north-1", "north", "g", "192.0.2.1", 1, 2), MemberStatus.ALIVE, 1)
     >>> south = Member(Host("south-1", "south", "g", "192.0.2.2", 1, 2), MemberStatus.DEAD, 1)
-    >>> view = View(1, (north, south))
+    >>> view = View(1, {"north-1": north, "south-1": south})
     >>> view.homes("g"), view.owners("south"), view.is_alive("south-1")
     (('north-1',), (), False)
     """
 
-    def __init__(self, version: int, members: tuple[Member, ...]) -> None:
+    def __init__(self, version: int, members: Mapping[HostName, Member]) -> None:
         self._version = version
-        self._members = members
+        self._by_name = members
 
     @property
     def version(self) -> int:
         """Grows by one with each change of the view, from 0 in each process."""
         return self._version
 
-    @property
+    @cached_property
     def members(self) -> tuple[Member, ...]:
         """All known hosts, the dead ones included, sorted by name."""
-        return self._members
-
-    @cached_property
-    def _by_name(self) -> dict[HostName, Member]:
-        return {member.host.name: member for member in self._members}
+        return tuple(self._by_name[name] for name in sorted(self._by_name))
 
     @cached_property
     def _homes(self) -> dict[str, tuple[HostName, ...]]:
         groups: dict[str, list[HostName]] = {}
-        for member in self._members:
+        for member in self.members:
             if member.takes_work:
                 groups.setdefault(member.host.fabric_group, []).append(member.host.name)
         return {group: tuple(names) for group, names in groups.items()}
@@ -71,7 +68,7 @@
     @cached_property
     def _owners(self) -> dict[DataCentreName, tuple[HostName, ...]]:
         data_centres: dict[DataCentreName, list[HostName]] = {}
-        for member in self._members:
+        for member in self.members:
             if member.takes_work:
                 data_centres.setdefault(member.host.data_centre, []).append(member.host.name)
         return {data_centre: tuple(names) for data_centre, names in data_centres.items()}
--- /dev/null
+++ b/bench/measure_membership.py
@@ -0,0 +1,286 @@
+"""Measures the failure detector: bytes, processor time, detection time, false removals.
+
+Drives many detectors in one process over a bus in memory. Sizes are those of the encoded
+messages; what the datagram adds to them is counted as a constant.
+
+    python -m bench.measure_membership cost --sizes 9,73,220,440
+    python -m bench.measure_membership detection --seeds 100
+    python -m bench.measure_membership false --seeds 20 --seconds 60
+"""
+
+from __future__ import annotations
+
+import argparse
+import functools
+import math
+import random
+import statistics
+import time
+from collections import Counter
+from typing import NamedTuple
+
+import msgspec
+
+from banyanline.core.membership import (
+    Membership,
+    MembershipEffect,
+    MembershipMessage,
+    MembershipSettings,
+    SendProbeMessage,
+)
+from banyanline.core.types import Host, HostName, Seconds
+from banyanline.tests.fleet import Datagram, Fleet, Link, make_hosts
+
+DATAGRAM_OVERHEAD_BYTES = 28 + 48
+"""IP and UDP headers, and about the size of the sealed envelope."""
+
+EVENTS = ("none", "all start", "data centre crashes")
+HEARTBEAT_INTERVAL_S: Seconds = 0.5
+HOSTS_PER_DATA_CENTRE = 73
+SETTLE_S: Seconds = 5.0
+
+SETTINGS = {
+    "SWIM, no suspicion": MembershipSettings(
+        ring_every=0, suspicion_min_s=0.0, suspicion_max_s=0.0, max_health_penalty=0
+    ),
+    "SWIM, suspicion": MembershipSettings(
+        ring_every=0, suspicion_min_s=0.9, suspicion_max_s=0.9, max_health_penalty=0
+    ),
+    "SWIM, suspicion, local health": MembershipSettings(ring_every=0),
+    "this one, with a ring": MembershipSettings(),
+}
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[MembershipMessage] = msgspec.msgpack.Decoder(MembershipMessage)
+
+
+class MeteredMembership(Membership):
+    """A detector that adds up the processor time of its calls and of its codec."""
+
+    cpu_s: Seconds = 0.0
+
+    def __init__(
+        self,
+        local: Host,
+        settings: MembershipSettings,
+        rng: random.Random,
+        now: Seconds,
+        incarnation: int,
+        *,
+        is_settled: bool = False,
+    ) -> None:
+        """Start the detector; a settled one has no news for those who hold the list."""
+        super().__init__(local, settings, rng, now, 0 if is_settled else incarnation)
+
+    def tick(self, now: Seconds) -> list[MembershipEffect]:
+        """Run the tick and encode what it sends."""
+        started = time.process_time()
+        effects = super().tick(now)
+        self._encode(effects)
+        self.cpu_s += time.process_time() - started
+        return effects
+
+    def receive(self, message: MembershipMessage, now: Seconds) -> list[MembershipEffect]:
+        """Decode a message as large as this one, take it over, and encode the answers."""
+        encoded = _encoder.encode(message)
+        started = time.process_time()
+        effects = super().receive(_decoder.decode(encoded), now)
+        self._encode(effects)
+        self.cpu_s += time.process_time() - started
+        return effects
+
+    def _encode(self, effects: list[MembershipEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendProbeMessage):
+                _encoder.encode(effect.message)
+
+
+class Cost(NamedTuple):
+    """What one node spends, in the mean."""
+
+    messages_per_s: float
+    message_bytes: float
+    bytes_per_s: float
+    cpu_share: float
+
+
+def make_fleet(count: int, seed: int, settings: MembershipSettings, link: Link) -> Fleet:
+    """Return ``count`` hosts that all know each other."""
+    make_member = functools.partial(MeteredMembership, is_settled=True)
+    return Fleet(hosts_of(count), seed, link, settings, make_member=make_member)
+
+
+def hosts_of(count: int) -> list[Host]:
+    """Return ``count`` hosts: one group in three data centres, or two such regions at 440."""
+    if count < 2 * 3 * HOSTS_PER_DATA_CENTRE:
+        return make_hosts(count, data_centres=1 if count == HOSTS_PER_DATA_CENTRE else 3)
+    half = count // 2
+    return make_hosts(half, group="east") + make_hosts(count - half, group="west")
+
+
+def measure_cost(count: int, seconds: Seconds, event: str) -> Cost:
+    """Let ``count`` hosts run for a while, in peace or with one data centre crashing."""
+    fleet = make_fleet(count, 1, MembershipSettings(), Link())
+    if event == "all start":
+        fleet = Fleet(hosts_of(count), seed=1, make_member=MeteredMembership)
+    fleet.run(SETTLE_S)
+    sizes: list[int] = []
+
+    def note(datagram: Datagram) -> None:
+        sizes.append(len(_encoder.encode(datagram.message)))
+
+    if event == "data centre crashes":
+        lost = fleet.hosts[next(iter(fleet.hosts))].data_centre
+        for name, host in fleet.hosts.items():
+            if host.data_centre == lost:
+                fleet.crash(name)
+    meters = [member for member in fleet.members.values() if isinstance(member, MeteredMembership)]
+    before = sum(meter.cpu_s for meter in meters)
+    fleet.on_send = note
+    fleet.run(seconds)
+    nodes = len(meters)
+    mean_bytes = statistics.mean(sizes)
+    per_node = len(sizes) / nodes / seconds
+    cpu_s = sum(meter.cpu_s for meter in meters) - before
+    return Cost(
+        per_node,
+        mean_bytes,
+        2 * per_node * (mean_bytes + DATAGRAM_OVERHEAD_BYTES),
+        cpu_s / nodes / seconds,
+    )
+
+
+def print_cost(sizes: list[int], seconds: Seconds) -> None:
+    """Print what a node spends at each size, sent and received together."""
+    print(f"{'hosts':>6} {'event':22}{'sent/s':>8}{'bytes':>7}{'B/s in+out':>12}{'core %':>8}")
+    for count in sizes:
+        for event in EVENTS:
+            if event == "data centre crashes" and count == HOSTS_PER_DATA_CENTRE:
+                continue
+            cost = measure_cost(count, seconds, event)
+            print(
+                f"{count:6} {event:22}{cost.messages_per_s:8.1f}{cost.message_bytes:7.0f}"
+                f"{cost.bytes_per_s:12.0f}{100 * cost.cpu_share:8.3f}"
+            )
+    message_bytes = 40 + DATAGRAM_OVERHEAD_BYTES
+    for count in sizes:
+        peers = min(count, HOSTS_PER_DATA_CENTRE) - 1
+        heartbeats = 2 * peers * message_bytes / HEARTBEAT_INTERVAL_S
+        print(
+            f"{count:6} full heartbeats in a data centre, {HEARTBEAT_INTERVAL_S} s:"
+            f" {heartbeats:8.0f} B/s in+out (computed)"
+        )
+
+
+def measure_detection(
+    count: int, seed: int, settings: MembershipSettings, loss: float
+) -> tuple[Seconds, Seconds]:
+    """Return how long after a crash the first and the last peer has removed the host."""
+    fleet = make_fleet(count, seed, settings, Link(loss=loss))
+    fleet.run(SETTLE_S + fleet.rng.random())
+    victim = fleet.rng.choice(sorted(fleet.members))
+    fleet.crash(victim)
+    crashed_at = fleet.now
+    removed: dict[HostName, Seconds] = {}
+
+    def observe(name: HostName) -> None:
+        if name not in removed and not fleet.members[name].view.is_alive(victim):
+            removed[name] = fleet.now - crashed_at
+
+    fleet.on_event = observe
+    fleet.run(10.0, until=lambda: len(removed) == len(fleet.members))
+    times = [removed.get(name, math.inf) for name in fleet.members]
+    return min(times), max(times)
+
+
+def print_detection(sizes: list[int], seeds: int) -> None:
+    """Print the distribution over seeds of the time until all peers have removed a host."""
+    print(
+        f"{'hosts':>6} {'loss':>5} {'ways':32}{'first p50':>10}{'all p50':>9}{'p99':>7}{'max':>7}"
+    )
+    for count in sizes:
+        for loss in (0.0, 0.05):
+            for name, settings in SETTINGS.items():
+                runs = max(3, seeds * 9 // count)
+                times = [measure_detection(count, seed, settings, loss) for seed in range(runs)]
+                first = sorted(first for first, _ in times)
+                last = sorted(last for _, last in times)
+                print(
+                    f"{count:6} {loss:5.2f} {name:32}{first[runs // 2]:10.2f}"
+                    f"{last[runs // 2]:9.2f}{last[math.ceil(runs * 0.99) - 1]:7.2f}{last[-1]:7.2f}"
+                )
+
+
+class Faults(NamedTuple):
+    """What went wrong in one run without a crash."""
+
+    removals: int
+    lapses: int
+    fresh_share: float
+
+
+def measure_false(
+    count: int, seed: int, settings: MembershipSettings, loss: float, seconds: Seconds
+) -> Faults:
+    """Count removals of running hosts, as seen by single peers, and lapses of leases."""
+    fleet = make_fleet(count, seed, settings, Link(loss=loss))
+    fleet.run(SETTLE_S)
+    counts: Counter[str] = Counter()
+    alive = {name: len(member.view.homes("g")) for name, member in fleet.members.items()}
+    fresh = dict.fromkeys(fleet.members, True)
+
+    def observe(name: HostName) -> None:
+        member = fleet.members[name]
+        now_alive = len(member.view.homes("g"))
+        counts["removals"] += max(0, alive[name] - now_alive)
+        alive[name] = now_alive
+        is_fresh = member.lease_fresh(fleet.now)
+        counts["lapses"] += fresh[name] and not is_fresh
+        counts["fresh"] += is_fresh
+        counts["events"] += 1
+        fresh[name] = is_fresh
+
+    fleet.on_event = observe
+    fleet.run(seconds)
+    return Faults(counts["removals"], counts["lapses"], counts["fresh"] / counts["events"])
+
+
+def print_false(sizes: list[int], seeds: int, seconds: Seconds) -> None:
+    """Print false removals and lapsed leases under loss."""
+    head = f"{'removals':>10}{'lapses':>8}{'fresh':>8}{'host h':>8}"
+    print(f"{'hosts':>6} {'loss':>5} {'ways':32}{head}")
+    for count in sizes:
+        for loss in (0.01, 0.05, 0.2):
+            for name, settings in SETTINGS.items():
+                runs = max(1, seeds * 9 // count)
+                results = [
+                    measure_false(count, seed, settings, loss, seconds) for seed in range(runs)
+                ]
+                print(
+                    f"{count:6} {loss:5.2f} {name:32}"
+                    f"{sum(result.removals for result in results):10}"
+                    f"{sum(result.lapses for result in results):8}"
+                    f"{statistics.mean(result.fresh_share for result in results):8.4f}"
+                    f"{runs * count * seconds / 3600:8.2f}"
+                )
+
+
+def main() -> None:
+    """Run the measurement that the command line names."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("what", choices=("cost", "detection", "false"))
+    parser.add_argument("--sizes", default="9,73,220,440", help="numbers of hosts")
+    parser.add_argument("--seeds", type=int, default=20, help="runs at 9 hosts")
+    parser.add_argument("--seconds", type=float, default=10.0, help="simulated time of a run")
+    arguments = parser.parse_args()
+    sizes = [int(size) for size in arguments.sizes.split(",")]
+    if arguments.what == "cost":
+        print_cost(sizes, arguments.seconds)
+    elif arguments.what == "detection":
+        print_detection(sizes, arguments.seeds)
+    else:
+        print_false(sizes, arguments.seeds, arguments.seconds)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/measure_ownership.py
@@ -0,0 +1,179 @@
+"""Measures how evenly homes and owners are divided, and what a join or leave moves.
+
+Prints one table for slots and one for upstreams. ``moved`` is the share of keys whose
+host changes when one host joins or leaves, as a multiple of the share that has to move.
+
+    python -m bench.measure_ownership [--trials N]
+"""
+
+from __future__ import annotations
+
+import argparse
+import math
+import random
+import statistics
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple, TypeAlias
+
+import xxhash
+
+from banyanline.core.placement import UpstreamKey, flow_hash
+from banyanline.core.placement.ownership import assign
+from banyanline.core.types import Endpoint, HostName
+
+SLOT_COUNTS = (1024, 4096, 16384)
+GROUP_SIZES = (9, 73, 220)
+UPSTREAM_SIZES = ((4, 2), (3, 2), (4, 3), (3, 3), (550, 73))
+"""Upstreams and hosts of one data centre: today's two deployments, and the design size."""
+
+Assignment: TypeAlias = Mapping[UpstreamKey, HostName]
+Assign: TypeAlias = Callable[[Sequence[UpstreamKey], Sequence[HostName]], Assignment]
+
+
+class Balance(NamedTuple):
+    """What one trial gave."""
+
+    max_over_mean: float
+    moved_by_join: float
+    moved_by_leave: float
+    cpu_ms: float
+
+
+def plain(keys: Sequence[UpstreamKey], hosts: Sequence[HostName]) -> Assignment:
+    """Give each key to the host with the highest score, without a bound."""
+    return assign(keys, hosts, bound=float(len(hosts)))
+
+
+def bounded(bound: float) -> Assign:
+    """Return an assignment with at most ``bound`` times the mean on each host."""
+
+    def assign_bounded(keys: Sequence[UpstreamKey], hosts: Sequence[HostName]) -> Assignment:
+        return assign(keys, hosts, bound)
+
+    return assign_bounded
+
+
+def bounded_up(bound: float) -> Assign:
+    """Return an assignment with at most ``bound`` times the mean, rounded up."""
+
+    def assign_bounded(keys: Sequence[UpstreamKey], hosts: Sequence[HostName]) -> Assignment:
+        most = math.ceil(bound * len(keys) / len(hosts))
+        return assign(keys, hosts, bound=(most + 0.5) * len(hosts) / len(keys))
+
+    return assign_bounded
+
+
+def modulo(keys: Sequence[UpstreamKey], hosts: Sequence[HostName]) -> Assignment:
+    """Deal the keys out in the order of their hashes; even, but moves nearly all."""
+    ordered = sorted(keys, key=lambda key: xxhash.xxh3_64_intdigest(str(key).encode()))
+    return {key: hosts[idx % len(hosts)] for idx, key in enumerate(ordered)}
+
+
+ASSIGNMENTS: dict[str, Assign] = {
+    "modulo": modulo,
+    "plain rendezvous": plain,
+    "bound 1.50": bounded(1.5),
+    "bound 1.25": bounded(1.25),
+    "bound 1.10": bounded(1.1),
+    "bound 1.00": bounded(1.0),
+    "bound 1.25, rounded up": bounded_up(1.25),
+}
+
+
+def _share_moved(before: Assignment, after: Assignment) -> float:
+    return sum(before[key] != after[key] for key in before) / len(before)
+
+
+def measure(assign_keys: Assign, keys: Sequence[UpstreamKey], hosts: Sequence[HostName]) -> Balance:
+    """Divide ``keys`` among ``hosts``, then let the last host leave and come back."""
+    started = time.process_time()
+    full = assign_keys(keys, hosts)
+    cpu_ms = (time.process_time() - started) * 1000
+    fewer = assign_keys(keys, hosts[:-1])
+    loads = Counter(full.values())
+    has_to_leave = loads[hosts[-1]] / len(keys)
+    moved = _share_moved(full, fewer)
+    return Balance(
+        max(loads.values()) * len(hosts) / len(keys),
+        moved * len(hosts),
+        moved / has_to_leave if has_to_leave else 1.0,
+        cpu_ms,
+    )
+
+
+def _host_names(count: int, rng: random.Random) -> list[HostName]:
+    return [f"host-{rng.getrandbits(32):08x}" for _ in range(count)]
+
+
+def _print_row(label: str, trials: Sequence[Balance]) -> None:
+    worst = max(trial.max_over_mean for trial in trials)
+    print(
+        f"{label:34}"
+        f"{statistics.mean(trial.max_over_mean for trial in trials):9.2f}"
+        f"{worst:9.2f}"
+        f"{statistics.mean(trial.moved_by_join for trial in trials):9.2f}"
+        f"{statistics.mean(trial.moved_by_leave for trial in trials):9.2f}"
+        f"{statistics.median(trial.cpu_ms for trial in trials):9.2f}"
+    )
+
+
+def _print_head(title: str) -> None:
+    print(f"{title:34}{'max/mean':>9}{'worst':>9}{'join*n':>9}{'leave':>9}{'cpu ms':>9}")
+
+
+def print_slots(trials: int) -> None:
+    """Print the balance of slots over the hosts of a fabric group."""
+    _print_head("slots, hosts, assignment")
+    for slots in SLOT_COUNTS:
+        keys = [UpstreamKey("slot", str(slot)) for slot in range(slots)]
+        for count in GROUP_SIZES:
+            for name in ("plain rendezvous", "bound 1.25", "bound 1.10"):
+                if slots * count > 400_000:
+                    continue
+                results = [
+                    measure(ASSIGNMENTS[name], keys, _host_names(count, random.Random(seed)))
+                    for seed in range(max(1, trials // count))
+                ]
+                _print_row(f"{slots:6} {count:4} {name}", results)
+
+
+def print_upstreams(trials: int) -> None:
+    """Print the balance of upstreams over the hosts of a data centre."""
+    _print_head("upstreams, hosts, assignment")
+    for upstreams, count in UPSTREAM_SIZES:
+        for name, assign_keys in ASSIGNMENTS.items():
+            results = []
+            for seed in range(max(3, trials // count)):
+                rng = random.Random(seed)
+                keys = [
+                    UpstreamKey("service", f"upstream-{rng.getrandbits(32):08x}")
+                    for _ in range(upstreams)
+                ]
+                results.append(measure(assign_keys, keys, _host_names(count, rng)))
+            _print_row(f"{upstreams:6} {count:4} {name}", results)
+
+
+def print_flow_hash() -> None:
+    """Print the time of one flow hash."""
+    caller = Endpoint("192.0.2.7", 40000)
+    rounds = 200_000
+    started = time.process_time()
+    for _ in range(rounds):
+        flow_hash(caller, "orders")
+    print(f"flow_hash: {(time.process_time() - started) / rounds * 1e6:.2f} us")
+
+
+def main() -> None:
+    """Run all measurements."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--trials", type=int, default=300, help="trials of the smallest size")
+    arguments = parser.parse_args()
+    print_flow_hash()
+    print_slots(arguments.trials)
+    print_upstreams(arguments.trials)
+
+
+if __name__ == "__main__":
+    main()
