--- a/bench/measure_hops.py
+++ b/bench/measure_hops.py
@@ -76,7 +76,7 @@
 ECHOES = {"bare echo": _bare_socket, "echo on DatagramSocket": _library_socket}
 
 
-def _serve_echo(name: str, pipe: Connection) -> None:
+def serve_echo(name: str, pipe: Connection) -> None:
     """Echo until the parent sends a line; answer each one with the processor time used."""
 
     async def serve() -> None:
@@ -120,7 +120,7 @@
     """Return the microseconds of processor time that the echo spends on one datagram."""
     context = multiprocessing.get_context("spawn")
     pipe, child_pipe = context.Pipe()
-    process = context.Process(target=_serve_echo, args=(name, child_pipe))
+    process = context.Process(target=serve_echo, args=(name, child_pipe))
     process.start()
     try:
         address = ("127.0.0.1", int(pipe.recv()))
