Let banyanline-status read the page that a balancer shows

Cause: net/explain.py came with the runtime and has a page of its own form. Change: the page's type follows it; the program says whether the lease is fresh and whether the fabric group has a majority, and calls a balancer healthy that has a configuration and hears from its peers. A test reads the page of a real balancer.

--- a/banyanline/cli/status.py
+++ b/banyanline/cli/status.py
@@ -22,7 +22,7 @@
 from banyanline.core.types import Endpoint
 from banyanline.net.admin import parse_endpoint
 from banyanline.net.http import HttpFailed, http_get
-from banyanline.net.status import Explanation, ServiceStatus, Status
+from banyanline.net.status import Explanation, Status
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -30,6 +30,7 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_SHOWN_CHARACTERS = 200
 HTTP_OK = 200
+_UPSTREAM_COLUMNS = ("upstream", "stage", "in_flight", "slots", "queued", "connections", "ramp")
 
 PROGRAM = new_program(
     "banyanline-status",
@@ -48,8 +49,8 @@
     Example:
       banyanline-status 127.0.0.1:7102 --why 192.0.2.7:40000 orders
 
-    Exit status: 0 if the balancer is healthy, 1 if it is not or gives no answer, 2 for
-    a wrong command line.
+    Exit status: 0 if the balancer is healthy (it has a configuration and hears from its
+    peers), 1 if it is not or gives no answer, 2 for a wrong command line.
     """,
 )
 _JSON = flags.DEFINE_boolean(
@@ -144,7 +145,7 @@
         else:
             status = msgspec.json.decode(body, type=Status)
             text = render_status(status)
-            code = ExitCode.OK if status["healthy"] else ExitCode.PROBLEM
+            code = ExitCode.OK if is_healthy(status) else ExitCode.PROBLEM
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         message = f"{question.admin} sent an unknown answer: {error}"
         return Reply(ExitCode.PROBLEM, error=message)
@@ -153,66 +154,71 @@
     return Reply(code, text)
 
 
+def is_healthy(status: Status) -> bool:
+    """Whether the balancer has a configuration and hears from its peers."""
+    return status["revision"] > 0 and status["lease_fresh"]
+
+
 def render_status(status: Status) -> str:
     """Return the tables that show a status page."""
-    health = "healthy" if status["healthy"] else "UNHEALTHY"
     parts = [
-        f"{status['host']} ({status['data_centre']}, fabric group {status['fabric_group']}), "
-        f"version {status['version']}: {health}\n"
-        f"revision {status['revision']}, home of {status['home_slots']} of {status['slots']} "
-        f"slots, owner of {len(status['owned'])} upstreams, "
+        f"{status['host']} ({status['data_centre']}), version {status['version']}: "
+        f"{_state(status)}\n"
+        f"revision {status['revision']}, home of {status['home_slots']} slots, owner of "
+        f"{len(status['owned'])} upstreams, {'a' if status['reader'] else 'no'} reader of "
+        "the platform\n"
+        f"{status['flows']} flows, {status['streams']} streams, "
         f"{status['requests_open']} open requests",
-        _section("View", status["view"], ("host", "data_centre", "state")),
-        _section(
-            "Owned upstreams",
-            status["owned"],
-            (
-                "upstream",
-                "service",
-                "data_centre",
-                "stage",
-                "in_flight",
-                "slots",
-                "queued",
-                "connections",
-                "ramp",
-            ),
-        ),
-        "Services\n"
-        + render_table(("service", "flows", "answers"), _service_rows(status["services"])),
+        _section("View", status["view"], ("host", "data_centre", "status", "leaving")),
+        _section("Owned upstreams", status["owned"], _UPSTREAM_COLUMNS),
         "Counts\n" + render_table(("count", "service", "reason", "total"), _count_rows(status)),
     ]
     return "\n\n".join(parts)
 
 
+def _state(status: Status) -> str:
+    states = ["healthy" if is_healthy(status) else "UNHEALTHY"]
+    if not status["lease_fresh"]:
+        states.append("lease not fresh")
+    if not status["majority"]:
+        states.append("no majority of its fabric group")
+    if status["stopping"]:
+        states.append("stopping")
+    return ", ".join(states)
+
+
 def _section(title: str, rows: Sequence[Mapping[str, Any]], columns: Sequence[str]) -> str:
     heading = [column.replace("_", " ") for column in columns]
-    cells = ([row[column] for column in columns] for row in rows)
+    cells = ([_cell(row[column]) for column in columns] for row in rows)
     return f"{title}\n{render_table(heading, cells)}"
 
 
-def _service_rows(services: Mapping[str, ServiceStatus]) -> Iterable[Sequence[object]]:
-    return ((name, service["flows"], service["answers"]) for name, service in services.items())
+def _cell(value: object) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return f"{value:.2f}" if isinstance(value, float) else str(value)
 
 
 def _count_rows(status: Status) -> Iterable[Sequence[object]]:
-    for name, service in status["services"].items():
-        by_kind = {
-            "refusal": service["refusals"],
-            "retry": service["retries"],
-            "unknown outcome": service["unknown_outcomes"],
-            "flow end": service["flow_ends"],
-        }
-        for kind, counts in by_kind.items():
-            for reason, total in sorted(counts.items()):
-                yield kind, name, reason, total
-    for kind, counts in status["counts"].items():
-        for reason, total in sorted(counts.items()):
-            yield kind.replace("_", " "), "-", reason, total
+    kinds: dict[str, Mapping[str, int]] = {
+        "refusal": status["refusals"],
+        "retry": status["retries"],
+        "unknown outcome": status["unknown_outcomes"],
+        "flow end": status["flow_ends"],
+        "drop": status["drops"],
+        "claim": status.get("claims", {}),
+        "recovered": status.get("recovered", {}),
+        "peer frame rejection": status.get("peer_frame_rejections", {}),
+        "configuration refusal": status.get("config_refusals", {}),
+    }
+    for kind, counts in kinds.items():
+        for name, total in sorted(counts.items()):
+            service, _, reason = name.rpartition("/")
+            yield kind, service or "-", reason, total
 
 
 def _render_fields(values: Mapping[str, Any]) -> str:
-    rows = ((key.replace("_", " "), value) for key, value in values.items())
+    rows = ((key, "-" if value is None else value) for key, value in values.items())
     return render_table(("field", "value"), rows)
 
 
--- a/banyanline/tests/test_admin.py
+++ b/banyanline/tests/test_admin.py
@@ -9,14 +9,19 @@
 from banyanline.cli.status import Question, UsageProblem, ask, main, parse_question, render_reply
 from banyanline.core.answers import RefusalReason, UnknownReason
 from banyanline.core.counters import Counters, DropReason, FlowEnd
+from banyanline.core.keys import Key, KeyRing
 from banyanline.core.types import Endpoint
 from banyanline.net import admin
+from banyanline.net import explain as balancer_explain
 from banyanline.net.admin import AdminPages, AdminServer
+from banyanline.net.balancer import Balancer
 from banyanline.net.metrics import GAUGE_DOCS, DatagramTotals, Gauges, IoCounts, Metrics, Sources
 from banyanline.net.seal import RejectionReason
-from banyanline.net.status import Status, counts_by_reason, service_statuses
+from banyanline.net.status import Status
+from banyanline.settings import SettingsError, load_settings
 
 TIMEOUT_S = 10.0
+ADMIN = Endpoint("127.0.0.1", 1)
 WHY = {
     "caller": "192.0.2.7:40000",
     "service": "orders",
@@ -41,37 +46,37 @@
 
 
 def status_page(healthy: bool = True) -> Status:
-    counters, io_counts = counted()
     return Status(
         version="0.1.0",
         host="north-1",
         data_centre="north",
-        fabric_group="g",
-        healthy=healthy,
-        stopping=False,
-        platform_reader=True,
-        lease_fresh=True,
-        majority=True,
+        stopping=not healthy,
         revision=12,
+        reader=healthy,
+        lease_fresh=healthy,
+        majority=healthy,
+        view=[{"host": "north-1", "data_centre": "north", "status": "alive", "leaving": False}],
         home_slots=341,
-        slots=1024,
+        flows=5,
+        streams=2,
         requests_open=3,
-        view=[{"host": "north-1", "data_centre": "north", "state": "live"}],
         owned=[
             {
                 "upstream": "orders-1",
-                "service": "orders",
-                "data_centre": "north",
                 "stage": "active",
-                "in_flight": 1,
                 "slots": 2,
+                "in_flight": 1,
                 "queued": 4,
                 "connections": 700,
-                "ramp": 1.0,
+                "ramp": 0.5,
             }
         ],
-        services=service_statuses(counters, {"orders": 5}),
-        counts=counts_by_reason(counters, io_counts),
+        refusals={"orders/queue_full": 1},
+        unknown_outcomes={"orders/owner_lost": 1},
+        retries={},
+        flow_ends={"orders/data_centre_out": 1},
+        drops={"malformed": 1},
+        claims={"started": 2},
     )
 
 
@@ -222,6 +227,17 @@
         assert absent.error.endswith("answered 404: no such service")
 
 
+def test_page_of_a_balancer_is_read():
+    overrides = "host.name=a host.data_centre=d host.address=127.0.0.1 keys.file=k"
+    settings = load_settings(None, [*overrides.split(), "platform.addresses=127.0.0.1:8500"])
+    assert not isinstance(settings, SettingsError)
+    balancer = Balancer(settings, KeyRing((Key("1", bytes(32)),)))
+    page = balancer_explain.status(balancer.node, False, 0.0)
+    reply = render_reply(Question(ADMIN, None, "", False, 1.0), json.dumps(page).encode())
+    assert reply.error == ""
+    assert reply.output.startswith("a (d), version")
+
+
 @pytest.mark.parametrize(
     ("words", "why", "error"),
     [
@@ -257,7 +273,7 @@
 
 @pytest.mark.parametrize("body", [b"", b"[]", b"\xff", b'{"healthy": true}', b"null"])
 def test_unknown_answer_is_one_error_line(body):
-    question = Question(Endpoint("127.0.0.1", 1), None, "", False, TIMEOUT_S)
+    question = Question(ADMIN, None, "", False, TIMEOUT_S)
     reply = render_reply(question, body)
     assert reply.code == 1
     assert "unknown answer" in reply.error
