Tell the user of a connected socket that its peer is unreachable

Cause: the kernel reports an ICMP error on a connected socket, and only a count showed it, though the owner's core takes it as an event.

--- a/banyanline/net/datagram.py
+++ b/banyanline/net/datagram.py
@@ -56,12 +56,27 @@
     """A non-blocking UDP socket that hands each datagram to ``on_datagram``.
 
     With ``connect_to`` the socket is connected: it takes datagrams of that peer
-    only, :meth:`send` needs no address, and ICMP errors are counted. An
-    ``endpoint`` of None lets the kernel choose the local address.
+    only, :meth:`send` needs no address, and ICMP errors are counted and told to
+    ``on_unreachable``. An ``endpoint`` of None lets the kernel choose the local
+    address.
 
     Raises OSError if the endpoint cannot be bound.
     """
 
+    __slots__ = (
+        "_closed",
+        "_drain_limit",
+        "_loop",
+        "_max_bytes",
+        "_on_datagram",
+        "_on_unreachable",
+        "_received",
+        "_send_drops",
+        "_sent",
+        "_socket",
+        "_unreachable",
+    )
+
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
@@ -69,12 +84,14 @@
         on_datagram: DatagramHandler,
         *,
         connect_to: Endpoint | None = None,
+        on_unreachable: Callable[[], object] | None = None,
         drain_limit: int = DRAIN_LIMIT,
         max_bytes: int = MAX_DATAGRAM_BYTES,
         receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
     ) -> None:
         self._loop = loop
         self._on_datagram = on_datagram
+        self._on_unreachable = on_unreachable
         self._drain_limit = drain_limit
         self._max_bytes = max_bytes
         self._received = 0
@@ -115,7 +132,7 @@
             self._send_drops += 1
             return False
         except OSError:
-            self._unreachable += 1
+            self._count_unreachable()
             return False
         self._sent += 1
         return True
@@ -138,13 +155,18 @@
             except BlockingIOError:
                 return
             except OSError:
-                self._unreachable += 1
-                continue
-            self._received += 1
-            handle(data, addr)
+                self._count_unreachable()
+            else:
+                self._received += 1
+                handle(data, addr)
             if self._closed:
                 return
 
+    def _count_unreachable(self) -> None:
+        self._unreachable += 1
+        if self._on_unreachable is not None:
+            self._on_unreachable()
+
 
 def _open_socket(
     endpoint: Endpoint | None, connect_to: Endpoint | None, receive_buffer_bytes: int
--- a/banyanline/tests/test_datagram.py
+++ b/banyanline/tests/test_datagram.py
@@ -64,13 +64,23 @@
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as unused:
         unused.bind(("127.0.0.1", 0))
         port = unused.getsockname()[1]
+    told: list[int] = []
+
+    def on_unreachable():
+        told.append(client.counts.unreachable)
+        client.close()
+
     client = DatagramSocket(
-        loop, None, lambda data, addr: None, connect_to=Endpoint("127.0.0.1", port)
+        loop,
+        None,
+        lambda data, addr: None,
+        connect_to=Endpoint("127.0.0.1", port),
+        on_unreachable=on_unreachable,
     )
     client.send(b"lost")
-    await until(lambda: client.counts.unreachable)
+    await until(lambda: told)
+    assert told == [1]
     assert client.counts.received == 0
-    client.close()
 
 
 class FullSocket(socket.socket):
