Log errors of callbacks as one line, and take the platform's failures at a scrape

Cause: asyncio's own handler writes a traceback of many lines, and failures of platform reads were counted in a place that no scrape saw. Change: an exception handler for the loop; metrics ask the reader's counts.

--- a/banyanline/net/logs.py
+++ b/banyanline/net/logs.py
@@ -5,11 +5,13 @@
 import logging
 import sys
 import time
+import traceback
 from typing import TYPE_CHECKING, Any, TextIO
 
 import structlog
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
 LEVELS = ("debug", "info", "warning", "error")
@@ -101,3 +103,13 @@
         logger_factory=structlog.PrintLoggerFactory(output or sys.stderr),
         cache_logger_on_first_use=False,
     )
+
+
+def log_loop_error(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Log what a callback or task raised as one line; for the loop's exception handler."""
+    error = context.get("exception")
+    frames = traceback.extract_tb(error.__traceback__) if error is not None else []
+    place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    structlog.get_logger().error(
+        "unhandled_error", detail=str(context.get("message")), error=repr(error), place=place
+    )
--- a/banyanline/net/metrics.py
+++ b/banyanline/net/metrics.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable, Mapping, Sequence
 
     from banyanline.core.counters import Counters, LatencyHistogram
+    from banyanline.platform.reader import ReadFailure
 
 PREFIX = "banyanline"
 
@@ -79,14 +80,12 @@
         "control_bytes",
         "control_failures",
         "peer_rejections",
-        "platform_failures",
     )
 
     def __init__(self) -> None:
         self.peer_rejections: defaultdict[StrEnum, int] = defaultdict(int)
         self.config_refusals: defaultdict[str, int] = defaultdict(int)
         self.control_failures: defaultdict[StrEnum, int] = defaultdict(int)
-        self.platform_failures: defaultdict[StrEnum, int] = defaultdict(int)
         self.control_bytes: defaultdict[ControlTraffic, int] = defaultdict(int)
 
     def reject_frame(self, reason: StrEnum) -> None:
@@ -105,10 +104,6 @@
         """Count bytes of a frame sent to another balancer that carries no caller's data."""
         self.control_bytes[kind] += size
 
-    def fail_platform_read(self, reason: StrEnum) -> None:
-        """Count a call of the platform that brought no value."""
-        self.platform_failures[reason] += 1
-
 
 class DatagramTotals(NamedTuple):
     """Sums over the sockets of one kind, such as ``caller``, ``peer`` or ``upstream``."""
@@ -127,6 +122,7 @@
     gauges: Callable[[], Gauges]
     platform_calls: Callable[[], int] = lambda: 0
     datagrams: Callable[[], Mapping[str, DatagramTotals]] = dict
+    platform_failures: Callable[[], Mapping[ReadFailure, int]] = dict
 
 
 class Metrics:
@@ -206,7 +202,7 @@
         _copy(self._config, "reason", counts.config_refusals)
         _copy(self._control, "reason", counts.control_failures)
         _copy(self._control_bytes, "kind", counts.control_bytes)
-        _copy(self._platform, "reason", counts.platform_failures)
+        _copy(self._platform, "reason", self._sources.platform_failures())
         self._platform_calls.set({}, self._sources.platform_calls())
         for kind, totals in self._sources.datagrams().items():
             for fate, count in totals._asdict().items():
--- a/banyanline/tests/test_admin.py
+++ b/banyanline/tests/test_admin.py
@@ -15,9 +15,18 @@
 from banyanline.net import explain as balancer_explain
 from banyanline.net.admin import AdminPages, AdminServer
 from banyanline.net.balancer import Balancer
-from banyanline.net.metrics import GAUGE_DOCS, DatagramTotals, Gauges, IoCounts, Metrics, Sources
+from banyanline.net.metrics import (
+    GAUGE_DOCS,
+    ControlTraffic,
+    DatagramTotals,
+    Gauges,
+    IoCounts,
+    Metrics,
+    Sources,
+)
 from banyanline.net.seal import RejectionReason
 from banyanline.net.status import Status
+from banyanline.platform.reader import ReadFailure
 from banyanline.settings import SettingsError, load_settings
 
 TIMEOUT_S = 10.0
@@ -42,6 +51,7 @@
     for latency_s in (0.0004, 0.003, 0.003, 99.0):
         counters.answer("orders", latency_s)
     io_counts.reject_frame(RejectionReason.REPLAYED)
+    io_counts.add_control_bytes(ControlTraffic.PROBE, 80)
     return counters, io_counts
 
 
@@ -93,6 +103,7 @@
             io_counts,
             lambda: Gauges(view_hosts=9, flows=5),
             platform_calls=lambda: 3,
+            platform_failures=lambda: {ReadFailure.TIMEOUT: 2},
             datagrams=lambda: {"caller": DatagramTotals(10, 9, 1, 0)},
         )
     )
@@ -188,6 +199,8 @@
         'banyanline_answer_latency_seconds_count{service="orders"} 4.0',
         'banyanline_datagrams_total{fate="send_drops",socket="caller"} 1',
         "banyanline_platform_calls_total 3",
+        'banyanline_platform_failures_total{reason="timeout"} 2',
+        'banyanline_control_bytes_total{kind="probe"} 80',
     ],
 )
 async def test_scrape_has(line):
--- a/banyanline/tests/test_logs.py
+++ b/banyanline/tests/test_logs.py
@@ -1,11 +1,12 @@
 from __future__ import annotations
 
+import asyncio
 import io
 
 import pytest
 import structlog
 
-from banyanline.net.logs import MAX_EVENTS, configure_logs
+from banyanline.net.logs import MAX_EVENTS, configure_logs, log_loop_error
 
 
 @pytest.fixture
@@ -64,3 +65,16 @@
     for number in range(MAX_EVENTS + 1000):
         logger.info(f"event_{number}")
     assert len(output.getvalue().splitlines()) == MAX_EVENTS + 10
+
+
+async def test_error_of_a_callback_is_one_line(output):
+    configure_logs("info", output=output)
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(log_loop_error)
+    loop.call_soon(lambda: 1 / 0)
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    (line,) = output.getvalue().splitlines()
+    assert "event=unhandled_error" in line
+    assert "ZeroDivisionError" in line
+    assert "test_logs.py:" in line
