Send again when the kernel reports the error of an earlier datagram

Cause: on a connected socket a send after an ICMP error fails with that error and sends nothing, so a datagram to an upstream that had come back was lost; and the user was called back in the middle of its own send. Change: the datagram is sent a second time, and the callback comes later. The new test fails before (the send returns False) and passes after.

--- a/banyanline/net/datagram.py
+++ b/banyanline/net/datagram.py
@@ -34,7 +34,7 @@
 
     ``send_drops`` were refused because the kernel's buffer was full, and
     ``unreachable`` counts ICMP errors that the kernel reported (connected
-    sockets see them; unconnected ones only for a route that is missing).
+    sockets see them) and datagrams that had no route or were too large.
     """
 
     received: int
@@ -124,15 +124,14 @@
         wait for room in the kernel's buffer.
         """
         try:
-            if addr is None:
-                self._socket.send(data)
-            else:
-                self._socket.sendto(data, addr)
+            self._send(data, addr)
         except BlockingIOError:
             self._send_drops += 1
             return False
+        except ConnectionRefusedError:
+            return self._send_after_error(data, addr)
         except OSError:
-            self._count_unreachable()
+            self._unreachable += 1
             return False
         self._sent += 1
         return True
@@ -145,6 +144,26 @@
         self._loop.remove_reader(self._socket.fileno())
         self._socket.close()
 
+    def _send(self, data: bytes, addr: SocketAddress) -> None:
+        if addr is None:
+            self._socket.send(data)
+        else:
+            self._socket.sendto(data, addr)
+
+    def _send_after_error(self, data: bytes, addr: SocketAddress) -> bool:
+        """Send again, as the kernel's error was that of an earlier datagram.
+
+        The user hears of it later, as it may not expect a call while it sends.
+        """
+        self._loop.call_soon(self._count_unreachable)
+        try:
+            self._send(data, addr)
+        except OSError:
+            self._send_drops += 1
+            return False
+        self._sent += 1
+        return True
+
     def _drain(self) -> None:
         receive = self._socket.recvfrom
         handle = self._on_datagram
@@ -164,7 +183,7 @@
 
     def _count_unreachable(self) -> None:
         self._unreachable += 1
-        if self._on_unreachable is not None:
+        if self._on_unreachable is not None and not self._closed:
             self._on_unreachable()
 
 
--- a/banyanline/tests/test_datagram.py
+++ b/banyanline/tests/test_datagram.py
@@ -83,6 +83,31 @@
     assert client.counts.received == 0
 
 
+async def test_error_of_an_earlier_datagram_loses_no_later_one():
+    loop = asyncio.get_running_loop()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+        peer.bind(("127.0.0.1", 0))
+        port = peer.getsockname()[1]
+    told: list[bool] = []
+    client = DatagramSocket(
+        loop,
+        None,
+        lambda data, addr: None,
+        connect_to=Endpoint("127.0.0.1", port),
+        on_unreachable=lambda: told.append(True),
+    )
+    client.send(b"lost")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+        peer.bind(("127.0.0.1", port))
+        peer.settimeout(TIMEOUT_S)
+        assert client.send(b"kept")
+        assert told == []
+        assert peer.recv(100) == b"kept"
+    await until(lambda: told)
+    assert client.counts.unreachable == 1
+    client.close()
+
+
 class FullSocket(socket.socket):
     def send(self, data, flags=0):
         raise BlockingIOError
