--- a/bench/streams.py
+++ b/bench/streams.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from bench import coap
-from bench.caller import Caller, judge_echo
+from bench.answer import judge_echo
+from bench.caller import Caller
 from bench.observations import Echo, FlowEnd, FlowRecord, Outcome, parse_echo
 
 GAP_S = 5.0
