--- a/banyanline/net/configuration.py
+++ b/banyanline/net/configuration.py
@@ -9,9 +9,19 @@
 import msgspec
 import structlog
 
-from banyanline.config import ConfigurationErrors, parse_document
+from banyanline.config import ConfigurationErrors, IncrementalParser
 from banyanline.core.model import Configuration
+from banyanline.core.revisions import (
+    NO_REVISION,
+    Accepted,
+    RevisionHistory,
+    Same,
+    UpdateOutcome,
+    WrongBase,
+    WrongDigest,
+)
 from banyanline.core.types import Host, HostName
+from banyanline.core.updates import ConfigurationUpdate, NoUpdate
 from banyanline.net.control import CallFailed, ControlClient
 from banyanline.net.metrics import IoCounts
 from banyanline.platform.hosts import HostsError, parse_hosts
@@ -28,16 +38,15 @@
 
 
 class FetchRequest(msgspec.Struct, frozen=True):
-    """Asks for a configuration of a greater revision than ``have``."""
+    """Asks for what changed since the revision ``have``; 0 asks for all of it."""
 
     have: int
 
 
 class FetchReply(msgspec.Struct, frozen=True):
-    """A configuration document; empty if the callee has none of a greater revision."""
+    """What the caller needs to hold the revision that the callee holds."""
 
-    revision: int
-    document: bytes
+    update: ConfigurationUpdate
 
 
 class ConfigurationSync:
@@ -63,8 +72,8 @@
         self._counts = counts
         self._apply_configuration = apply_configuration
         self._apply_hosts = apply_hosts
-        self._document = b""
-        self._revision = 0
+        self._parser = IncrementalParser()
+        self._history = RevisionHistory()
         self._watches: list[asyncio.Task[None]] = []
         self._fetch: asyncio.Task[None] | None = None
 
@@ -115,31 +124,36 @@
 
     def take(self, document: bytes, source: str) -> bool:
         """Check a document and put it in force if its revision is greater."""
-        parsed = parse_document(document)
+        parsed = self._parser.parse(document)
         if isinstance(parsed, ConfigurationErrors):
             self._counts.refuse_config("invalid")
             log.warning("configuration_refused", source=source, error=str(parsed.errors[0]))
             return False
-        if parsed.revision <= self._revision:
-            if parsed.revision < self._revision:
-                self._counts.refuse_config("older_revision")
-            elif document != self._document:
-                self._counts.refuse_config("same_revision_other_content")
-            return False
-        self._revision = parsed.revision
-        self._document = document
-        self._apply_configuration(parsed)
-        return True
+        return self._settle(self._history.accept(parsed), source)
+
+    def _settle(self, outcome: UpdateOutcome, source: str) -> bool:
+        """Apply what was accepted, and count what was refused."""
+        in_force = self._history.in_force
+        if isinstance(outcome, Accepted) and in_force is not None:
+            self._apply_configuration(in_force.configuration)
+            return True
+        if not isinstance(outcome, Same):
+            self._counts.refuse_config(outcome.outcome)
+            log.warning(
+                "configuration_refused",
+                source=source,
+                reason=outcome.outcome,
+                revision=self._history.revision,
+            )
+        return False
 
     def answer_fetch(self, request: FetchRequest) -> FetchReply:
-        """Return the document in force if it is newer than what the caller has."""
-        if self._revision <= request.have:
-            return FetchReply(self._revision, b"")
-        return FetchReply(self._revision, self._document)
+        """Return what changed since the revision that the caller has."""
+        return FetchReply(self._history.update_since(request.have))
 
     def revision_seen(self, host: Host | None, name: HostName, revision: int) -> None:
         """Fetch from a peer that has shown a greater revision."""
-        if revision > self._revision and host is not None and self._fetch is None:
+        if revision > self._history.revision and host is not None and self._fetch is None:
             self._fetch = asyncio.create_task(self._fetch_from(host))
             self._fetch.add_done_callback(lambda _task: self._fetch_ended())
 
@@ -147,14 +161,24 @@
         self._fetch = None
 
     async def _fetch_from(self, host: Host) -> None:
+        """Ask for what changed, and for all of it if that does not add up."""
+        outcome = await self._fetch_update(host, self._history.revision)
+        if isinstance(outcome, WrongBase | WrongDigest):
+            await self._fetch_update(host, NO_REVISION)
+
+    async def _fetch_update(self, host: Host, have: int) -> UpdateOutcome | None:
         reply = await self._client.call(
-            host, FETCH_METHOD, FetchRequest(self._revision), FetchReply, FETCH_TIMEOUT_S
+            host, FETCH_METHOD, FetchRequest(have), FetchReply, FETCH_TIMEOUT_S
         )
         if isinstance(reply, CallFailed):
             self._counts.fail_call(reply.reason)
             await asyncio.sleep(FETCH_RETRY_S)
-        elif reply.document:
-            self.take(reply.document, host.name)
+            return None
+        if isinstance(reply.update, NoUpdate):
+            return None
+        outcome = self._history.apply(reply.update)
+        self._settle(outcome, host.name)
+        return outcome
 
     async def close(self) -> None:
         """End all watches and fetches."""
