Make every refusal of an owner a commitment; fence earlier processes

Change: refusals are recorded before they are told, later attempts need a greater number or ballot, dispatches name the owner's process, early handovers are kept.

--- a/banyanline/core/context.py
+++ b/banyanline/core/context.py
@@ -60,12 +60,14 @@
         slots: SlotTable,
         ownership: OwnershipTable,
         founding: Founding,
+        incarnation: int,
         limits: Limits,
         rng: random.Random,
         wall_clock: Callable[[], float],
     ) -> None:
         self._local = local
         self._founding = founding
+        self._incarnation = incarnation
         self._limits = limits
         self._rng = rng
         self._wall_clock = wall_clock
@@ -84,6 +86,11 @@
         """This balancer's host."""
         return self._local
 
+    @property
+    def incarnation(self) -> int:
+        """The incarnation with which this process started."""
+        return self._incarnation
+
     @property
     def limits(self) -> Limits:
         """Bounds of the tables."""
@@ -150,6 +157,13 @@
         """Return the hash that places a flow."""
         return flow_hash(Endpoint(flow.caller_ip, flow.caller_port), flow.service)
 
+    def incarnation_of(self, host: HostName) -> int:
+        """Return the incarnation of a host in this balancer's view."""
+        if host == self._local.name:
+            return self._incarnation
+        member = self.membership.view.member(host)
+        return 0 if member is None else member.incarnation
+
     def owner_of(self, upstream: UpstreamName) -> HostName | None:
         """Return the owner of an upstream in this balancer's view."""
         key = self.upstream_key(upstream)
--- a/banyanline/core/home/entry.py
+++ b/banyanline/core/home/entry.py
@@ -52,6 +52,7 @@
         "key",
         "may_have_run",
         "owner",
+        "owner_incarnation",
         "phase",
         "pinned",
         "refusal",
@@ -79,6 +80,7 @@
         self.refusal: Refusal | None = None
         self.upstream: UpstreamName = ""
         self.owner: HostName = ""
+        self.owner_incarnation = 0
         self.serial = 0
         self.attempt = 0
         self.resends = 0
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -289,6 +289,7 @@
     def _send_dispatch(self, entry: Entry, owner: HostName, now: Seconds) -> None:
         entry.phase = Phase.DISPATCHED
         entry.owner = owner
+        entry.owner_incarnation = self._context.incarnation_of(owner)
         entry.serial = self.next_serial()
         entry.resends = 0
         self._dispatched[entry.serial] = entry
@@ -300,6 +301,7 @@
         assert request is not None
         return Dispatch(
             serial=entry.serial,
+            owner_incarnation=entry.owner_incarnation,
             key=entry.key,
             upstream=entry.upstream,
             remaining_ms=max(0, int((entry.deadline - now) * 1000)),
--- a/banyanline/core/home/streams.py
+++ b/banyanline/core/home/streams.py
@@ -279,6 +279,7 @@
         self._resuming[serial] = key
         message = Dispatch(
             serial=serial,
+            owner_incarnation=self._context.incarnation_of(owner),
             key=RequestKey(*key[:3], RESUMPTION_ID_BASE + serial, key.token),
             upstream=stream.upstream,
             remaining_ms=RESUME_PATIENCE_MS,
--- a/banyanline/core/ledger.py
+++ b/banyanline/core/ledger.py
@@ -13,6 +13,7 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from banyanline.core.messages import (
+    NO_BALLOT,
     Ballot,
     Outcome,
     Pending,
@@ -87,6 +88,16 @@
         return forgotten
 
 
+class Attempt(NamedTuple):
+    """The home that dispatched a key, and the number of its attempt."""
+
+    home: HostName
+    number: int
+
+
+NO_ATTEMPT = Attempt("", 0)
+
+
 class KeyRecord:
     """An owner's knowledge of one key.
 
@@ -102,7 +113,7 @@
         self.ballot = ballot
         self.outcome: Outcome | None = None
         self.upstream: UpstreamName = ""
-        self.last_attempt: tuple[HostName, int] = ("", 0)
+        self.last_attempt = NO_ATTEMPT
         self.waiters: list[tuple[HostName, int]] = []
 
     @property
@@ -178,11 +189,7 @@
     def admit(
         self, key: RequestKey, ballot: Ballot, upstream: UpstreamName, now: Seconds
     ) -> Admitted | Repeated | Fenced:
-        """Take a dispatch on if nothing forbids it.
-
-        A key that this owner refused earlier as not run may be tried again by the
-        same or a greater ballot.
-        """
+        """Take a dispatch on if nothing forbids it."""
         record = self._table.get(key)
         if record is None:
             record = KeyRecord(ballot)
@@ -197,10 +204,35 @@
         record.outcome = Pending()
         return Admitted(record)
 
-    def reopen(self, record: KeyRecord, ballot: Ballot, upstream: UpstreamName) -> bool:
-        """Let a key that was refused as not run be tried again; false if a claim forbids it."""
+    def refuse(self, key: RequestKey, attempt: Attempt, outcome: Outcome, now: Seconds) -> bool:
+        """Record that an attempt was refused, so that no copy of it is run later.
+
+        False if there is no room; the refusal must not be told then.
+        """
+        record = self._table.get(key)
+        if record is None:
+            record = KeyRecord(NO_BALLOT)
+            if self._table.add(key, record, now) is not None:
+                return False
+        if not record.is_carried:
+            record.outcome = outcome
+            record.last_attempt = attempt
+        return True
+
+    def reopen(
+        self, record: KeyRecord, ballot: Ballot, attempt: Attempt, upstream: UpstreamName
+    ) -> bool:
+        """Let a key be tried again; false if this is no later attempt of the key's home.
+
+        A later attempt of the same home has the greater number. Another home needs a
+        greater ballot.
+        """
+        last = record.last_attempt
         if ballot < record.ballot:
             return False
+        is_same_home = last.home in (attempt.home, NO_ATTEMPT.home)
+        if ballot == record.ballot and not (is_same_home and attempt.number > last.number):
+            return False
         record.ballot = ballot
         record.upstream = upstream
         record.outcome = Pending()
--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -77,9 +77,15 @@
 
 
 class Dispatch(_Message, frozen=True, tag="d"):
-    """A request from its home to the owner of the chosen upstream."""
+    """A request from its home to the owner of the chosen upstream.
+
+    ``owner_incarnation`` names the owner's process as the home knew it when it sent
+    the attempt for the first time. A process that has started since cannot know
+    whether the one before it ran the request.
+    """
 
     serial: int
+    owner_incarnation: int
     key: RequestKey
     upstream: UpstreamName
     remaining_ms: int
--- a/banyanline/core/node.py
+++ b/banyanline/core/node.py
@@ -57,6 +57,9 @@
 
 MAX_HOPS = 3
 HOUSEKEEPING_INTERVAL_S = 0.25
+MAX_DEFENCES = 500
+"""Most times that a process raises its incarnation between two looks of a peer at it."""
+
 FIRST_SERIAL_SHIFT = 20
 """Serials start at the process's incarnation, so that no later process uses them again."""
 
@@ -92,6 +95,7 @@
             SlotTable(history_s),
             OwnershipTable(local.fabric_group, history_s),
             self._founding,
+            settings.incarnation,
             settings.limits,
             rng,
             wall_clock,
@@ -100,6 +104,7 @@
         self._home = Home(self._context, first_serial, settings.flow_idle_timeout_s)
         self._owner = Owner(self._context, settings.flow_idle_timeout_s, now)
         self._alive: frozenset[HostName] = frozenset()
+        self._incarnations: dict[HostName, int] = {}
         self._greatest_revision_seen: tuple[int, HostName] = (0, "")
         self._housekeeping_at = now
         self._view_changed(now)
@@ -351,7 +356,7 @@
             context.slots.update([name for name in homes if name != context.local.name], now)
         context.slots.update(homes, now)
         alive = frozenset(member.host.name for member in view.members if member.is_live)
-        lost = self._alive - alive
+        lost = (self._alive - alive) | self._note_restarts()
         self._alive = alive
         context.log("view_changed", version=view.version, live=len(alive))
         self._placement_changed(now)
@@ -360,6 +365,21 @@
             self._home.host_lost(host, now)
             self._owner.host_lost(host, now)
 
+    def _note_restarts(self) -> frozenset[HostName]:
+        """Return the hosts that run as another process than before.
+
+        A process that defends itself against a suspicion raises its incarnation by
+        one, while a new process starts with the wall clock in milliseconds.
+        """
+        restarted = set()
+        for member in self._context.membership.view.members:
+            name = member.host.name
+            earlier = self._incarnations.get(name, 0)
+            if earlier and member.incarnation - earlier > MAX_DEFENCES:
+                restarted.add(name)
+            self._incarnations[name] = member.incarnation
+        return frozenset(restarted)
+
     def _placement_changed(self, now: Seconds) -> None:
         context = self._context
         upstreams = context.directory.reachable.values()
--- a/banyanline/core/owner/requests.py
+++ b/banyanline/core/owner/requests.py
@@ -21,7 +21,7 @@
     Unreachable,
     Work,
 )
-from banyanline.core.ledger import Admitted, Fenced, KeyRecord, OwnerLedger, Repeated
+from banyanline.core.ledger import Admitted, Attempt, Fenced, KeyRecord, OwnerLedger, Repeated
 from banyanline.core.messages import Answered as AnsweredOutcome
 from banyanline.core.messages import (
     CancelDispatch,
@@ -76,7 +76,10 @@
         """Take a request from its home."""
         owned = self._owned.get(message.upstream)
         record = self._ledger.get(message.key)
-        if record is not None and record.is_carried:
+        if message.owner_incarnation < self._context.incarnation:
+            outcome = Unknown(UnknownReason.OWNER_LOST)
+            self._reply(owned, sender, message.serial, message.key, outcome, now)
+        elif record is not None and record.is_carried:
             self._repeat(owned, record, sender, message, now)
         elif owned is None or not self._context.membership.lease_fresh(now):
             self._reply_moved(owned, sender, message, now)
@@ -89,7 +92,9 @@
         self, owned: OwnedUpstream | None, sender: HostName, message: Dispatch, now: Seconds
     ) -> None:
         outcome = NotRun(RefusalReason.OWNER_MOVED, 1.0)
-        self._reply(owned, sender, message.serial, message.key, outcome, now)
+        attempt = Attempt(sender, message.attempt)
+        if self._ledger.refuse(message.key, attempt, outcome, now):
+            self._reply(owned, sender, message.serial, message.key, outcome, now)
 
     def _reply(
         self,
@@ -113,7 +118,7 @@
             case Fenced.SUPERSEDED:
                 self._reply(owned, sender, message.serial, message.key, Superseded(), now)
             case Fenced.FULL:
-                outcome = NotRun(RefusalReason.LEDGER_FULL, 1.0)
+                outcome = Unknown(RefusalReason.LEDGER_FULL)
                 self._reply(owned, sender, message.serial, message.key, outcome, now)
             case Repeated(record):
                 self._repeat(owned, record, sender, message, now)
@@ -135,10 +140,10 @@
                 record.waiters.append(waiter)
         elif self._may_try_again(owned, record, sender, message, now):
             assert owned is not None
-            if self._ledger.reopen(record, message.ballot, owned.name):
+            attempt = Attempt(sender, message.attempt)
+            if self._ledger.reopen(record, message.ballot, attempt, owned.name):
                 self._offer(owned, record, sender, message, now)
                 return
-            outcome = Superseded()
         self._reply(owned, sender, message.serial, message.key, outcome, now)
 
     def _may_try_again(
@@ -149,7 +154,7 @@
         message: Dispatch,
         now: Seconds,
     ) -> bool:
-        is_same_attempt = record.last_attempt == (sender, message.attempt)
+        is_same_attempt = record.last_attempt == Attempt(sender, message.attempt)
         if owned is None or not owned.is_active or is_same_attempt:
             return False
         if not self._context.membership.lease_fresh(now):
@@ -168,7 +173,7 @@
     ) -> None:
         key = message.key
         self._context.ensure_same_service(key.service, owned.name)
-        record.last_attempt = (sender, message.attempt)
+        record.last_attempt = Attempt(sender, message.attempt)
         record.waiters.append((sender, message.serial))
         stream = None
         if message.stream:
--- a/banyanline/core/owner/succession.py
+++ b/banyanline/core/owner/succession.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from banyanline.core.context import Context
 from banyanline.core.flows import FlowTable
@@ -24,11 +25,20 @@
 from banyanline.core.types import HostName, Seconds, UpstreamName
 
 HANDOVER_WAIT_S = 1.5
+EARLY_CEDE_LIFETIME_S = 5.0
 KEYS_PER_CHUNK = 400
 FLOWS_PER_CHUNK = 2000
 UNKNOWN_HOST: HostName = ""
 
 
+class EarlyCede(NamedTuple):
+    """A handover that came before this host knew that it is the successor."""
+
+    sender: HostName
+    message: Cede
+    at: Seconds
+
+
 class Succession:
     """Takes upstreams over and cedes them as the ownership table changes."""
 
@@ -45,6 +55,7 @@
         self._owned = owned
         self._requests = requests
         self._flows = flows
+        self._early: dict[UpstreamName, EarlyCede] = {}
         self._lease_since: Seconds | None = None
         self._was_interrupted = False
         self._known: set[UpstreamName] = set()
@@ -80,8 +91,11 @@
             owned.tenure = tenure
             owned.reconfigure(service, upstream)
         self._log("upstream_taken", owned)
+        early = self._early.pop(upstream.name, None)
         if tenure.stage is Stage.ACTIVE:
             owned.activate(StartCold(), now)
+        elif early is not None and now - early.at <= EARLY_CEDE_LIFETIME_S:
+            self.receive_cede(early.sender, early.message, now)
 
     def _reconfigure(
         self, owned: OwnedUpstream, service: Service, upstream: Upstream, now: Seconds
@@ -150,11 +164,12 @@
         """Take in what the previous owner hands over."""
         owned = self._owned.get(message.upstream)
         self._adopt_keys(message.keys, now)
-        if owned is None or owned.is_ceded:
-            return
         for flow in message.flows:
             self._flows.open(flow, message.upstream, now)
-            owned.gate.adopt_connection(flow)
+        if owned is None or owned.is_ceded:
+            # The previous owner has seen the change of view first.
+            self._early[message.upstream] = EarlyCede(sender, message, now)
+            return
         for host, remaining_s in message.uncertain:
             # What this process has carried itself stands in its own ledger.
             if host != self._context.local.name or not owned.has_served:
@@ -226,7 +241,8 @@
             return
         tenure.stage = Stage.WAITING_OUT_LEASE
         tenure.until = now + context.membership.takeover_wait_s
-        tenure.lose(tenure.predecessor or UNKNOWN_HOST, now + context.limits.request_lifetime_s)
+        # Whether the host that was waited for has owned the upstream is not known.
+        tenure.lose(UNKNOWN_HOST, now + context.limits.request_lifetime_s)
 
     @staticmethod
     def _start_after_loss(owned: OwnedUpstream) -> GateStart:
--- a/properties/bus.py
+++ b/properties/bus.py
@@ -214,7 +214,7 @@
     def leave(self, name: str) -> None:
         """Begin the planned stop of a balancer; it ends once it is drained."""
         self._run(name, self.nodes[name].begin_stop(self.now))
-        self._later(1.0, lambda: self._stop_when_drained(name, self.nodes.get(name)))
+        self.later(1.0, lambda: self._stop_when_drained(name, self.nodes.get(name)))
 
     def _stop_when_drained(self, name: str, node: Node | None) -> None:
         if node is None or self.nodes.get(name) is not node:
@@ -223,13 +223,13 @@
             self.crash(name)
             self.stopped.add(name)
         else:
-            self._later(0.05, lambda: self._stop_when_drained(name, node))
+            self.later(0.05, lambda: self._stop_when_drained(name, node))
 
     def configure(self, configuration: Configuration) -> None:
         """Give all running balancers a configuration, at slightly different times."""
         self.configuration = configuration
         for name in list(self.nodes):
-            self._later(
+            self.later(
                 self.rng.random(), lambda name=name: self._configure_one(name, configuration)
             )
 
@@ -248,7 +248,7 @@
         alive = [name for name in self.nodes if name not in self.stopped]
         for _ in range(self._copies()):
             name = self.rng.choice(alive)
-            self._later(
+            self.later(
                 self._delay(), lambda name=name: self._ingress(name, service, caller, payload)
             )
 
@@ -291,7 +291,7 @@
             event()
         self.now = end
 
-    def _later(self, delay: float, event: Any) -> None:
+    def later(self, delay: float, event: Any) -> None:
         heapq.heappush(self._events, (self.now + delay, next(self._order), event))
 
     def _delay(self) -> float:
@@ -320,7 +320,7 @@
             if node is not None:
                 self._run(name, node.receive_from_upstream(upstream, payload, self.now))
 
-        self._later(after + self._delay(), lambda: self._deliver(name, take))
+        self.later(after + self._delay(), lambda: self._deliver(name, take))
 
     def _to_peer(self, sender: str, receiver: str, method: str, *args: Any) -> None:
         def take() -> None:
@@ -331,7 +331,7 @@
         if self.is_cut(sender, receiver):
             return
         for _ in range(self._copies()):
-            self._later(self._delay(), lambda: self._deliver(receiver, take))
+            self.later(self._delay(), lambda: self._deliver(receiver, take))
 
     def _run(self, name: str, effects: list[Any]) -> None:
         for effect in effects:
@@ -356,9 +356,9 @@
         if sender not in self.nodes or receiver not in self.nodes or attempt > 3:
             return
         if self.is_cut(sender, receiver) or receiver in self.paused:
-            self._later(0.4, lambda: self._transfer(sender, receiver, message, attempt + 1))
+            self.later(0.4, lambda: self._transfer(sender, receiver, message, attempt + 1))
             return
-        self._later(
+        self.later(
             self._delay(),
             lambda: self._to_node(receiver, "receive_from_peer", sender, message),
         )
@@ -380,7 +380,7 @@
         if self.is_cut(name, f"{data_centre}-1"):
             return
         if self.rng.random() >= self.faults.loss:
-            self._later(self._delay(), lambda: self.upstreams.receive(name, upstream, payload))
+            self.later(self._delay(), lambda: self.upstreams.receive(name, upstream, payload))
 
     def data_centre_of(self, upstream: str) -> str:
         for service in self.configuration.services:
@@ -399,7 +399,7 @@
             if node is not None:
                 self._run(name, node.receive_on_flow(flow, b"echo", self.now))
 
-        self._later(0.002, lambda: self._deliver(name, answer))
+        self.later(0.002, lambda: self._deliver(name, answer))
 
     def upstream_at(self, endpoint: Endpoint) -> str:
         for service in self.configuration.services:
@@ -417,4 +417,4 @@
             self._schedule_tick(name, node)
 
         due = max(0.005, node.next_at(self.now) - self.now)
-        self._later(min(due, 0.05), tick)
+        self.later(min(due, 0.05), tick)
