--- a/banyanline/core/gate/gate.py
+++ b/banyanline/core/gate/gate.py
@@ -79,12 +79,13 @@
         start: GateStart,
         now: Seconds,
         rng: random.Random,
+        queue: DeadlineQueue | None = None,
     ) -> None:
         self._upstream = upstream
         self._state = upstream.state
         self._is_ceded = False
         self._is_abandoned = False
-        self._queue = DeadlineQueue()
+        self._queue = DeadlineQueue() if queue is None else queue
         self._running: dict[RequestId, _Running] = {}
         self._cancelled: dict[RequestId, _Running] = {}
         self._connections = Connections(upstream.connections)
--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded experiments on the policies of the core, without sockets or clocks."""
--- a/properties/test_gate.py
+++ b/properties/test_gate.py
@@ -92,6 +92,20 @@
         self.waiting[work.request_id] = work
         self.take(self.gate.offer(work, self.now))
 
+    @precondition(lambda self: self.waiting or self.running)
+    @rule()
+    def offer_again(self):
+        for work in [*self.waiting.values(), *self.running.values()]:
+            effects = self.gate.offer(work, self.now)
+            assert Start(work) not in effects or work.request_id in self.waiting
+            self.take(effects)
+
+    @rule(elapsed=st.sampled_from([0.5, 2.0, 10.0]))
+    def pause(self, elapsed):
+        """Let time pass without a tick, as when the process stands still."""
+        self.now += elapsed
+        self.release_elsewhere()
+
     @rule(count=st.integers(2, 20), patience=st.floats(0.1, 5.0))
     def offer_many(self, count, patience):
         for _ in range(count):
