--- a/banyanline/net/logs.py
+++ b/banyanline/net/logs.py
@@ -15,8 +15,7 @@
     from collections.abc import Callable
 
 LEVELS = ("debug", "info", "warning", "error")
-BURST_LINES = 10
-REFILL_LINES_PER_S = 1.0
+LINES_PER_S = 20.0
 MAX_EVENTS = 256
 """Event names whose rate is bounded apart; the names beyond it share one allowance."""
 
@@ -25,18 +24,19 @@
 
 
 class _Allowance:
-    """A token bucket for the lines of one event name."""
+    """A token bucket for the lines of one event name, which holds those of one second."""
 
-    __slots__ = ("suppressed", "tokens", "updated_s")
+    __slots__ = ("lines_per_s", "suppressed", "tokens", "updated_s")
 
-    def __init__(self, now_s: float) -> None:
-        self.tokens = float(BURST_LINES)
+    def __init__(self, lines_per_s: float, now_s: float) -> None:
+        self.lines_per_s = lines_per_s
+        self.tokens = max(1.0, lines_per_s)
         self.updated_s = now_s
         self.suppressed = 0
 
     def take(self, now_s: float) -> bool:
-        refill = (now_s - self.updated_s) * REFILL_LINES_PER_S
-        self.tokens = min(float(BURST_LINES), self.tokens + refill)
+        refill = (now_s - self.updated_s) * self.lines_per_s
+        self.tokens = min(max(1.0, self.lines_per_s), self.tokens + refill)
         self.updated_s = now_s
         if self.tokens < 1.0:
             self.suppressed += 1
@@ -46,13 +46,16 @@
 
 
 class RateBound:
-    """A structlog processor that lets a burst of each event name through, then a steady rate.
+    """A structlog processor that bounds the lines a second of each event name.
 
     The next line that passes says in ``suppressed`` how many of its event were
     left out before it. ``clock`` is monotonic, in seconds.
     """
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, lines_per_s: float = LINES_PER_S, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._lines_per_s = lines_per_s
         self._clock = clock
         self._allowances: dict[str, _Allowance] = {}
 
@@ -71,7 +74,7 @@
             event = _OTHER_EVENTS
         allowance = self._allowances.get(event)
         if allowance is None:
-            allowance = self._allowances[event] = _Allowance(self._clock())
+            allowance = self._allowances[event] = _Allowance(self._lines_per_s, self._clock())
         return allowance
 
 
@@ -79,11 +82,14 @@
     level: str = "info",
     *,
     host: str = "",
+    lines_per_s: float = LINES_PER_S,
     output: TextIO | None = None,
     clock: Callable[[], float] = time.monotonic,
 ) -> None:
     """Send structlog's events at ``level`` and above to ``output`` (stderr) as logfmt lines.
 
+    At most ``lines_per_s`` lines a second of each event name are written.
+
     Raises KeyError for a level that is not one of ``LEVELS``.
     """
     numeric = logging.getLevelNamesMapping()[level.upper()]
@@ -93,7 +99,7 @@
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
-            RateBound(clock),
+            RateBound(lines_per_s, clock),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
--- a/banyanline/tests/test_logs.py
+++ b/banyanline/tests/test_logs.py
@@ -46,7 +46,7 @@
 
 def test_bursts_are_bounded_for_each_event_and_the_rest_is_counted(output):
     now_s = [0.0]
-    configure_logs("info", output=output, clock=lambda: now_s[0])
+    configure_logs("info", lines_per_s=10.0, output=output, clock=lambda: now_s[0])
     logger = structlog.get_logger()
     for _ in range(1000):
         logger.info("frame_rejected")
@@ -60,7 +60,7 @@
 
 
 def test_event_names_made_by_packets_are_bounded(output):
-    configure_logs("info", output=output, clock=lambda: 0.0)
+    configure_logs("info", lines_per_s=10.0, output=output, clock=lambda: 0.0)
     logger = structlog.get_logger()
     for number in range(MAX_EVENTS + 1000):
         logger.info(f"event_{number}")
--- a/bench/measure_roles.py
+++ b/bench/measure_roles.py
@@ -3,13 +3,13 @@
 Three balancers run as processes of their own. Only flows are used whose ingress,
 home and owner are three different hosts, so that each process plays one role:
 
-    caller -> ingress -> home -> owner -> upstream -> owner -> home -> caller
+    caller -> ingress -> home -> owner -> upstream -> owner -> caller
 
 The upstream is the bare echo of :mod:`bench.measure_hops`. Two units are given: what
 it spends on a datagram as upstream, where datagrams reach it as one by one as they
 reach the balancers, and what it spends when callers send to it directly in batches,
-just before, so that one wake-up reads many. An ingress handles one datagram in each
-round trip, a home and an owner two. Run it as ``python -m bench.measure_roles``.
+just before, so that one wake-up reads many. An ingress and a home handle one datagram
+in each round trip, an owner two. Run it as ``python -m bench.measure_roles``.
 """
 
 from __future__ import annotations
@@ -49,7 +49,7 @@
 REPLY_TIMEOUT_S = 0.3
 ADMIN_TIMEOUT_S = 2.0
 NS_PER_S = 1_000_000_000
-HOPS = {"ingress": 1, "home": 2, "owner": 2}
+HOPS = {"ingress": 1, "home": 1, "owner": 2}
 """Datagrams that a role handles in one round trip."""
 
 
