--- a/banyanline/net/metrics.py
+++ b/banyanline/net/metrics.py
@@ -80,6 +80,8 @@
         "control_bytes",
         "control_failures",
         "peer_rejections",
+        "stalled_s",
+        "stalls",
     )
 
     def __init__(self) -> None:
@@ -87,6 +89,8 @@
         self.config_refusals: defaultdict[str, int] = defaultdict(int)
         self.control_failures: defaultdict[StrEnum, int] = defaultdict(int)
         self.control_bytes: defaultdict[ControlTraffic, int] = defaultdict(int)
+        self.stalls = 0
+        self.stalled_s = 0.0
 
     def reject_frame(self, reason: StrEnum) -> None:
         """Count a frame that claimed to come from a balancer and was dropped."""
@@ -100,6 +104,11 @@
         """Count a control call to another balancer that brought no answer."""
         self.control_failures[reason] += 1
 
+    def stall(self, late_s: float) -> None:
+        """Count that the event loop stood still for ``late_s`` seconds."""
+        self.stalls += 1
+        self.stalled_s += late_s
+
     def add_control_bytes(self, kind: ControlTraffic, size: int) -> None:
         """Count bytes of a frame sent to another balancer that carries no caller's data."""
         self.control_bytes[kind] += size
@@ -156,6 +165,10 @@
             "control_bytes_total", "Bytes sent to other balancers that carry no caller's data."
         )
         self._platform = self._counter("platform_failures_total", "Platform reads that failed.")
+        self._stalls = self._counter("loop_stalls_total", "Times the event loop stood still.")
+        self._stalled_s = self._counter(
+            "loop_stalled_seconds_total", "Time for which the event loop stood still, in seconds."
+        )
         self._platform_calls = self._counter("platform_calls_total", "Calls of the platform.")
         self._datagrams = self._counter("datagrams_total", "Datagrams by socket kind and fate.")
         self._gauges = {
@@ -203,6 +216,8 @@
         _copy(self._control, "reason", counts.control_failures)
         _copy(self._control_bytes, "kind", counts.control_bytes)
         _copy(self._platform, "reason", self._sources.platform_failures())
+        self._stalls.set({}, counts.stalls)
+        self._stalled_s.set({}, counts.stalled_s)
         self._platform_calls.set({}, self._sources.platform_calls())
         for kind, totals in self._sources.datagrams().items():
             for fate, count in totals._asdict().items():
--- a/banyanline/tests/test_admin.py
+++ b/banyanline/tests/test_admin.py
@@ -51,6 +51,7 @@
     for latency_s in (0.0004, 0.003, 0.003, 99.0):
         counters.answer("orders", latency_s)
     io_counts.reject_frame(RejectionReason.REPLAYED)
+    io_counts.stall(1.5)
     io_counts.add_control_bytes(ControlTraffic.PROBE, 80)
     return counters, io_counts
 
@@ -199,6 +200,8 @@
         'banyanline_answer_latency_seconds_count{service="orders"} 4.0',
         'banyanline_datagrams_total{fate="send_drops",socket="caller"} 1',
         "banyanline_platform_calls_total 3",
+        "banyanline_loop_stalls_total 1",
+        "banyanline_loop_stalled_seconds_total 1.5",
         'banyanline_platform_failures_total{reason="timeout"} 2',
         'banyanline_control_bytes_total{kind="probe"} 80',
     ],
