--- a/bench/relay.py
+++ b/bench/relay.py
@@ -13,11 +13,10 @@
 from contextlib import suppress
 from functools import partial
 
-import psutil
-
 from bench.addresses import CONTROL_PORT, PEER_PORT
 from bench.fleet import Balancer
 from bench.link import Cuts, Link
+from bench.procnet import owner_of_port
 from bench.sockets import Address, UdpSocket
 
 READ_BYTES = 65536
@@ -27,13 +26,13 @@
 
 
 class _Pipe:
-    """One relayed TCP connection between two data centres."""
+    """One relayed TCP connection from ``source`` to a data centre."""
 
     def __init__(
-        self, one: str | None, other: str, writers: tuple[asyncio.StreamWriter, ...]
+        self, source: Address, data_centre: str, writers: tuple[asyncio.StreamWriter, ...]
     ) -> None:
-        self.one = one
-        self.other = other
+        self.source = source
+        self.data_centre = data_centre
         self.writers = writers
 
     def abort(self) -> None:
@@ -103,8 +102,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         source = writer.get_extra_info("peername")
-        sender = self._data_centre_at(source[0]) or self._data_centre_of_port(source[1])
-        if self._cuts.is_blocked(sender, receiver.data_centre):
+        if self._is_cut(source, receiver.data_centre):
             writer.transport.abort()
             return
         try:
@@ -112,7 +110,7 @@
         except OSError:
             writer.transport.abort()
             return
-        pipe = _Pipe(sender, receiver.data_centre, (writer, far_writer))
+        pipe = _Pipe(source, receiver.data_centre, (writer, far_writer))
         self._pipes.add(pipe)
         await asyncio.wait(
             (
@@ -124,18 +122,24 @@
         pipe.abort()
         self._pipes.discard(pipe)
 
-    def _data_centre_of_port(self, port: int) -> str | None:
-        """Find the balancer whose process owns the local TCP ``port``."""
-        for balancer in self._balancers():
-            with suppress(psutil.Error):
-                connections = psutil.Process(balancer.pid).net_connections("tcp")
-                if any(c.laddr and c.laddr.port == port for c in connections):
-                    return balancer.data_centre
-        return None
+    def _is_cut(self, source: Address, data_centre: str) -> bool:
+        """Whether a connection from ``source`` to a data centre is cut.
+
+        A connection need not come from the address that its balancer binds, so
+        the process that owns ``source`` is looked up, while there are cuts.
+        """
+        if not self._cuts.is_active:
+            return False
+        sender = self._data_centre_at(source[0])
+        if sender is None:
+            data_centres = {b.pid: b.data_centre for b in self._balancers()}
+            pid = owner_of_port(source[1], data_centres)
+            sender = data_centres[pid] if pid is not None else None
+        return self._cuts.is_blocked(sender, data_centre)
 
     def _close_cut_pipes(self) -> None:
         for pipe in list(self._pipes):
-            if self._cuts.is_blocked(pipe.one, pipe.other):
+            if self._is_cut(pipe.source, pipe.data_centre):
                 pipe.abort()
 
     async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
