Identify an observation by endpoint and token, as RFC 7641 does

Cause: the upstream stand-in replaced an observation by its key and let a deregistration from another endpoint end it; when owners change, the old owner's deregistration could end the new owner's stream.

Change: endpoint and token identify it; a Reset of a notification ends it.

--- a/bench/coap_upstream.py
+++ b/bench/coap_upstream.py
@@ -29,14 +29,19 @@
     message_id: int
 
 
+class _Observer(NamedTuple):
+    """What identifies an observation: the client's endpoint and token (RFC 7641, 4.1)."""
+
+    source: Address
+    token: bytes
+
+
 class _Stream:
-    """One observation: where its notifications go and how far they are."""
+    """One observation and how far its notifications are."""
 
-    def __init__(self, key: str, source: Address, token: bytes) -> None:
+    def __init__(self, key: str, sequence: int) -> None:
         self.key = key
-        self.source = source
-        self.token = token
-        self.sequence = 1
+        self.sequence = sequence
 
 
 class CoapUpstream(Upstream):
@@ -45,7 +50,8 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         self._active: dict[_Exchange, asyncio.TimerHandle] = {}
         self._answers: OrderedDict[_Exchange, bytes] = OrderedDict()
-        self._streams: dict[str, _Stream] = {}
+        self._streams: dict[_Observer, _Stream] = {}
+        self._notified: dict[_Exchange, _Observer] = {}
         self._message_id = 0
         super().__init__(*args, **kwargs)
 
@@ -66,6 +72,7 @@
         self._active.clear()
         self._answers.clear()
         self._streams.clear()
+        self._notified.clear()
 
     def on_datagram(self, data: bytes, source: Address) -> None:
         """Take a request, a cancellation or garbage."""
@@ -79,6 +86,11 @@
             self._on_request(exchange, message)
 
     def _on_reset(self, exchange: _Exchange) -> None:
+        """Cancel the stream of a notification (RFC 7641, 3.6), or a running request."""
+        observer = self._notified.get(exchange)
+        if observer is not None:
+            self._streams.pop(observer, None)
+            return
         timer = self._active.pop(exchange, None)
         if timer is not None:
             timer.cancel()
@@ -104,7 +116,8 @@
         key = _request_key(message)
         is_stream = message.opt.observe == 0
         block = message.opt.block2
-        continues = (is_stream and key in self._streams) or (block and block.block_number > 0)
+        is_known = any(stream.key == key for stream in self._streams.values())
+        continues = (is_stream and is_known) or (block and block.block_number > 0)
         if not continues:
             self._counts.new_work.append(now)
         if not self._cold.bears(now, len(self._active)):
@@ -166,37 +179,33 @@
         )
 
     def _open_stream(self, exchange: _Exchange, message: Any, key: str) -> coap.Response:
-        stream = self._streams.get(key)
-        if stream is None:
-            stream = _Stream(key, exchange.source, message.token)
-            self._streams[key] = stream
-        stream.source = exchange.source
-        stream.token = message.token
+        sequences = [one.sequence for one in self._streams.values() if one.key == key]
+        stream = _Stream(key, max(sequences, default=0) + 1)
+        self._streams[_Observer(exchange.source, message.token)] = stream
         return coap.Response(
             coap.CONTENT, self.echo(key, str(stream.sequence)).encode(), observe=stream.sequence
         )
 
     def _on_deregister(self, exchange: _Exchange, message: Any) -> None:
         key = _request_key(message)
-        for candidate, stream in list(self._streams.items()):
-            is_same_source = stream.source == exchange.source
-            if stream.token == message.token and (is_same_source or candidate == key):
-                del self._streams[candidate]
+        self._streams.pop(_Observer(exchange.source, message.token), None)
         response = coap.Response(coap.CONTENT, self.echo(key).encode())
         self._answer(exchange, message, response)
 
     def on_tick(self) -> None:
         """Notify all streams."""
-        for stream in self._streams.values():
+        self._notified.clear()
+        for observer, stream in self._streams.items():
             stream.sequence += 1
             self._message_id = (self._message_id + 1) % 65536
+            self._notified[_Exchange(observer.source, self._message_id)] = observer
             response = coap.Response(
                 coap.CONTENT,
                 self.echo(stream.key, str(stream.sequence)).encode(),
                 observe=stream.sequence,
             )
-            data = coap.encode_response(response, coap.Kind.NON, self._message_id, stream.token)
-            self.send(data, stream.source)
+            data = coap.encode_response(response, coap.Kind.NON, self._message_id, observer.token)
+            self.send(data, observer.source)
 
 
 def _request_key(message: Any) -> str:
