Let a starting balancer take no work until its view is complete

Cause: a joining balancer became home and owner at once and answered POSTs of its first 3 s with unknown:no_quorum. Change: a process stands by for its founding time and then announces itself; founders settle 2 s later.

--- a/banyanline/core/context.py
+++ b/banyanline/core/context.py
@@ -184,7 +184,7 @@
         if home_since is None or lease_since is None:
             return False
         since = max(home_since, lease_since)
-        if since <= self._founding.ends_at and self.is_founder(now):
+        if since <= self._founding.settled_at and self.is_founder(now):
             return True
         return now - since >= period_s
 
@@ -194,7 +194,7 @@
 
     def previous_homes(self, slot: int, now: Seconds) -> list[HostName]:
         """Return the earlier homes of a slot whose requests may still be repeated."""
-        began = self._founding.ends_at if self.is_founder(now) else float("-inf")
+        began = self._founding.settled_at if self.is_founder(now) else float("-inf")
         homes = self.slots.previous_homes(slot, now)
         return [home.host for home in homes if home.until > began]
 
@@ -218,7 +218,7 @@
         one goes on. A process that has just started waits until its view is complete.
         """
         return (
-            self._founding.is_over(now)
+            self._founding.may_decide(self.membership.view, now)
             and self.membership.lease_fresh(now)
             and self.membership.has_majority(self._local.fabric_group, now)
         )
--- a/banyanline/core/founding.py
+++ b/banyanline/core/founding.py
@@ -1,9 +1,10 @@
 """Whether this process was there when the fleet began.
 
-Hosts of a fleet that starts as a whole come up within moments of each other. None
-of them decides on a non-idempotent request in its first moments, so what their
-views showed of homes and owners in that time does not count afterwards. A process
-that joins a running fleet has no such past.
+A process takes no work in its first moments, until its view is complete. Hosts of
+a fleet that starts as a whole come up within moments of each other; they are its
+founders. None of them decides on a non-idempotent request before all are ready, so
+what their views showed of homes and owners until then does not count afterwards. A
+process that joins a running fleet has no such past.
 """
 
 from __future__ import annotations
@@ -12,6 +13,9 @@
 from banyanline.core.types import Seconds
 
 FOUNDING_S = 3.0
+SETTLING_S = 2.0
+"""Within this time after one founder is ready the others are, and all have heard of it."""
+
 MS_PER_S = 1000
 
 
@@ -26,13 +30,24 @@
 
     @property
     def ends_at(self) -> Seconds:
-        """Until when this process decides on no non-idempotent request."""
+        """Until when this process takes no work."""
         return self._ends_at
 
+    @property
+    def settled_at(self) -> Seconds:
+        """Until when a founder decides on no non-idempotent request."""
+        return self._ends_at + SETTLING_S
+
     def is_over(self, now: Seconds) -> bool:
         """Whether the founding time of this process is over."""
         return now >= self._ends_at
 
+    def may_decide(self, view: View, now: Seconds) -> bool:
+        """Whether this process may decide on non-idempotent requests."""
+        if not self.is_over(now):
+            return False
+        return now >= self.settled_at or not self.is_founder(view, now)
+
     def is_founder(self, view: View, now: Seconds) -> bool:
         """Whether no live host of the group had started long before this one.
 
--- a/banyanline/core/membership/detector.py
+++ b/banyanline/core/membership/detector.py
@@ -160,6 +160,21 @@
         self._refresh(now, effects)
         return effects
 
+    def stand_by(self) -> None:
+        """Take no work until :meth:`announce_ready`; for a process that has just started."""
+        self._table.stand_by()
+
+    def announce_ready(self, now: Seconds) -> list[MembershipEffect]:
+        """Tell the peers that this process takes work from now on."""
+        effects: list[MembershipEffect] = []
+        local = self._table.local
+        if local.is_leaving:
+            self._table.become_ready(now)
+            self._composer.spread(local.update(with_place=True))
+            self._announce(now, effects)
+        self._refresh(now, effects)
+        return effects
+
     def tick(self, now: Seconds) -> list[MembershipEffect]:
         """Send what is due and draw conclusions from what did not come."""
         effects: list[MembershipEffect] = []
--- a/banyanline/core/membership/table.py
+++ b/banyanline/core/membership/table.py
@@ -179,6 +179,18 @@
         self.local.changed_at = now
         self._note_change(self.local, before)
 
+    def stand_by(self) -> None:
+        """Mark the local host as taking no work yet."""
+        self.local.is_leaving = True
+
+    def become_ready(self, now: Seconds) -> None:
+        """Mark the local host as taking work."""
+        before = self.local.standing
+        self.local.is_leaving = False
+        self.local.incarnation += 1
+        self.local.changed_at = now
+        self._note_change(self.local, before)
+
     def list_hosts(self, hosts: Iterable[Host], status: MemberStatus, now: Seconds) -> None:
         """Take over the platform's list; a host not known before gets ``status``."""
         listed: set[HostName] = set()
--- a/banyanline/core/node.py
+++ b/banyanline/core/node.py
@@ -107,6 +107,8 @@
         self._incarnations: dict[HostName, int] = {}
         self._greatest_revision_seen: tuple[int, HostName] = (0, "")
         self._housekeeping_at = now
+        self._is_ready = False
+        membership.stand_by()
         self._view_changed(now)
 
     @property
@@ -235,10 +237,19 @@
         """Do what is due."""
         self._housekeeping_at = now + HOUSEKEEPING_INTERVAL_S
         self._run_membership(self._context.membership.tick(now), now)
+        self._get_ready(now)
         self._home.tick(now)
         self._owner.tick(now)
         return self._settle(now)
 
+    def _get_ready(self, now: Seconds) -> None:
+        """Begin to take work once the view and a configuration are there."""
+        if self._is_ready or self._context.stopping or self.revision == 0:
+            return
+        if self._founding.is_over(now):
+            self._is_ready = True
+            self._run_membership(self._context.membership.announce_ready(now), now)
+
     # -- messages between roles
 
     def _settle(self, now: Seconds) -> list[Effect]:
@@ -351,9 +362,6 @@
         context = self._context
         view = context.membership.view
         homes = view.homes(context.local.fabric_group)
-        if not self._founding.is_over(now):
-            # For a host that has just come the home before it is the home without it.
-            context.slots.update([name for name in homes if name != context.local.name], now)
         context.slots.update(homes, now)
         alive = frozenset(member.host.name for member in view.members if member.is_live)
         lost = (self._alive - alive) | self._note_restarts()
--- a/banyanline/core/owner/succession.py
+++ b/banyanline/core/owner/succession.py
@@ -114,12 +114,13 @@
         is_new_upstream = self._known and upstream.name not in self._known
         previous = context.ownership.previous_owners(key_of(upstream), now)
         predecessor = previous[0].host if previous else self._likely_predecessor(upstream, view)
+        is_known = bool(previous)
         lifetime_s = context.limits.request_lifetime_s
         if predecessor is not None and view.is_alive(predecessor):
-            return Tenure(Stage.AWAITING_HANDOVER, now + HANDOVER_WAIT_S, predecessor)
+            return Tenure(Stage.AWAITING_HANDOVER, now + HANDOVER_WAIT_S, predecessor, is_known)
         if previous or not (is_new_upstream or context.is_founder(now)):
             wait_s = context.membership.takeover_wait_s
-            tenure = Tenure(Stage.WAITING_OUT_LEASE, now + wait_s, predecessor)
+            tenure = Tenure(Stage.WAITING_OUT_LEASE, now + wait_s, predecessor, is_known)
             tenure.lose(predecessor or UNKNOWN_HOST, now + lifetime_s)
             return tenure
         return Tenure(Stage.ACTIVE, now, None)
@@ -241,8 +242,8 @@
             return
         tenure.stage = Stage.WAITING_OUT_LEASE
         tenure.until = now + context.membership.takeover_wait_s
-        # Whether the host that was waited for has owned the upstream is not known.
-        tenure.lose(UNKNOWN_HOST, now + context.limits.request_lifetime_s)
+        predecessor = tenure.predecessor if tenure.is_predecessor_known else None
+        tenure.lose(predecessor or UNKNOWN_HOST, now + context.limits.request_lifetime_s)
 
     @staticmethod
     def _start_after_loss(owned: OwnedUpstream) -> GateStart:
--- a/banyanline/core/owner/tenure.py
+++ b/banyanline/core/owner/tenure.py
@@ -29,12 +29,23 @@
 
 
 class Tenure:
-    """The stage of one ownership, when it ends, and the lost owners before it."""
+    """The stage of one ownership, when it ends, and the lost owners before it.
 
-    def __init__(self, stage: Stage, until: Seconds, predecessor: HostName | None) -> None:
+    ``is_predecessor_known`` tells whether ``predecessor`` was seen as owner, or only
+    is who would be owner without this host.
+    """
+
+    def __init__(
+        self,
+        stage: Stage,
+        until: Seconds,
+        predecessor: HostName | None,
+        is_predecessor_known: bool = False,
+    ) -> None:
         self.stage = stage
         self.until = until
         self.predecessor = predecessor
+        self.is_predecessor_known = is_predecessor_known
         self._lost: dict[HostName, Seconds] = {}
 
     def lose(self, host: HostName, until: Seconds) -> None:
