Hand streams over with the owner that they are registered at

Change: the owner travels with the stream; every way to learn a stream checks it against the present owner.

--- a/banyanline/core/context.py
+++ b/banyanline/core/context.py
@@ -192,6 +192,10 @@
         """Whether this process was there when the fleet began."""
         return self._founding.is_founder(self.membership.view, now)
 
+    def is_founding(self, now: Seconds) -> bool:
+        """Whether the fleet is just beginning."""
+        return now <= self._founding.settled_at and self.is_founder(now)
+
     def previous_homes(self, slot: int, now: Seconds) -> list[HostName]:
         """Return the earlier homes of a slot whose requests may still be repeated."""
         began = self._founding.settled_at if self.is_founder(now) else float("-inf")
--- a/banyanline/core/home/streams.py
+++ b/banyanline/core/home/streams.py
@@ -169,6 +169,7 @@
         stream = self._streams.get(key)
         if stream is None:
             stream = self._adopt(key, message.upstream, message.owner, message.request)
+            self._check_owner(key, stream, now)
         self._follow(key, stream, message.owner)
         if stream.upstream != message.upstream or stream.owner != message.owner:
             context.send(message.owner, CancelStream(key, message.upstream))
@@ -266,11 +267,14 @@
     def owners_changed(self, now: Seconds) -> None:
         """Register the streams again whose upstream has another owner now."""
         for key, stream in self._streams.items():
-            owner = self._context.owner_of(stream.upstream)
-            if owner is None or owner == stream.owner or stream.resuming_since is not None:
-                continue
-            stream.resuming_since = now
-            self._resume(key, stream, owner, now)
+            self._check_owner(key, stream, now)
+
+    def _check_owner(self, key: StreamKey, stream: Stream, now: Seconds) -> None:
+        owner = self._context.owner_of(stream.upstream)
+        if owner is None or owner == stream.owner or stream.resuming_since is not None:
+            return
+        stream.resuming_since = now
+        self._resume(key, stream, owner, now)
 
     def _resume(self, key: StreamKey, stream: Stream, owner: HostName, now: Seconds) -> None:
         self._resuming.pop(stream.resume_serial, None)
@@ -349,7 +353,7 @@
         for key, stream in self._streams.items():
             home = self._context.home_of(FlowKey(*key[:3]))
             if home is not None and home != local:
-                state = StreamState(key, stream.upstream, stream.request)
+                state = StreamState(key, stream.upstream, stream.owner, stream.request)
                 moved.setdefault(home, []).append(state)
         for home, states in moved.items():
             for start in range(0, len(states), HANDOVER_CHUNK):
@@ -362,8 +366,8 @@
         """Take streams from their previous home."""
         for state in states:
             if state.stream not in self._streams:
-                owner = self._context.owner_of(state.upstream) or ""
-                self._adopt(state.stream, state.upstream, owner, state.request)
+                stream = self._adopt(state.stream, state.upstream, state.owner, state.request)
+                self._check_owner(state.stream, stream, now)
 
 
 def is_rejection(message: coap.Empty) -> bool:
--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -298,10 +298,14 @@
 
 
 class StreamState(_Message, frozen=True):
-    """A stream as one witness knows it; ``request`` registers it again."""
+    """A stream as one witness knows it; ``request`` registers it again.
+
+    ``owner`` is the host through which it is registered.
+    """
 
     stream: StreamKey
     upstream: UpstreamName
+    owner: HostName
     request: bytes
 
 
--- a/banyanline/core/owner/succession.py
+++ b/banyanline/core/owner/succession.py
@@ -25,6 +25,9 @@
 from banyanline.core.types import HostName, Seconds, UpstreamName
 
 HANDOVER_WAIT_S = 1.5
+FOUNDERS_WAIT_S = 0.3
+"""While a fleet begins, the owners before were such for moments only."""
+
 EARLY_CEDE_LIFETIME_S = 5.0
 KEYS_PER_CHUNK = 400
 FLOWS_PER_CHUNK = 2000
@@ -117,7 +120,8 @@
         is_known = bool(previous)
         lifetime_s = context.limits.request_lifetime_s
         if predecessor is not None and view.is_alive(predecessor):
-            return Tenure(Stage.AWAITING_HANDOVER, now + HANDOVER_WAIT_S, predecessor, is_known)
+            wait_s = FOUNDERS_WAIT_S if context.is_founding(now) else HANDOVER_WAIT_S
+            return Tenure(Stage.AWAITING_HANDOVER, now + wait_s, predecessor, is_known)
         if previous or not (is_new_upstream or context.is_founder(now)):
             wait_s = context.membership.takeover_wait_s
             tenure = Tenure(Stage.WAITING_OUT_LEASE, now + wait_s, predecessor, is_known)
--- a/bench/execute.py
+++ b/bench/execute.py
@@ -87,7 +87,7 @@
     await world.start()
     footprint = await _measure_idle(world)
     world.load.start_streams()
-    await asyncio.sleep(WARM_UP_S)
+    await asyncio.sleep(job.deployment.cold_start_s + WARM_UP_S)
     began = time.monotonic()
     world.load.start_requests()
     await job.scenario.act(world, job.seconds)
--- a/properties/bus.py
+++ b/properties/bus.py
@@ -163,6 +163,7 @@
         self.stopped: set[str] = set()
         self.side: dict[str, int] = {}
         self.answers: dict[tuple[Endpoint, bytes], list[Message]] = {}
+        self._answered_at: dict[tuple[Endpoint, bytes], list[float]] = {}
         self.raw_answers: Counter[tuple[str, Endpoint]] = Counter()
         self.upstreams = Upstreams(self)
         self._events: list[tuple[float, int, Any]] = []
@@ -281,6 +282,9 @@
     def answers_to(self, caller: Endpoint, message_id: int) -> list[Message]:
         return self.answers.get((caller, message_id.to_bytes(2, "big")), [])
 
+    def answer_times(self, caller: Endpoint, message_id: int) -> list[float]:
+        return self._answered_at.get((caller, message_id.to_bytes(2, "big")), [])
+
     # -- the bus
 
     def run(self, seconds: float) -> None:
@@ -373,6 +377,7 @@
             self.raw_answers[service, caller] += 1
             return
         message = Message.decode(payload)
+        self._answered_at.setdefault((caller, message.token), []).append(self.now)
         self.answers.setdefault((caller, message.token), []).append(message)
 
     def _to_upstream(self, name: str, upstream: str, payload: bytes) -> None:
--- a/properties/chaos.py
+++ b/properties/chaos.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import Counter
 from typing import NamedTuple
 
@@ -17,6 +18,8 @@
 LATE_COPY_S = 12.0
 EVENT_PERIOD_S = 1.5
 MAX_ABSENT = 2
+STREAMS = 30
+NOTIFY_PERIOD_S = 0.5
 
 
 class Broken(NamedTuple):
@@ -29,21 +32,29 @@
 class Chaos:
     """Callers at work on a fleet while hosts crash, pause, leave, return and are cut off."""
 
-    def __init__(self, seed: int, events: tuple[str, ...], faults: Faults | None = None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        events: tuple[str, ...],
+        faults: Faults | None = None,
+        period_s: float = EVENT_PERIOD_S,
+    ) -> None:
         self.fleet = Fleet(seed=seed)
         self.rng = self.fleet.rng
         self.events = events
         self.history: list[tuple[float, str]] = []
         self._faults = faults or Faults(loss=0.01, duplication=0.02, jitter=0.003)
+        self._period_s = period_s
         self._number = 0
         self._sent: dict[str, tuple[str, Endpoint, int]] = {}
         self._revision = 1
-        self._absent: set[str] = set()
+        self._streams: list[tuple[Endpoint, int]] = []
 
     def run(self, seconds: float) -> list[Broken]:
         """Run for ``seconds`` of virtual time and return what was broken."""
         fleet = self.fleet
         fleet.run(8.0)
+        self._open_streams()
         fleet.faults = self._faults
         end = fleet.now + seconds
         next_event = fleet.now + 1.0
@@ -52,11 +63,41 @@
                 self._request()
             if fleet.now >= next_event and self.events:
                 self._event()
-                next_event = fleet.now + EVENT_PERIOD_S * (0.5 + self.rng.random())
+                next_event = fleet.now + self._period_s * (0.5 + self.rng.random())
             fleet.run(REQUEST_PERIOD_S)
+        fleet.faults = fleet.faults._replace(loss=0.0)
         fleet.run(2 * LATE_COPY_S)
         return self.broken()
 
+    def _open_streams(self) -> None:
+        """Register streams and let the upstreams send notifications from now on."""
+        fleet = self.fleet
+        for number in range(STREAMS):
+            caller = Endpoint(f"10.0.2.{number}", 4000)
+            datagram = fleet.request(READINGS, caller, number, "s", Code.GET, observe=0)
+            fleet.later(number * 0.05, lambda c=caller, d=datagram: fleet.send(READINGS, c, d))
+            self._streams.append((caller, number))
+        fleet.later(NOTIFY_PERIOD_S, self._notify)
+        fleet.run(STREAMS * 0.05 + 2.0)
+
+    def _notify(self) -> None:
+        self.fleet.upstreams.notify()
+        self.fleet.later(NOTIFY_PERIOD_S, self._notify)
+
+    def stream_gaps(self) -> list[float]:
+        """Return the longest time without a notification for each stream."""
+        gaps = []
+        for caller, number in self._streams:
+            times = self.fleet.answer_times(caller, number)
+            gaps.append(max((b - a for a, b in itertools.pairwise(times)), default=99.0))
+            gaps[-1] = max(gaps[-1], self.fleet.now - times[-1]) if times else 99.0
+        return gaps
+
+    def moved_flows(self) -> list[str]:
+        """Return the opaque flows that reached more than one upstream."""
+        flows = self.fleet.upstreams.flow_upstreams
+        return [str(flow) for flow, upstreams in flows.items() if len(upstreams) > 1]
+
     def _absent_count(self) -> int:
         return len(fleet_absent(self.fleet))
 
