Write libraries' log records as one line, and compare the replay window with a set

Cause: gRPC logs the traceback of a failing handler over many lines. Change: a handler for the logging module.

--- a/banyanline/net/logs.py
+++ b/banyanline/net/logs.py
@@ -78,6 +78,18 @@
         return allowance
 
 
+class _LibraryHandler(logging.Handler):
+    """Writes what libraries log through :mod:`logging` as one line of their last words."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        detail = record.getMessage().partition("\n")[0]
+        fields = {"logger_name": record.name, "detail": detail}
+        if error is not None:
+            fields["error"] = repr(error)
+        structlog.get_logger().warning("library_message", **fields)
+
+
 def configure_logs(
     level: str = "info",
     *,
@@ -93,7 +105,7 @@
     Raises KeyError for a level that is not one of ``LEVELS``.
     """
     numeric = logging.getLevelNamesMapping()[level.upper()]
-    logging.basicConfig(level=logging.ERROR, stream=output or sys.stderr)
+    logging.basicConfig(level=logging.WARNING, handlers=[_LibraryHandler()], force=True)
     if host:
         structlog.contextvars.bind_contextvars(host=host)
     structlog.configure(
--- a/banyanline/tests/test_logs.py
+++ b/banyanline/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import logging
 
 import pytest
 import structlog
@@ -15,6 +16,7 @@
     yield stream
     structlog.reset_defaults()
     structlog.contextvars.clear_contextvars()
+    logging.basicConfig(handlers=[], force=True)
 
 
 def test_line_is_logfmt_with_leading_keys(output):
@@ -78,3 +80,15 @@
     assert "event=unhandled_error" in line
     assert "ZeroDivisionError" in line
     assert "test_logs.py:" in line
+
+
+def test_traceback_of_a_library_is_one_line(output):
+    configure_logs("info", output=output)
+    try:
+        raise RuntimeError("fault\nof two lines")
+    except RuntimeError:
+        logging.getLogger("grpc").exception("call failed\nTraceback")
+    (line,) = output.getvalue().splitlines()
+    assert "event=library_message" in line
+    assert 'detail="call failed"' in line
+    assert "RuntimeError" in line
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -15,7 +15,7 @@
 from banyanline.net.admin import AdminPages, AdminServer, parse_endpoint, respond
 from banyanline.net.control import ControlMethod, ControlServer
 from banyanline.net.http import HttpFailed, HttpFailure, HttpResponse, exchange
-from banyanline.net.seal import MAC_BYTES, Opened, Rejected, Sealer
+from banyanline.net.seal import MAC_BYTES, WINDOW_FRAMES, Opened, Rejected, Sealer
 from banyanline.platform.consul import parse_response
 from banyanline.platform.reader import PlatformValue, ReadFailed
 from properties.mutations import damaged
@@ -68,6 +68,28 @@
     assert sorted(opened) == sorted({number % len(frames) for number in order})
 
 
+@profile
+@given(
+    counters=st.lists(
+        st.sampled_from([0, WINDOW_FRAMES, 3 * WINDOW_FRAMES]).flatmap(
+            lambda base: st.integers(max(1, base - 3), base + 3)
+        ),
+        max_size=40,
+    )
+)
+def test_window_takes_what_a_set_of_all_counters_would_take(counters):
+    sender, receiver = sealer("north"), sealer("south")
+    sender.seal("south", b"")
+    taken: set[int] = set()
+    for counter in counters:
+        sender._receivers["south"].counter = counter - 1
+        expected = counter not in taken and counter > max(taken, default=0) - WINDOW_FRAMES
+        result = receiver.open(sender.seal("south", b""), NOW_S)
+        assert isinstance(result, Opened) is expected
+        if expected:
+            taken.add(counter)
+
+
 @profile
 @given(position=st.integers(0), bit=st.integers(0, 7))
 def test_any_flipped_bit_is_rejected(position, bit):
