--- a/banyanline/net/seal.py
+++ b/banyanline/net/seal.py
@@ -20,6 +20,8 @@
 from struct import Struct
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
+from banyanline.net.replay import ReplayWindow
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -32,7 +34,6 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Largest frame, control calls included; the datagram path sets a smaller limit."""
 
-WINDOW_FRAMES = 4096
 FRESHNESS_S = 30.0
 START_SKEW_S = 2.0
 """How far behind the receiver's clock a sender's may be when the receiver has just started."""
@@ -53,7 +54,6 @@
 _US_PER_S = 1_000_000
 _FRESHNESS_US = int(FRESHNESS_S * _US_PER_S)
 _START_SKEW_US = int(START_SKEW_S * _US_PER_S)
-_WINDOW_MASK = (1 << WINDOW_FRAMES) - 1
 
 
 class Purpose(StrEnum):
@@ -111,54 +111,6 @@
         self.counter = counter
 
 
-class _Window:
-    """The frames taken from one start of one sender.
-
-    The ``run`` greatest counters were taken one after the other. Below them, bit
-    ``i`` of ``taken`` tells whether the counter ``greatest - run - i`` was taken.
-    """
-
-    __slots__ = ("greatest", "latest_us", "run", "sender", "started_us", "taken")
-
-    def __init__(self, sender: HostName, started_us: int) -> None:
-        self.sender = sender
-        self.started_us = started_us
-        self.greatest = 0
-        self.run = 0
-        self.taken = 0
-        self.latest_us = 0
-
-    def take(self, counter: int, sealed_us: int) -> bool:
-        """Take the counter, or return False if it was taken before or lies below the window."""
-        if counter == self.greatest + 1:
-            self.greatest = counter
-            self.run += 1
-        elif not self._take_out_of_order(counter):
-            return False
-        if sealed_us > self.latest_us:
-            self.latest_us = sealed_us
-        return True
-
-    def _take_out_of_order(self, counter: int) -> bool:
-        self._fold_run()
-        ahead = counter - self.greatest
-        if ahead > 0:
-            shifted = self.taken << ahead if ahead < WINDOW_FRAMES else 0
-            self.taken = shifted & _WINDOW_MASK | 1
-            self.greatest = counter
-            return True
-        if -ahead >= WINDOW_FRAMES or self.taken >> -ahead & 1:
-            return False
-        self.taken |= 1 << -ahead
-        return True
-
-    def _fold_run(self) -> None:
-        """Write the run into ``taken``."""
-        run = min(self.run, WINDOW_FRAMES)
-        self.taken = (self.taken << run | (1 << run) - 1) & _WINDOW_MASK
-        self.run = 0
-
-
 def _keyed_hasher(key: Key, purpose: Purpose, receiver: bytes) -> hashlib.blake2b:
     hasher = hashlib.blake2b(key=key.secret, digest_size=MAC_BYTES, person=purpose.value.encode())
     hasher.update(bytes((len(receiver),)) + receiver)
@@ -212,7 +164,7 @@
         self._started_us = int(wall_clock() * _US_PER_S)
         self._receivers: dict[HostName, _Receiver] = {}
         self._counter_floor = 0
-        self._windows: dict[bytes, _Window] = {}
+        self._windows: dict[bytes, ReplayWindow] = {}
         self._verifiers: dict[int, hashlib.blake2b] = {}
         self.set_keys(keys)
 
@@ -303,8 +255,8 @@
         return Opened(window.sender, frame[payload_at:-MAC_BYTES])
 
     def _add_window(
-        self, name: bytes, former: _Window | None, started_us: int, now_us: int
-    ) -> _Window | RejectionReason:
+        self, name: bytes, former: ReplayWindow | None, started_us: int, now_us: int
+    ) -> ReplayWindow | RejectionReason:
         """Begin a window for a start of a sender that has none yet.
 
         An earlier start than the remembered one is a replay, unless the sender's
@@ -315,7 +267,7 @@
                 return RejectionReason.TOO_MANY_SENDERS
         elif started_us < former.started_us and former.latest_us >= now_us - 2 * _FRESHNESS_US:
             return RejectionReason.REPLAYED
-        window = self._windows[name] = _Window(name.decode(errors="replace"), started_us)
+        window = self._windows[name] = ReplayWindow(name.decode(errors="replace"), started_us)
         return window
 
     def _make_room(self, now_us: int) -> bool:
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -15,7 +15,8 @@
 from banyanline.net.admin import AdminPages, AdminServer, parse_endpoint, respond
 from banyanline.net.control import ControlMethod, ControlServer
 from banyanline.net.http import HttpFailed, HttpFailure, HttpResponse, exchange
-from banyanline.net.seal import MAC_BYTES, WINDOW_FRAMES, Opened, Rejected, Sealer
+from banyanline.net.replay import WINDOW_FRAMES
+from banyanline.net.seal import MAC_BYTES, Opened, Rejected, Sealer
 from banyanline.platform.consul import parse_response
 from banyanline.platform.reader import PlatformValue, ReadFailed
 from properties.mutations import damaged
