Give suspicions and standing their own modules; show a standing-by host as such at once

Change: suspicions and standing are modules; stand_by renews the view and the update that is spread.

--- a/banyanline/core/membership/detector.py
+++ b/banyanline/core/membership/detector.py
@@ -7,9 +7,7 @@
 
 from __future__ import annotations
 
-import math
 import random
-from collections import Counter
 from functools import singledispatchmethod
 
 from banyanline.core.membership.composer import Composer
@@ -31,6 +29,8 @@
 from banyanline.core.membership.probe_ledger import ProbeLedger
 from banyanline.core.membership.schedule import ProbeSchedule
 from banyanline.core.membership.settings import MembershipSettings
+from banyanline.core.membership.standing import standing_of
+from banyanline.core.membership.suspicions import Suspicions
 from banyanline.core.membership.table import MemberTable, Record
 from banyanline.core.membership.view import View
 from banyanline.core.types import Host, HostName, Seconds
@@ -38,12 +38,6 @@
 _ANNOUNCEMENT_FANOUT = 4
 """Peers that hear at once that this process is leaving or has declared a host dead."""
 
-_CHECKS_AT_ONCE = 2
-"""Hosts suspected by others that this process probes at the same time."""
-
-_FEW_SUSPECTS = 4
-"""With more suspects than that, each costs fewer datagrams."""
-
 
 class Membership:
     """One balancer's part in the failure detector.
@@ -68,6 +62,7 @@
         self._contacts = ContactTable(local.name, settings.lease_s)
         self._schedule = ProbeSchedule(local.name, settings.ring_every, rng)
         self._ledger = ProbeLedger(settings, rng, now)
+        self._suspicions = Suspicions(self._table, settings)
         self._composer = Composer(self._table, self._contacts, settings, rng)
         self._state_answers = 0
         self._is_seeded = False
@@ -163,6 +158,8 @@
     def stand_by(self) -> None:
         """Take no work until :meth:`announce_ready`; for a process that has just started."""
         self._table.stand_by()
+        self._composer.spread(self._table.local.update(with_place=True))
+        self._view = View(self._view.version + 1, self._table.members)
 
     def announce_ready(self, now: Seconds) -> list[MembershipEffect]:
         """Tell the peers that this process takes work from now on."""
@@ -181,7 +178,7 @@
         self._notice_stall(now)
         self._expire_probes(now, effects)
         self._expire_suspicions(now, effects)
-        self._check_suspicions(now, effects)
+        effects += [self._probe(record, now) for record in self._suspicions.take_unchecked(now)]
         if now >= self._next_probe_at:
             self._next_probe_at = now + self._settings.probe_interval_s
             self._probe_next(now, effects)
@@ -243,7 +240,7 @@
         probe = self._ledger.acknowledge(message.sequence, now)
         if probe is not None:
             self._state_answers += 1
-            self._restart_suspicion(probe.target, now)
+            self._suspicions.restart(probe.target, now)
             self._contacts.record(probe.target, probe.sent_at)
             self._contacts.merge(message.contacts, probe.sent_at, now)
 
@@ -274,10 +271,7 @@
         if stalled_s < self._settings.stall_s:
             return
         self._ledger.start_over()
-        for record in self._table.suspects:
-            if record.suspicion is not None:
-                record.suspicion.since += stalled_s
-                record.suspicion.is_checked = False
+        self._suspicions.postpone(stalled_s)
         self._next_probe_at = now
         self._due_at = now
 
@@ -288,7 +282,7 @@
             self._ask_others(sequence, probe.target, effects)
 
     def _ask_others(self, sequence: int, target: HostName, effects: list[MembershipEffect]) -> None:
-        count = 1 if self._is_mass_event() else self._settings.indirect_probes
+        count = 1 if self._suspicions.is_mass_event else self._settings.indirect_probes
         for helper in self._sample_alive(count, target):
             effects.append(self._composer.request(helper, sequence, target))
 
@@ -308,20 +302,13 @@
         origin = host_identity(self.local.name)
         suspect = MemberUpdate(name, MemberStatus.SUSPECT, record.incarnation, origin)
         self._apply(suspect, now)
-        if record.suspicion is not None:
-            record.suspicion.is_own = True
-        if not self._is_mass_event():
+        self._suspicions.confirm(record)
+        if not self._suspicions.is_mass_event:
             effects.append(self._probe(record, now))
 
-    def _is_mass_event(self) -> bool:
-        """Whether so many hosts are suspected that one has to save datagrams."""
-        return len(self._table.suspects) > _FEW_SUSPECTS
-
     def _expire_suspicions(self, now: Seconds, effects: list[MembershipEffect]) -> None:
         """Declare hosts dead that have not refuted their suspicion in time."""
-        expired = [
-            record for record in self._table.suspects if now >= self._suspicion_deadline(record)
-        ]
+        expired = self._suspicions.take_expired(now)
         for record in expired:
             self._apply(MemberUpdate(record.host.name, MemberStatus.DEAD, record.incarnation), now)
         if expired and now >= self._next_announcement_at:
@@ -333,47 +320,6 @@
         for record in self._sample_alive(_ANNOUNCEMENT_FANOUT):
             effects.append(self._probe(record, now))
 
-    def _check_suspicions(self, now: Seconds, effects: list[MembershipEffect]) -> None:
-        """Probe hosts that others suspect, a few at once, before this process agrees."""
-        limit = 1 if self._is_mass_event() else _CHECKS_AT_ONCE
-        at_once = sum(
-            record.suspicion is not None and record.suspicion.is_checked
-            for record in self._table.suspects
-        )
-        for record in self._table.suspects:
-            if at_once >= limit:
-                return
-            if record.suspicion is not None and now >= self._check_at(record):
-                record.suspicion.is_checked = True
-                at_once += 1
-                effects.append(self._probe(record, now))
-
-    def _restart_suspicion(self, name: HostName, now: Seconds) -> None:
-        """Hold nothing against a host that has answered but has not refuted yet."""
-        record = self._table.get(name)
-        if record is not None and record.suspicion is not None:
-            record.suspicion.since = now
-            record.suspicion.is_own = False
-            record.suspicion.is_checked = False
-
-    def _check_at(self, record: Record) -> Seconds:
-        """Return when a host that others suspect is to be probed."""
-        suspicion = record.suspicion
-        if suspicion is None or suspicion.is_own or suspicion.is_checked:
-            return math.inf
-        return suspicion.since + self._settings.suspicion_min_s
-
-    def _suspicion_deadline(self, record: Record) -> Seconds:
-        """Return when a host is declared dead by this process."""
-        if record.suspicion is None or not record.suspicion.is_own:
-            return math.inf
-        settings = self._settings
-        return record.suspicion.deadline(
-            settings.suspicion_min_s,
-            settings.suspicion_max_s,
-            settings.suspicion_confirmations,
-        )
-
     def _probe_next(self, now: Seconds, effects: list[MembershipEffect]) -> None:
         name = self._schedule.next_target()
         record = None if name is None else self._table.get(name)
@@ -404,23 +350,12 @@
             self._next_probe_at,
             self._next_reconnect_at,
             self._ledger.due_at,
-            *(self._suspicion_deadline(record) for record in self._table.suspects),
+            self._suspicions.due_at,
         )
 
     def _rebuild(self, now: Seconds) -> None:
         """Find anew whom to probe, whose contacts count and which groups have a majority."""
-        peers: dict[bool, list[HostName]] = {True: [], False: []}
-        voters: list[HostName] = []
-        votes: Counter[str] = Counter()
-        own_group = self.local.fabric_group
-        for record in self._table:
-            group = record.host.fabric_group
-            if record.is_live and record.host.name != self.local.name:
-                peers[group == own_group].append(record.host.name)
-            if not record.has_left:
-                votes[group] += 1 if record.is_live else -1
-                if group == own_group:
-                    voters.append(record.host.name)
-        self._majorities = frozenset(group for group, lead in votes.items() if lead > 0)
-        self._schedule.rebuild(group=peers[True], others=peers[False])
-        self._contacts.set_voters(voters, now)
+        standing = standing_of(self._table)
+        self._majorities = standing.majorities
+        self._schedule.rebuild(standing.group_peers, standing.other_peers)
+        self._contacts.set_voters(standing.voters, now)
--- a/banyanline/core/membership/table.py
+++ b/banyanline/core/membership/table.py
@@ -181,7 +181,9 @@
 
     def stand_by(self) -> None:
         """Mark the local host as taking no work yet."""
+        before = self.local.standing
         self.local.is_leaving = True
+        self._note_change(self.local, before)
 
     def become_ready(self, now: Seconds) -> None:
         """Mark the local host as taking work."""
--- a/banyanline/core/placement/slots.py
+++ b/banyanline/core/placement/slots.py
@@ -121,7 +121,8 @@
         changed = [slot for slot, home in before.items() if self._homes[slot] != home]
         for slot in changed:
             self._note_change(slot, before[slot], now)
-        self._changes.append(_Change(now, changed))
+        if changed:
+            self._changes.append(_Change(now, changed))
         self._prune(now)
         return changed
 
