--- a/banyanline/core/gate/queue.py
+++ b/banyanline/core/gate/queue.py
@@ -12,7 +12,7 @@
     from banyanline.core.types import Seconds
 
 MAX_QUEUE_LENGTH = 256
-MAX_QUEUE_WAIT_S = 0.5
+MAX_QUEUE_WAIT_S = 2.0
 
 
 class Pace(NamedTuple):
--- a/bench/experiments/queueing.py
+++ b/bench/experiments/queueing.py
@@ -8,6 +8,7 @@
 import random
 from collections import Counter, defaultdict
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple, Protocol, TypeAlias
 
 from banyanline.core.gate import (
@@ -110,9 +111,11 @@
         due_at = self._gate.next_tick_at(self._simulation.now)
         if due_at is not None and due_at < self._tick_at:
             self._tick_at = due_at + 1e-4
-            self._simulation.at(self._tick_at, self._tick)
+            self._simulation.at(self._tick_at, partial(self._tick, self._tick_at))
 
-    def _tick(self) -> None:
+    def _tick(self, scheduled_at: float) -> None:
+        if scheduled_at != self._tick_at:
+            return  # An earlier tick was scheduled meanwhile.
         self._tick_at = float("inf")
         self._take(self._gate.tick(self._simulation.now))
 
@@ -198,6 +201,7 @@
     "EDF, admission by all, 0.1 s": _gate(0.1),
     "EDF, admission by all, 0.25 s": _gate(0.25),
     "EDF, admission by all, 0.5 s": _gate(0.5),
+    "EDF, admission by all, 1 s": _gate(1.0),
     "EDF, admission by all, 2 s": _gate(2.0),
     "EDF, admission by all, unbounded": _gate(60.0),
 }
