Split occupancy and pacing off the gate

Change: Occupancy knows who has a slot, Pacing when the next request may start. Conclusion: no change of behaviour.

--- a/banyanline/core/gate/gate.py
+++ b/banyanline/core/gate/gate.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from banyanline.core.answers import RefusalReason, UnknownReason
 from banyanline.core.gate.comeback import ComebackSchedule
@@ -30,9 +30,9 @@
     Work,
     WorkOutcome,
 )
+from banyanline.core.gate.occupancy import Occupancy
+from banyanline.core.gate.pacing import Pacing
 from banyanline.core.gate.queue import DeadlineQueue, Pace
-from banyanline.core.gate.ramp import Ramp
-from banyanline.core.gate.service_time import ServiceTime
 from banyanline.core.invariants import require
 from banyanline.core.types import UpstreamState
 
@@ -46,11 +46,6 @@
 MAX_SHED_PAUSE_S = 5.0
 
 
-class _Running(NamedTuple):
-    work: Work
-    started_at: Seconds
-
-
 class UpstreamGate:
     """Slots, queue, connections, cold start and health of one upstream.
 
@@ -86,18 +81,12 @@
         self._is_ceded = False
         self._is_abandoned = False
         self._queue = DeadlineQueue() if queue is None else queue
-        self._running: dict[RequestId, _Running] = {}
-        self._cancelled: dict[RequestId, _Running] = {}
+        self._occupancy = Occupancy()
+        self._pacing = Pacing(cold_start, upstream.slots, now)
         self._connections = Connections(upstream.connections)
-        self._ramp = Ramp(cold_start, upstream.slots)
-        self._service_time = ServiceTime()
         self._health = UpstreamHealth(rng)
         self._comeback = ComebackSchedule(rng)
         self._rng = rng
-        self._paused_until: Seconds = now
-        self._next_start_at: Seconds = now
-        self._elsewhere = 0
-        self._elsewhere_until: Seconds = now
         self._load_words = 0
         self._refusals: Counter[RefusalReason] = Counter()
         self._begin(start, now)
@@ -110,12 +99,12 @@
     @property
     def in_flight(self) -> int:
         """Requests that this owner has running at the upstream."""
-        return len(self._running) + len(self._cancelled)
+        return self._occupancy.in_flight
 
     @property
     def in_flight_elsewhere(self) -> int:
         """Requests that a previous owner may still have running."""
-        return self._elsewhere
+        return self._occupancy.elsewhere
 
     @property
     def queued(self) -> int:
@@ -130,7 +119,7 @@
     @property
     def service_time_s(self) -> Seconds:
         """The mean service time in seconds."""
-        return self._service_time.mean_s
+        return self._pacing.service_time.mean_s
 
     @property
     def is_circuit_open(self) -> bool:
@@ -149,25 +138,20 @@
 
     def slots(self, now: Seconds) -> int:
         """Return how many requests the upstream may have now, from all owners together."""
-        if self._health.is_draining:
-            return self._ramp.initial_slots
-        return self._ramp.slots(now)
+        return self._pacing.slots(now)
 
     def ramp_share(self, now: Seconds) -> float:
         """Return how far the upstream's warm-up has got, from 0.0 to 1.0."""
-        return self._ramp.share(now)
+        return self._pacing.ramp.share(now)
 
     def next_tick_at(self, now: Seconds) -> Seconds | None:
         """Return when :meth:`tick` is due at the latest, or None if it is not."""
-        times = [running.work.deadline for running in self._cancelled.values()]
+        times = [self._occupancy.next_release_at()]
         first_deadline = self._queue.first_deadline
         if first_deadline is not None:
-            times.append(first_deadline - self._service_time.mean_s)
-            next_slot_at = self._ramp.next_slot_at(now)
-            times += [] if next_slot_at is None else [next_slot_at]
-            starts = (self._paused_until, self._next_start_at, self._elsewhere_until)
-            times += [time for time in starts if time > now]
-        return min(times, default=None)
+            times.append(first_deadline - self._pacing.service_time.mean_s)
+            times.append(self._pacing.next_change_at(now))
+        return min((time for time in times if time is not None), default=None)
 
     def offer(self, work: Work, now: Seconds) -> GateEffects:
         """Take in a request: it is started, queued or refused at once.
@@ -175,7 +159,7 @@
         One that is known already is not taken in again.
         """
         request_id = work.request_id
-        if request_id in self._running or request_id in self._queue:
+        if request_id in self._occupancy or request_id in self._queue:
             return []
         effects = self._pump(now)
         reason = self._admission(work, now)
@@ -185,15 +169,13 @@
 
     def finished(self, request_id: RequestId, outcome: WorkOutcome, now: Seconds) -> GateEffects:
         """Take in how a started request ended; an unknown one changes nothing."""
-        running = self._running.pop(request_id, None)
-        is_cancelled = running is None
-        running = running or self._cancelled.pop(request_id, None)
+        running = self._occupancy.end(request_id)
         if running is None:
             return []
         if running.work.is_stream and not isinstance(outcome, Answered):
             self._connections.close(request_id)
         elapsed_s = now - running.started_at
-        if not is_cancelled or isinstance(outcome, Answered):
+        if not running.is_cancelled or isinstance(outcome, Answered):
             self._note_outcome(outcome, elapsed_s, now)
         if self.is_circuit_open:
             return self._refuse_queue(RefusalReason.NO_UPSTREAM, now)
@@ -208,13 +190,12 @@
         work = self._queue.remove(request_id)
         if work is not None:
             return [self._refuse(work, RefusalReason.CANCELLED, now)]
-        running = self._running.pop(request_id, None)
+        is_cold = self._pacing.ramp.share(now) < 1.0
+        running = self._occupancy.cancel(request_id, keeps_slot=is_cold)
         if running is None:
             return []
         if running.work.is_stream:
             self._connections.close(request_id)
-        if self._ramp.share(now) < 1.0:
-            self._cancelled[request_id] = running
         return [Abort(running.work), *self._pump(now)]
 
     def tick(self, now: Seconds) -> GateEffects:
@@ -225,7 +206,7 @@
         """Open a stream or flow, or return why it is refused."""
         reason = self._standing_refusal()
         if reason is None:
-            reason = self._connections.open(flow, now, self._start_interval_s(now))
+            reason = self._connections.open(flow, now, self._pacing.start_interval_s(now))
         if reason is not None:
             self._refusals[reason] += 1
         return reason
@@ -237,7 +218,8 @@
     def health(self, report: HealthReport, now: Seconds) -> GateEffects:
         """Take in an answer of the health endpoint."""
         self._suspect(self._health.report(report, now))
-        self._ramp.confirm(now)
+        self._pacing.ramp.confirm(now)
+        self._pacing.hold_back(self._health.is_draining)
         return self._pump(now)
 
     def health_missed(self, now: Seconds) -> GateEffects:
@@ -259,11 +241,8 @@
         """Give up all work and connections: the data centre is out of service."""
         self._is_abandoned = True
         effects = self._refuse_queue(RefusalReason.NO_UPSTREAM, now)
-        effects += [
-            Abort(running.work, UnknownReason.DATA_CENTRE_OUT) for running in self._running.values()
-        ]
-        self._running.clear()
-        self._cancelled.clear()
+        running = self._occupancy.clear()
+        effects += [Abort(work, UnknownReason.DATA_CENTRE_OUT) for work in running]
         effects += [CloseConnection(flow) for flow in self._connections.clear()]
         return effects
 
@@ -275,21 +254,19 @@
     def hand_over(self, now: Seconds) -> HandOver:
         """Return what the next owner has to know, after :meth:`cede`."""
         require(self._is_ceded, "only a gate that has ceded is handed over")
-        occupied = [*self._running.values(), *self._cancelled.values()]
-        latest = max((running.work.deadline for running in occupied), default=now)
         return HandOver(
-            in_flight=self.in_flight + self._elsewhere,
+            in_flight=self._occupancy.taken,
             connections=len(self._connections) + self._connections.elsewhere,
-            latest_deadline_in_s=max(latest, self._elsewhere_until, now) - now,
-            ramp_elapsed_s=self._ramp.elapsed_s(now),
-            next_start_in_s=max(self._next_start_at, self._paused_until, now) - now,
-            service_time_s=self._service_time.mean_s,
+            latest_deadline_in_s=self._occupancy.ended_by(now) - now,
+            ramp_elapsed_s=self._pacing.ramp.elapsed_s(now),
+            next_start_in_s=self._pacing.next_start_in_s(now),
+            service_time_s=self._pacing.service_time.mean_s,
             boot=self._health.boot,
         )
 
     def set_elsewhere(self, in_flight: int, connections: int, now: Seconds) -> GateEffects:
         """Take in what a ceding owner still has running and open."""
-        self._elsewhere = min(in_flight, self._elsewhere)
+        self._occupancy.lower_elsewhere(in_flight)
         self._connections.set_elsewhere(connections)
         return self._pump(now)
 
@@ -297,16 +274,16 @@
         """Return the word on load that the next reply to a home carries."""
         self._load_words += 1
         takes_work = self._standing_refusal() is None and not self.is_circuit_open
-        takes_work = takes_work and now >= self._paused_until
+        takes_work = takes_work and now >= self._pacing.paused_until
         pace = self._pace(now)
         wait_s = pace.ready_in_s + len(self._queue) * pace.interval_s
         return LoadWord(
-            in_flight=self.in_flight + self._elsewhere,
+            in_flight=self._occupancy.taken,
             queued=len(self._queue),
             slots=self.slots(now) if takes_work else 0,
             expected_wait_ms=int(1000.0 * wait_s),
             service_ms=int(1000.0 * pace.service_s),
-            cold=self._ramp.share(now) < 1.0,
+            cold=self._pacing.ramp.share(now) < 1.0,
             sequence=self._load_words,
         )
 
@@ -316,23 +293,22 @@
 
     @_begin.register(StartCold)
     def _(self, start: StartCold, now: Seconds) -> None:
-        self._paused_until = now + start.takeover_wait_s
+        self._pacing.pause(now + start.takeover_wait_s)
 
     @_begin.register(StartWarm)
     def _(self, start: StartWarm, now: Seconds) -> None:
-        self._ramp.complete(now)
+        self._pacing.ramp.complete(now)
 
     @_begin.register(StartHandedOver)
     def _(self, start: StartHandedOver, now: Seconds) -> None:
         hand_over = start.hand_over
-        self._elsewhere = hand_over.in_flight
-        self._elsewhere_until = now + hand_over.latest_deadline_in_s
+        until = now + hand_over.latest_deadline_in_s
+        self._occupancy.expect_elsewhere(hand_over.in_flight, until)
         self._connections.set_elsewhere(hand_over.connections)
-        self._next_start_at = now + hand_over.next_start_in_s
-        self._service_time = ServiceTime(hand_over.service_time_s)
         self._health = UpstreamHealth(self._rng, hand_over.boot)
-        if hand_over.ramp_elapsed_s is not None:
-            self._ramp.resume(now, hand_over.ramp_elapsed_s)
+        self._pacing.resume(
+            now, hand_over.ramp_elapsed_s, hand_over.next_start_in_s, hand_over.service_time_s
+        )
 
     def _standing_refusal(self) -> RefusalReason | None:
         if self._is_ceded:
@@ -350,7 +326,9 @@
         if self.is_circuit_open and not self._may_try(work, now):
             return RefusalReason.NO_UPSTREAM
         if work.is_stream:
-            reason = self._connections.open(work.request_id, now, self._start_interval_s(now))
+            reason = self._connections.open(
+                work.request_id, now, self._pacing.start_interval_s(now)
+            )
         if reason is None:
             reason = self._queue.admit(work, now, self._admission_pace(now))
             if reason is not None and work.is_stream:
@@ -358,21 +336,12 @@
         return reason
 
     def _may_try(self, work: Work, now: Seconds) -> bool:
-        is_idle = not self._running and not self._queue
-        return is_idle and self._may_start(now) and self._health.may_try(work.idempotent, now)
-
-    def _start_interval_s(self, now: Seconds) -> Seconds:
-        return self._ramp.start_interval_s(now, self._service_time.mean_s)
+        is_idle = self.in_flight + len(self._queue) == 0
+        is_ready = is_idle and self._pacing.may_start(self._occupancy.taken, now)
+        return is_ready and self._health.may_try(work.idempotent, now)
 
     def _pace(self, now: Seconds) -> Pace:
-        slots = self.slots(now)
-        service_s = self._service_time.mean_s
-        slot_interval_s = service_s / slots
-        interval_s = max(slot_interval_s, self._start_interval_s(now))
-        busy = self.in_flight + self._elsewhere - slots + 1
-        ready_in_s = max(0, busy) * slot_interval_s
-        ready_in_s = max(ready_in_s, self._paused_until - now, self._next_start_at - now)
-        return Pace(ready_in_s, interval_s, service_s)
+        return self._pacing.pace(self._occupancy.taken, now)
 
     def _admission_pace(self, now: Seconds) -> Pace:
         pace = self._pace(now)
@@ -383,9 +352,9 @@
         return pace
 
     def _pump(self, now: Seconds) -> GateEffects:
-        self._release(now)
+        self._occupancy.release(now)
         effects: GateEffects = []
-        while self._queue and self._may_start(now):
+        while self._queue and self._pacing.may_start(self._occupancy.taken, now):
             work = self._queue.pop()
             if self._is_too_late(work, now):
                 effects.append(self._refuse(work, RefusalReason.DEADLINE_PASSED, now))
@@ -394,54 +363,39 @@
         return effects + self._expire(now)
 
     def _is_too_late(self, work: Work, now: Seconds) -> bool:
-        service_s = self._service_time.mean_s if self.in_flight else 0.0
+        service_s = self._pacing.service_time.mean_s if self.in_flight else 0.0
         return now + service_s >= work.deadline
 
-    def _release(self, now: Seconds) -> None:
-        if self._elsewhere and now >= self._elsewhere_until:
-            self._elsewhere = 0
-        if self._cancelled:
-            self._cancelled = {
-                request_id: running
-                for request_id, running in self._cancelled.items()
-                if running.work.deadline > now
-            }
-
-    def _may_start(self, now: Seconds) -> bool:
-        is_due = now >= self._paused_until and now >= self._next_start_at
-        return is_due and self.in_flight + self._elsewhere < self.slots(now)
-
     def _start(self, work: Work, now: Seconds) -> Start:
         require(self._standing_refusal() is None, "a gate that takes no work starts none")
         require(now < work.deadline, "work is started before its deadline")
-        self._running[work.request_id] = _Running(work, now)
-        occupied = self.in_flight + self._elsewhere
-        require(occupied <= self.slots(now), "no more requests run than slots are in force")
-        self._next_start_at = now + self._start_interval_s(now)
+        self._occupancy.start(work, now)
+        is_within_slots = self._occupancy.taken <= self.slots(now)
+        require(is_within_slots, "no more requests run than slots are in force")
+        self._pacing.started(now)
         if self.is_circuit_open:
             self._health.tried(now)
         return Start(work)
 
     def _note_outcome(self, outcome: WorkOutcome, elapsed_s: Seconds, now: Seconds) -> None:
-        mean_s = self._service_time.mean_s
-        suspicion = self._health.outcome(outcome, elapsed_s, mean_s, now)
-        self._suspect(suspicion)
+        service_time = self._pacing.service_time
+        self._suspect(self._health.outcome(outcome, elapsed_s, service_time.mean_s, now))
+        self._pacing.hold_back(self._health.is_draining)
         if isinstance(outcome, Answered):
-            self._service_time.add(elapsed_s)
-            self._ramp.confirm(now)
+            service_time.add(elapsed_s)
+            self._pacing.ramp.confirm(now)
         elif isinstance(outcome, TimedOut):
-            self._service_time.add_at_least(elapsed_s)
+            service_time.add_at_least(elapsed_s)
         elif isinstance(outcome, Shed):
-            self._ramp.confirm(now)
-            pause_s = min(outcome.retry_after_s, MAX_SHED_PAUSE_S)
-            self._paused_until = max(self._paused_until, now + pause_s)
+            self._pacing.ramp.confirm(now)
+            self._pacing.pause(now + min(outcome.retry_after_s, MAX_SHED_PAUSE_S))
 
     def _suspect(self, reason: SuspicionReason | None) -> None:
         if reason is not None:
-            self._ramp.restart()
+            self._pacing.ramp.restart()
 
     def _expire(self, now: Seconds) -> GateEffects:
-        expired = self._queue.expire(now + self._service_time.mean_s)
+        expired = self._queue.expire(now + self._pacing.service_time.mean_s)
         return [self._refuse(work, RefusalReason.DEADLINE_PASSED, now) for work in expired]
 
     def _refuse_queue(self, reason: RefusalReason, now: Seconds) -> GateEffects:
