--- a/banyanline/core/home/streams.py
+++ b/banyanline/core/home/streams.py
@@ -365,9 +365,14 @@
     def take_over(self, states: tuple[StreamState, ...], now: Seconds) -> None:
         """Take streams from their previous home."""
         for state in states:
-            if state.stream not in self._streams:
+            stream = self._streams.get(state.stream)
+            if stream is None:
                 stream = self._adopt(state.stream, state.upstream, state.owner, state.request)
-                self._check_owner(state.stream, stream, now)
+            elif stream.upstream == state.upstream and stream.owner != state.owner:
+                # This host was home before; the host between has moved the registration.
+                stream.owner = state.owner
+                stream.sequence = None
+            self._check_owner(state.stream, stream, now)
 
 
 def is_rejection(message: coap.Empty) -> bool:
