--- a/bench/demo.py
+++ b/bench/demo.py
@@ -13,7 +13,7 @@
 from absl import app, flags
 
 from bench.deployments import SPLIT
-from bench.execute import Job, format_table, run_job, write_output
+from bench.execute import Job, format_lag, format_table, run_job, write_output
 from bench.scenarios import Scenario
 from bench.stock_client import ask
 from bench.world import NotReadyError, World
@@ -90,6 +90,7 @@
         print(error, file=sys.stderr)
         sys.exit(1)
     print(format_table({"demo": output.result}))
+    print(format_lag(output.lag))
     if FLAGS.json:
         write_output(output, Path(FLAGS.json))
     for violation in output.violations:
--- a/bench/execute.py
+++ b/bench/execute.py
@@ -12,6 +12,7 @@
 
 from bench.deployments import Deployment
 from bench.judge import Footprint, Result, judge, violations
+from bench.looplag import LoopLag
 from bench.pages import write_pages
 from bench.resources import snapshots, usage
 from bench.scenarios import Scenario
@@ -38,6 +39,7 @@
     result: Result
     violations: list[str]
     series: Series
+    lag: LoopLag
 
 
 class Job(NamedTuple):
@@ -88,6 +90,8 @@
     footprint = await _measure_idle(world)
     world.load.start_streams()
     await asyncio.sleep(WARM_UP_S)
+    lag = LoopLag()
+    lag.start()
     began = time.monotonic()
     world.load.start_requests()
     await job.scenario.act(world, job.seconds)
@@ -95,13 +99,14 @@
     await world.load.stop_requests()
     await asyncio.sleep(GAP_S + 1.0)
     await world.load.stop_streams()
+    lag.stop()
     if job.logs is not None:
         await write_pages(world.fleet.balancers, job.logs)
     at_end = usage({}, snapshots(world.fleet.balancers))
     footprint = footprint._replace(rss_mb=at_end.rss_mb)
     result = judge(world, job.scenario.name, seconds, footprint)
     found = violations(result, is_planned=job.scenario.is_planned)
-    return RunOutput(result, found, _series(world, began))
+    return RunOutput(result, found, _series(world, began), lag)
 
 
 async def _measure_idle(world: World) -> Footprint:
@@ -167,6 +172,12 @@
     return "\n".join(lines)
 
 
+def format_lag(lag: LoopLag) -> str:
+    """Return one line that tells how late the bench itself ran."""
+    p99_ms, worst_ms = lag.p99_s * 1000, lag.worst_s * 1000
+    return f"the bench's own loop was late by {p99_ms:.0f} ms at p99, {worst_ms:.0f} ms at worst"
+
+
 def _cell(value: object) -> str:
     if isinstance(value, float):
         return f"{value:.4g}"
--- a/bench/mixture.py
+++ b/bench/mixture.py
@@ -9,7 +9,7 @@
 from bench.fleet import Balancer
 from bench.health import HealthFault
 from bench.platform import ReaderView
-from bench.world import World
+from bench.world import NotReadyError, World
 
 MEAN_PAUSE_S = 1.5
 LONGEST_FREEZE_S = 6.0
@@ -53,6 +53,14 @@
     return balancers if len(balancers) > minimum else []
 
 
+async def _add_balancer(world: World, data_centre: str) -> None:
+    """Start a balancer; one that cannot serve, as faults are under way, stays unused."""
+    try:
+        await world.add_balancer(data_centre)
+    except NotReadyError:
+        world.note(f"a new balancer in {data_centre} does not serve")
+
+
 async def _replace(world: World, rng: random.Random) -> None:
     spare = _spare_balancers(world)
     if not spare:
@@ -61,7 +69,7 @@
     victim.is_busy = True
     world.note(f"stop {victim.name}")
     await world.fleet.stop(victim)
-    await world.add_balancer(victim.data_centre)
+    await _add_balancer(world, victim.data_centre)
 
 
 async def _crash(world: World, rng: random.Random) -> None:
@@ -72,7 +80,7 @@
     victim.is_busy = True
     world.note(f"crash {victim.name}")
     await world.fleet.crash(victim)
-    await world.add_balancer(victim.data_centre)
+    await _add_balancer(world, victim.data_centre)
 
 
 async def _pause(world: World, rng: random.Random) -> None:
--- a/bench/run.py
+++ b/bench/run.py
@@ -8,7 +8,7 @@
 from absl import app, flags
 
 from bench.deployments import DEPLOYMENTS
-from bench.execute import Job, format_table, run_job, write_output
+from bench.execute import Job, format_lag, format_table, run_job, write_output
 from bench.scenarios import SCENARIOS
 from bench.world import NotReadyError
 
@@ -50,11 +50,13 @@
     path = Path(FLAGS.json) if FLAGS.json else None
     columns = {}
     found: list[str] = []
+    lag = ""
     try:
         if FLAGS.baseline != "only":
             output = run_job(job)
             columns["banyanline"] = output.result
             found = output.violations
+            lag = format_lag(output.lag)
             if path:
                 write_output(output, path)
         if FLAGS.baseline != "none":
@@ -66,6 +68,7 @@
         print(f"not ready: {error}", file=sys.stderr)
         sys.exit(2)
     print(format_table(columns))
+    print(lag)
     for violation in found:
         print(f"VIOLATION {violation}")
     sys.exit(1 if found else 0)
