--- a/banyanline/cli/balancer.py
+++ b/banyanline/cli/balancer.py
@@ -22,7 +22,7 @@
 from banyanline.core.invariants import InvariantError
 from banyanline.core.keys import KeyRing
 from banyanline.net.balancer import Balancer
-from banyanline.net.logs import configure_logs
+from banyanline.net.logs import configure_logs, log_loop_error
 from banyanline.settings import BalancerSettings, KeysError, SettingsError, parse_keys
 
 _PROGRAM = new_program(
@@ -54,6 +54,7 @@
 async def _serve(settings: BalancerSettings, keys: KeyRing) -> ExitCode:
     balancer = Balancer(settings, keys)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(log_loop_error)
     stop = asyncio.Event()
     abort = asyncio.Event()
 
@@ -105,7 +106,11 @@
     if isinstance(keys, str):
         print_error(_PROGRAM, keys)
         return ExitCode.USAGE
-    configure_logs(settings.log.level, host=settings.host.name)
+    configure_logs(
+        settings.log.level,
+        host=settings.host.name,
+        lines_per_s=settings.limits.log_lines_per_s,
+    )
     return asyncio.run(_serve(settings, keys))
 
 
--- /dev/null
+++ b/banyanline/core/dispatch.py
@@ -0,0 +1,41 @@
+"""``singledispatchmethod`` for hot paths."""
+
+from __future__ import annotations
+
+import functools
+from typing import Any
+
+
+class singledispatchmethod(functools.singledispatchmethod):  # type: ignore[type-arg]  # noqa: N801
+    """A ``functools.singledispatchmethod`` that is bound once for each instance.
+
+    The standard one builds a new wrapper at each call before Python 3.13. The
+    instance needs a ``__dict__``, where the bound method then stands.
+
+    >>> class Printer:
+    ...     @singledispatchmethod
+    ...     def show(self, value):
+    ...         return "any"
+    ...     @show.register
+    ...     def _(self, value: int):
+    ...         return "int"
+    >>> printer = Printer()
+    >>> printer.show(1), printer.show("1")
+    ('int', 'any')
+    """
+
+    def __set_name__(self, owner: type, name: str) -> None:
+        """Remember the name under which the method is bound."""
+        self._name = name
+
+    def __get__(self, obj: Any, cls: type | None = None) -> Any:
+        """Return the method bound to ``obj``, and keep it there."""
+        if obj is None:
+            return super().__get__(obj, cls)
+        dispatch = self.dispatcher.dispatch
+
+        def method(argument: Any, *args: Any) -> Any:
+            return dispatch(argument.__class__)(obj, argument, *args)
+
+        obj.__dict__[self._name] = method
+        return method
