Name each registration of a stream, so that a late cancel ends only its own

Cause (in-memory pause runs): a cancel sent to a paused owner was processed after the stream had been registered there again, and ended it for good. Change: notifications, cancels and handovers carry the message ID of the registering request; a home switches owner only on the answer to its own resumption.

--- a/banyanline/core/home/streams.py
+++ b/banyanline/core/home/streams.py
@@ -55,6 +55,7 @@
     __slots__ = (
         "ids",
         "owner",
+        "registration",
         "request",
         "resume_serial",
         "resuming_since",
@@ -63,9 +64,12 @@
         "upstream",
     )
 
-    def __init__(self, upstream: UpstreamName, owner: HostName, request: bytes) -> None:
+    def __init__(
+        self, upstream: UpstreamName, owner: HostName, registration: int, request: bytes
+    ) -> None:
         self.upstream = upstream
         self.owner = owner
+        self.registration = registration
         self.request = request
         self.sequence: int | None = None
         self.sent_sequence: int | None = None
@@ -130,12 +134,13 @@
         key = StreamKey(*flow, request.token)
         stream = self._streams.get(key)
         if stream is None and len(self._streams) >= self._context.limits.flows:
-            self._context.send(owner, CancelStream(key, upstream))
+            self._context.send(owner, CancelStream(key, upstream, request.message_id))
             return
         if stream is None or stream.upstream != upstream:
-            stream = Stream(upstream, owner, request.datagram)
+            stream = Stream(upstream, owner, request.message_id, request.datagram)
             self._streams[key] = stream
         stream.owner = owner
+        stream.registration = request.message_id
         stream.sequence = coap.observe_sequence(response.message)
         response.message.opt.observe = self._outgoing_sequence(stream)
         self._stop_resuming(stream)
@@ -145,9 +150,14 @@
         key = StreamKey(*flow, token)
         stream = self._streams.get(key)
         if stream is not None:
-            self._context.send(stream.owner, CancelStream(key, stream.upstream))
+            self._cancel_at(stream.owner, key, stream.upstream, stream.registration)
             self._end(key, FlowEnd.CALLER_LEFT)
 
+    def _cancel_at(
+        self, owner: HostName, key: StreamKey, upstream: UpstreamName, registration: int
+    ) -> None:
+        self._context.send(owner, CancelStream(key, upstream, registration))
+
     def reset(self, flow: FlowKey, message_id: int) -> bool:
         """End the stream whose notification the caller rejected (RFC 7641, 3.6)."""
         for key, stream in self._streams.items():
@@ -168,11 +178,14 @@
             return
         stream = self._streams.get(key)
         if stream is None:
-            stream = self._adopt(key, message.upstream, message.owner, message.request)
+            stream = self._adopt(
+                StreamState(
+                    key, message.upstream, message.owner, message.registration, message.request
+                )
+            )
             self._check_owner(key, stream, now)
-        self._follow(key, stream, message.owner)
-        if stream.upstream != message.upstream or stream.owner != message.owner:
-            context.send(message.owner, CancelStream(key, message.upstream))
+        if not _is_current(stream, message):
+            self._cancel_at(message.owner, key, message.upstream, message.registration)
             context.counters.drops[DropReason.STALE_NOTIFICATION] += 1
             return
         self._forward(key, stream, message.payload)
@@ -187,23 +200,18 @@
         context.send(home, msgspec.structs.replace(message, hops=message.hops + 1))
         return True
 
-    def _adopt(
-        self, key: StreamKey, upstream: UpstreamName, owner: HostName, request: bytes
-    ) -> Stream:
-        stream = Stream(upstream, owner, request)
-        self._streams[key] = stream
+    def _adopt(self, state: StreamState) -> Stream:
+        stream = Stream(state.upstream, state.owner, state.registration, state.request)
+        self._streams[state.stream] = stream
         self._context.counters.recovered["stream"] += 1
         return stream
 
-    def _follow(self, key: StreamKey, stream: Stream, sender: HostName) -> None:
-        """Switch to the upstream's present owner, and end the registration of an earlier one."""
-        if sender == stream.owner and stream.resuming_since is None:
-            return
-        if sender != self._context.owner_of(stream.upstream):
-            return
-        if stream.owner not in ("", sender):
-            self._context.send(stream.owner, CancelStream(key, stream.upstream))
-        stream.owner = sender
+    def _resumed(self, key: StreamKey, stream: Stream, owner: HostName, registration: int) -> None:
+        """Switch to a new registration, and end the one before it."""
+        if stream.owner:
+            self._cancel_at(stream.owner, key, stream.upstream, stream.registration)
+        stream.owner = owner
+        stream.registration = registration
         stream.sequence = None
         self._stop_resuming(stream)
 
@@ -247,6 +255,8 @@
         stream = self._streams.get(message.stream)
         if stream is None or stream.upstream != message.upstream or stream.owner != sender:
             return
+        if stream.registration != message.registration:
+            return
         decoded = coap.decode(message.payload)
         if isinstance(decoded, coap.Response):
             self._deliver(message.stream, stream, decoded)
@@ -304,7 +314,7 @@
             return False
         stream = self._streams[key]
         if isinstance(result.outcome, Answered):
-            self._follow(key, stream, sender)
+            self._resumed(key, stream, sender, result.key.message_id)
             self._forward(key, stream, result.outcome.payload)
         elif not isinstance(result.outcome, Pending):
             self._resuming.pop(result.serial, None)
@@ -353,7 +363,9 @@
         for key, stream in self._streams.items():
             home = self._context.home_of(FlowKey(*key[:3]))
             if home is not None and home != local:
-                state = StreamState(key, stream.upstream, stream.owner, stream.request)
+                state = StreamState(
+                    key, stream.upstream, stream.owner, stream.registration, stream.request
+                )
                 moved.setdefault(home, []).append(state)
         for home, states in moved.items():
             for start in range(0, len(states), HANDOVER_CHUNK):
@@ -367,14 +379,24 @@
         for state in states:
             stream = self._streams.get(state.stream)
             if stream is None:
-                stream = self._adopt(state.stream, state.upstream, state.owner, state.request)
-            elif stream.upstream == state.upstream and stream.owner != state.owner:
-                # This host was home before; the host between has moved the registration.
+                stream = self._adopt(state)
+            elif stream.upstream == state.upstream:
+                # This host was home before; the host between may have registered anew.
                 stream.owner = state.owner
+                stream.registration = state.registration
                 stream.sequence = None
             self._check_owner(state.stream, stream, now)
 
 
+def _is_current(stream: Stream, message: Notification) -> bool:
+    """Whether a notification comes from the registration that counts."""
+    return (
+        stream.upstream == message.upstream
+        and stream.owner == message.owner
+        and stream.registration == message.registration
+    )
+
+
 def is_rejection(message: coap.Empty) -> bool:
     """Whether an empty message rejects a notification."""
     return message.kind is Type.RST
--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -106,10 +106,14 @@
 
 
 class CancelStream(_Message, frozen=True, tag="cs"):
-    """The caller or the home no longer wants this stream from this owner."""
+    """The caller or the home no longer wants this registration of a stream.
+
+    A later registration of the same stream at the same owner stays.
+    """
 
     stream: StreamKey
     upstream: UpstreamName
+    registration: int
 
 
 class Answered(_Message, frozen=True, tag="a"):
@@ -155,21 +159,24 @@
     """An upstream's notification on its way from the owner to the stream's home.
 
     ``request`` registers the stream again, should its home have to learn it.
+    ``registration`` is the message ID of the request that registered it.
     """
 
     stream: StreamKey
     upstream: UpstreamName
     owner: HostName
+    registration: int
     payload: bytes
     request: bytes
     hops: int
 
 
 class StreamEnded(_Message, frozen=True, tag="e"):
-    """The upstream or the owner ended the stream; ``payload`` is the last message."""
+    """The upstream ended the stream; ``payload`` is its last message."""
 
     stream: StreamKey
     upstream: UpstreamName
+    registration: int
     payload: bytes
 
 
@@ -300,12 +307,14 @@
 class StreamState(_Message, frozen=True):
     """A stream as one witness knows it; ``request`` registers it again.
 
-    ``owner`` is the host through which it is registered.
+    ``owner`` is the host through which it is registered, ``registration`` the
+    message ID of the request that did so.
     """
 
     stream: StreamKey
     upstream: UpstreamName
     owner: HostName
+    registration: int
     request: bytes
 
 
--- a/banyanline/core/owner/exchanges.py
+++ b/banyanline/core/owner/exchanges.py
@@ -47,6 +47,11 @@
     connection: RequestKey
     request: bytes
 
+    @property
+    def registration(self) -> int:
+        """The message ID of the request that registered the stream."""
+        return self.connection.message_id
+
 
 class PendingWork(NamedTuple):
     """A dispatch that waits in the gate's queue."""
--- a/banyanline/core/owner/requests.py
+++ b/banyanline/core/owner/requests.py
@@ -364,12 +364,20 @@
         if coap.observe_sequence(response.message) is None:
             self._drop_stream(owned, stream)
             if home is not None:
-                context.send(home, StreamEnded(stream.key, owned.name, payload))
+                context.send(
+                    home, StreamEnded(stream.key, owned.name, stream.registration, payload)
+                )
         elif home is not None:
             context.send(
                 home,
                 Notification(
-                    stream.key, owned.name, context.local.name, payload, stream.request, 0
+                    stream.key,
+                    owned.name,
+                    context.local.name,
+                    stream.registration,
+                    payload,
+                    stream.request,
+                    0,
                 ),
             )
         else:
@@ -406,7 +414,7 @@
         """Deregister a stream at its upstream."""
         owned = self._owned.get(message.upstream)
         stream = owned.exchanges.stream(message.stream) if owned is not None else None
-        if owned is None or stream is None:
+        if owned is None or stream is None or stream.registration != message.registration:
             return
         self._drop_stream(owned, stream)
         message_id = owned.exchanges.next_message_id()
