--- a/bench/measure_ownership.py
+++ b/bench/measure_ownership.py
@@ -19,7 +19,7 @@
 
 import xxhash
 
-from banyanline.core.placement import UpstreamKey, flow_hash
+from banyanline.core.placement import SLOTS, SlotTable, UpstreamKey, flow_hash
 from banyanline.core.placement.ownership import assign
 from banyanline.core.types import Endpoint, HostName
 
@@ -139,6 +139,29 @@
                 _print_row(f"{slots:6} {count:4} {name}", results)
 
 
+def print_slot_table(trials: int) -> None:
+    """Print balance and cost of the slot table in use, as hosts leave and join."""
+    print(f"{'slot table':12}{'max/mean':>9}{'first ms':>9}{'leave ms':>9}{'join ms':>9}")
+    for count in GROUP_SIZES:
+        rows: list[tuple[float, ...]] = []
+        for seed in range(max(3, trials // count)):
+            hosts = _host_names(count, random.Random(seed))
+            table = SlotTable(history_s=60.0)
+            first_ms = _update_ms(table, hosts, 0.0)
+            loads = [len(table.slots_of(host)) for host in hosts]
+            leave_ms = _update_ms(table, hosts[:-1], 1.0)
+            join_ms = _update_ms(table, hosts, 2.0)
+            rows.append((max(loads) * count / SLOTS, first_ms, leave_ms, join_ms))
+        means = [statistics.mean(column) for column in zip(*rows, strict=True)]
+        print(f"{SLOTS:6} {count:4} " + "".join(f"{mean:9.2f}" for mean in means))
+
+
+def _update_ms(table: SlotTable, hosts: Sequence[HostName], now: float) -> float:
+    started = time.process_time()
+    table.update(hosts, now)
+    return (time.process_time() - started) * 1000
+
+
 def print_upstreams(trials: int) -> None:
     """Print the balance of upstreams over the hosts of a data centre."""
     _print_head("upstreams, hosts, assignment")
@@ -172,6 +195,7 @@
     arguments = parser.parse_args()
     print_flow_hash()
     print_slots(arguments.trials)
+    print_slot_table(arguments.trials)
     print_upstreams(arguments.trials)
 
 
