Judge suspects anew after a pause of the own process

Change: after a pause a suspect counts as one that others suspect, and is probed again. Two tests: this one, and that hearsay removes no one without an own probe.

--- a/banyanline/core/membership/detector.py
+++ b/banyanline/core/membership/detector.py
@@ -267,11 +267,10 @@
 
     def _notice_stall(self, now: Seconds) -> None:
         """Draw no conclusion about others from a time in which this process stood still."""
-        stalled_s = now - self._due_at
-        if stalled_s < self._settings.stall_s:
+        if now - self._due_at < self._settings.stall_s:
             return
         self._ledger.start_over()
-        self._suspicions.postpone(stalled_s)
+        self._suspicions.restart_all(now)
         self._next_probe_at = now
         self._due_at = now
 
--- a/banyanline/core/membership/suspicions.py
+++ b/banyanline/core/membership/suspicions.py
@@ -62,19 +62,17 @@
             record.suspicion.is_own = True
 
     def restart(self, name: HostName, now: Seconds) -> None:
-        """Hold nothing against a host that has answered but has not refuted yet."""
+        """Hold no failed probe against a host that is suspected, and probe it again later."""
         record = self._table.get(name)
         if record is not None and record.suspicion is not None:
             record.suspicion.since = now
             record.suspicion.is_own = False
             record.suspicion.is_checked = False
 
-    def postpone(self, stalled_s: Seconds) -> None:
-        """Do not count a time in which this process stood still."""
+    def restart_all(self, now: Seconds) -> None:
+        """Judge all suspects anew, since this process stood still."""
         for record in self._table.suspects:
-            if record.suspicion is not None:
-                record.suspicion.since += stalled_s
-                record.suspicion.is_checked = False
+            self.restart(record.host.name, now)
 
     def _deadline(self, record: Record) -> Seconds:
         if record.suspicion is None or not record.suspicion.is_own:
--- a/banyanline/tests/test_membership.py
+++ b/banyanline/tests/test_membership.py
@@ -12,7 +12,7 @@
     Probe,
 )
 from banyanline.core.types import HostState
-from banyanline.tests.fleet import GROUP, Fleet, Link, make_hosts
+from banyanline.tests.fleet import GROUP, Datagram, Fleet, Link, make_hosts
 
 SEEDS = [pytest.param(seed, id=f"seed-{seed}") for seed in range(5)]
 NINE = make_hosts(9)
@@ -59,6 +59,42 @@
     assert (paused.lease_since(fleet.now) or 0.0) > SETTLE_S + 10.0
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_suspicions_held_before_a_pause_do_not_expire_in_it(seed):
+    fleet = settled(seed)
+    fleet.cut([FIRST])
+    fleet.run(0.85)
+    fleet.pause(FIRST)
+    fleet.heal()
+    fleet.run(10.0)
+    view_sizes = []
+    paused = fleet.members[FIRST]
+    fleet.on_event = lambda name: view_sizes.append(len(paused.view.homes(GROUP)))
+    fleet.wake(FIRST)
+    fleet.run(SETTLE_S)
+    assert min(view_sizes) == len(NINE)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_hearsay_removes_no_one_without_an_own_probe(seed):
+    fleet = settled(seed)
+    claimed_at = fleet.now
+    probed_at: list[float] = []
+
+    def note(datagram: Datagram) -> None:
+        is_probe = isinstance(datagram.message, Probe)
+        if is_probe and (datagram.sender, datagram.receiver) == (SECOND, FIRST):
+            probed_at.append(fleet.now)
+
+    fleet.on_send = note
+    fleet.blocked = {(name, SECOND) for name in NAMES}
+    fleet.inject(SECOND, claim(fleet, MemberStatus.SUSPECT, FIRST, sender=THIRD))
+    assert fleet.run(5.0, until=lambda: not fleet.members[SECOND].view.is_alive(FIRST))
+    probed_after_claim = [at for at in probed_at if at > claimed_at]
+    assert probed_after_claim
+    assert fleet.now >= probed_after_claim[0] + fleet.settings.probe_failed_s
+
+
 CUTS = [
     pytest.param(NAMES[:1], id="one"),
     pytest.param(NAMES[::3], id="data-centre"),
