--- a/bench/measure_ownership.py
+++ b/bench/measure_ownership.py
@@ -141,7 +141,8 @@
 
 def print_slot_table(trials: int) -> None:
     """Print balance and cost of the slot table in use, as hosts leave and join."""
-    print(f"{'slot table':12}{'max/mean':>9}{'first ms':>9}{'leave ms':>9}{'join ms':>9}")
+    columns = ("max/mean", "leave*n", "first ms", "leave ms", "join ms")
+    print(f"{'slot table':12}" + "".join(f"{column:>9}" for column in columns))
     for count in GROUP_SIZES:
         rows: list[tuple[float, ...]] = []
         for seed in range(max(3, trials // count)):
@@ -150,8 +151,10 @@
             first_ms = _update_ms(table, hosts, 0.0)
             loads = [len(table.slots_of(host)) for host in hosts]
             leave_ms = _update_ms(table, hosts[:-1], 1.0)
+            moved = sum(table.stable_since(slot) == 1.0 for slot in range(SLOTS))
             join_ms = _update_ms(table, hosts, 2.0)
-            rows.append((max(loads) * count / SLOTS, first_ms, leave_ms, join_ms))
+            moved_share = moved * count / SLOTS
+            rows.append((max(loads) * count / SLOTS, moved_share, first_ms, leave_ms, join_ms))
         means = [statistics.mean(column) for column in zip(*rows, strict=True)]
         print(f"{SLOTS:6} {count:4} " + "".join(f"{mean:9.2f}" for mean in means))
 
