Ask former owners of upstreams that were taken out; no promise without a majority

Cause (in-memory mixture of all faults): a key carried by the owner of a data centre that was taken out was not found by a claim and ran again; an owner told that it had refused a key before it looked whether a lost owner may have run it; a home in a minority promised not-run. Change: claims go to last owners of orphaned upstreams too; obstacles come before refusals; is_unseen needs a majority and a fresh lease.

--- a/banyanline/core/home/claims.py
+++ b/banyanline/core/home/claims.py
@@ -83,11 +83,9 @@
         context = self._context
         ballot = self._next_ballot()
         previous = tuple(context.previous_homes(slot, now))
-        owners = context.owners_of_service(key.service)
-        asks = {
-            owner: Claim(key, ballot, previous, tuple(upstreams))
-            for owner, upstreams in owners.items()
-        }
+        asks = self._questions(key, ballot, previous, now)
+        if asks is None:
+            return ballot, ClaimUndecided(is_final=True)
         if not asks:
             return ballot, ClaimUndecided(is_final=False)
         first = next(iter(asks.values()))
@@ -96,6 +94,32 @@
         self.resend(key)
         return ballot, ClaimOpen()
 
+    def _questions(
+        self, key: RequestKey, ballot: Ballot, previous: tuple[HostName, ...], now: Seconds
+    ) -> dict[HostName, Claim] | None:
+        """Return what to ask of whom; ``None`` if someone who may know is gone.
+
+        Besides the owners those are asked who were the last to own an upstream that
+        has been taken out since.
+        """
+        context = self._context
+        former: dict[HostName, list[UpstreamName]] = {}
+        for upstream, host in context.ownership.orphans(key.service, now).items():
+            if not context.membership.view.is_alive(host):
+                return None
+            former.setdefault(host, []).append(upstream)
+        owners = context.owners_of_service(key.service)
+        return {
+            host: Claim(
+                key,
+                ballot,
+                previous,
+                tuple(owners.get(host, ())),
+                tuple(former.get(host, ())),
+            )
+            for host in owners.keys() | former.keys()
+        }
+
     def resend(self, key: RequestKey) -> bool:
         """Ask the owners that have not answered; false if no claim is under way."""
         claim_round = self._rounds.get(key)
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -146,7 +146,9 @@
     def _admit(self, entry: Entry, now: Seconds) -> None:
         context = self._context
         slot = slot_of(entry.hash)
-        entry.is_unseen = context.is_settled(slot, context.limits.request_lifetime_s, now)
+        entry.is_unseen = context.may_decide(now) and context.is_settled(
+            slot, context.limits.request_lifetime_s, now
+        )
         if not self._pin(entry, now):
             self._find_transfer(entry, now)
         elif entry.is_idempotent:
@@ -206,7 +208,7 @@
     def _claim(self, entry: Entry, slot: int, now: Seconds) -> None:
         entry.phase = Phase.CLAIMING
         entry.ballot, state = self._claims.start(entry.key, slot, now)
-        self._timers.add(now + RESEND_INTERVAL_S, (entry, Phase.CLAIMING, 0))
+        self._timers.add(now + RESEND_INTERVAL_S, (entry, Phase.CLAIMING, entry.ballot.wall_ms))
         self._claimed(entry, state, now)
 
     def receive_claim_reply(self, sender: HostName, reply: ClaimReply, now: Seconds) -> None:
@@ -405,9 +407,9 @@
         match entry.phase:
             case Phase.WAITING_FOR_LEASE | Phase.FINDING_TRANSFER:
                 self._readmit(entry, now)
-            case Phase.CLAIMING:
+            case Phase.CLAIMING if serial == entry.ballot.wall_ms:
                 self._claims.resend(entry.key)
-                self._timers.add(now + RESEND_INTERVAL_S, (entry, Phase.CLAIMING, 0))
+                self._timers.add(now + RESEND_INTERVAL_S, (entry, Phase.CLAIMING, serial))
             case Phase.WAITING_TO_CLAIM:
                 self._readmit(entry, now)
             case Phase.WAITING_TO_RETRY:
--- a/banyanline/core/owner/claims.py
+++ b/banyanline/core/owner/claims.py
@@ -11,6 +11,7 @@
     ClaimObstacle,
     ClaimReply,
     Free,
+    NotRun,
     Verdict,
 )
 from banyanline.core.owner.owned import OwnedUpstream
@@ -23,11 +24,16 @@
     """Answers claims from the ledger, and tells when it cannot."""
 
     def __init__(
-        self, context: Context, ledger: OwnerLedger, owned: dict[UpstreamName, OwnedUpstream]
+        self,
+        context: Context,
+        ledger: OwnerLedger,
+        owned: dict[UpstreamName, OwnedUpstream],
+        served: set[UpstreamName],
     ) -> None:
         self._context = context
         self._ledger = ledger
         self._owned = owned
+        self._served = served
 
     def receive(self, sender: HostName, message: Claim, now: Seconds) -> None:
         """Answer a claim."""
@@ -38,12 +44,15 @@
         if not self._context.membership.lease_fresh(now):
             return CannotTell(ClaimObstacle.STANDING_BACK)
         record = self._ledger.get(message.key)
-        if record is not None and record.outcome is not None:
+        outcome = None if record is None else record.outcome
+        if outcome is None or isinstance(outcome, NotRun):
+            # That this owner has not run the request tells nothing of a lost one.
+            obstacle = self._obstacle(message, now)
+            if obstacle is not None:
+                return CannotTell(obstacle)
+        if record is not None and outcome is not None:
             record.ballot = max(record.ballot, message.ballot)
-            return Carried(record.upstream, record.outcome)
-        obstacle = self._obstacle(message, now)
-        if obstacle is not None:
-            return CannotTell(obstacle)
+            return Carried(record.upstream, outcome)
         claimed = self._ledger.claim(message.key, message.ballot, now)
         if claimed is Fenced.SUPERSEDED:
             return CannotTell(ClaimObstacle.SUPERSEDED)
@@ -52,6 +61,8 @@
         return Free()
 
     def _obstacle(self, message: Claim, now: Seconds) -> ClaimObstacle | None:
+        if not self._served.issuperset(message.former):
+            return ClaimObstacle.PREVIOUS_OWNER_LOST
         for name in message.upstreams:
             owned = self._owned.get(name)
             if owned is None or owned.is_ceded:
--- a/banyanline/core/owner/owned.py
+++ b/banyanline/core/owner/owned.py
@@ -38,7 +38,6 @@
         self.exchanges = Exchanges(context.rng)
         self.health = HealthProbe(now, context.rng.random())
         self.pending: dict[RequestKey, PendingWork] = {}
-        self.has_served = False
         self.held: list[tuple[HostName, Dispatch]] = []
         self.gate = self._new_gate(StartCold(), now)
 
@@ -68,7 +67,6 @@
     def activate(self, start: GateStart, now: Seconds) -> None:
         """Begin to give the upstream work."""
         self.tenure.stage = Stage.ACTIVE
-        self.has_served = True
         self.gate = self._new_gate(start, now)
         if self.service.protocol is Protocol.UDP:
             # Opaque datagrams tell nothing of the upstream, so the ramp follows the clock.
--- a/banyanline/core/owner/owner.py
+++ b/banyanline/core/owner/owner.py
@@ -36,9 +36,10 @@
         self._ledger = OwnerLedger(limits.requests, limits.request_lifetime_s)
         self._requests = OwnerRequests(context, self._ledger, self._owned)
         self._flows = OwnerFlows(context, self._owned, flow_idle_timeout_s, now)
-        self._claims = ClaimJudge(context, self._ledger, self._owned)
+        self._served: set[UpstreamName] = set()
+        self._claims = ClaimJudge(context, self._ledger, self._owned, self._served)
         self._succession = Succession(
-            context, self._ledger, self._owned, self._requests, self._flows.table
+            context, self._ledger, self._owned, self._requests, self._flows.table, self._served
         )
 
     @property
--- a/banyanline/core/owner/succession.py
+++ b/banyanline/core/owner/succession.py
@@ -52,12 +52,14 @@
         owned: dict[UpstreamName, OwnedUpstream],
         requests: OwnerRequests,
         flows: FlowTable[FlowKey],
+        served: set[UpstreamName],
     ) -> None:
         self._context = context
         self._ledger = ledger
         self._owned = owned
         self._requests = requests
         self._flows = flows
+        self._served = served
         self._early: dict[UpstreamName, EarlyCede] = {}
         self._lease_since: Seconds | None = None
         self._was_interrupted = False
@@ -96,6 +98,7 @@
         self._log("upstream_taken", owned)
         early = self._early.pop(upstream.name, None)
         if tenure.stage is Stage.ACTIVE:
+            self._served.add(upstream.name)
             owned.activate(StartCold(), now)
         elif early is not None and now - early.at <= EARLY_CEDE_LIFETIME_S:
             self.receive_cede(early.sender, early.message, now)
@@ -177,7 +180,7 @@
             return
         for host, remaining_s in message.uncertain:
             # What this process has carried itself stands in its own ledger.
-            if host != self._context.local.name or not owned.has_served:
+            if host != self._context.local.name or owned.name not in self._served:
                 owned.tenure.lose(host, now + remaining_s)
         is_expected = owned.tenure.stage is Stage.AWAITING_HANDOVER
         if message.last and is_expected and sender == owned.tenure.predecessor:
@@ -200,6 +203,7 @@
 
     def _activate(self, owned: OwnedUpstream, start: GateStart, now: Seconds) -> None:
         flows = [flow for flow, entry in self._flows.items() if entry.upstream == owned.name]
+        self._served.add(owned.name)
         owned.activate(start, now)
         for flow in flows:
             owned.gate.adopt_connection(flow)
--- a/banyanline/core/placement/ownership.py
+++ b/banyanline/core/placement/ownership.py
@@ -153,6 +153,20 @@
         ]
         return tuple(sorted(previous, key=lambda entry: -entry.until))
 
+    def orphans(self, service: ServiceName, now: Seconds) -> dict[UpstreamName, HostName]:
+        """Return the upstreams of a service that have lost their owner without a successor.
+
+        That is what happens to them when they are removed or their data centre is
+        taken out. The value is the last owner.
+        """
+        orphans = {}
+        for key in self._previous:
+            if key.service == service and key not in self._owners:
+                previous = self.previous_owners(key, now)
+                if previous:
+                    orphans[key.name] = previous[0].host
+        return orphans
+
     def update(self, upstreams: Iterable[Upstream], view: View, now: Seconds) -> list[UpstreamKey]:
         """Find the owners anew where something has changed; return the upstreams that moved.
 
