--- a/banyanline/core/gate/gate.py
+++ b/banyanline/core/gate/gate.py
@@ -211,6 +211,10 @@
             self._refusals[reason] += 1
         return reason
 
+    def adopt_connection(self, flow: FlowId) -> None:
+        """Count a flow that is established already; it is not refused."""
+        self._connections.adopt(flow)
+
     def close_connection(self, flow: FlowId) -> bool:
         """Close a stream or flow; tell whether it was open."""
         return self._connections.close(flow)
@@ -326,9 +330,8 @@
         if self.is_circuit_open and not self._may_try(work, now):
             return RefusalReason.NO_UPSTREAM
         if work.is_stream:
-            reason = self._connections.open(
-                work.request_id, now, self._pacing.start_interval_s(now)
-            )
+            # The start of the registration is paced like that of any request.
+            reason = self._connections.open(work.request_id, now, 0.0)
         if reason is None:
             reason = self._queue.admit(work, now, self._admission_pace(now))
             if reason is not None and work.is_stream:
--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,121 @@
+"""The configuration document that the operators of a run publish, and its changes."""
+
+from __future__ import annotations
+
+from banyanline import config
+from banyanline.core.model import Configuration
+from bench.addresses import AddressPlan
+from bench.deployments import CONNECTIONS, Deployment, ServiceSize, ramp_of, service_routes
+from bench.upstream import UpstreamSpec
+
+IDLE_TIMEOUT_S = 300.0
+
+
+class InvalidDocumentError(Exception):
+    """The bench made a document that the operators' library does not accept."""
+
+
+class ConfigurationDocument:
+    """The document of ``docs/design/protocols.md``; each change raises its revision."""
+
+    def __init__(
+        self, deployment: Deployment, plan: AddressPlan, specs: list[UpstreamSpec]
+    ) -> None:
+        self._revision = 1
+        self._deployment = deployment
+        self._plan = plan
+        self._upstreams = {spec.name: spec for spec in specs}
+        self._leaving: set[str] = set()
+        self._out: set[str] = set()
+
+    @property
+    def revision(self) -> int:
+        """The revision of the document as it stands."""
+        return self._revision
+
+    @property
+    def leaving(self) -> frozenset[str]:
+        """Names of upstreams that are leaving."""
+        return frozenset(self._leaving)
+
+    @property
+    def out(self) -> frozenset[str]:
+        """Names of data centres that are out of service."""
+        return frozenset(self._out)
+
+    def add_upstream(self, spec: UpstreamSpec) -> None:
+        """Add an upstream, or put a leaving one back in service."""
+        self._revision += 1
+        self._upstreams[spec.name] = spec
+        self._leaving.discard(spec.name)
+
+    def set_leaving(self, name: str) -> None:
+        """Let an upstream leave."""
+        self._revision += 1
+        self._leaving.add(name)
+
+    def remove_upstream(self, name: str) -> None:
+        """Take an upstream out of the document."""
+        self._revision += 1
+        self._leaving.discard(name)
+        del self._upstreams[name]
+
+    def set_out(self, data_centre: str) -> None:
+        """Take a data centre out of service."""
+        self._revision += 1
+        self._out.add(data_centre)
+
+    def set_in_service(self, data_centre: str) -> None:
+        """Bring a data centre back into service."""
+        self._revision += 1
+        self._out.discard(data_centre)
+
+    def touch(self) -> None:
+        """Raise the revision without any other change."""
+        self._revision += 1
+
+    def encode(self) -> bytes:
+        """Return the JSON document, printed by the operators' library."""
+        deployment = self._deployment
+        network = self._plan.caller_network
+        group = config.caller_group(
+            deployment.caller_group, [network], deployment.time_zone, deployment.patience_s
+        )
+        document = config.document(
+            self._revision,
+            [config.data_centre(name, out=name in self._out) for name in deployment.data_centres],
+            [self._service(size) for size in deployment.services],
+            [group],
+        )
+        checked = config.check_document(document)
+        if not isinstance(checked, Configuration):
+            raise InvalidDocumentError(str(checked))
+        return config.render_document(checked)
+
+    def _service(self, size: ServiceSize) -> config.ServiceDocument:
+        routes = {route.name: route for route in service_routes(self._deployment, self._plan)}
+        route = routes[size.name]
+        ramp = ramp_of(self._deployment)
+        return config.service(
+            size.name,
+            f"{route.address[0]}:{route.address[1]}",
+            [
+                self._upstream(spec)
+                for spec in self._upstreams.values()
+                if spec.service == size.name
+            ],
+            protocol="udp" if size.protocol == "udp" else "coap",
+            host_port=route.host_port,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+            cold_start=config.cold_start(ramp.duration_s, ramp.initial_slots, ramp.initial_rate),
+        )
+
+    def _upstream(self, spec: UpstreamSpec) -> config.UpstreamDocument:
+        return config.upstream(
+            spec.name,
+            spec.data_centre,
+            f"{spec.address[0]}:{spec.address[1]}",
+            slots=spec.slots,
+            connections=CONNECTIONS,
+            leaving=spec.name in self._leaving,
+        )
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,156 @@
+"""Relay of the traffic between balancers, so that cuts and faults can reach it.
+
+Each balancer advertises an alias address. The relay takes datagrams and TCP
+connections there and passes them to the address that the balancer binds. A
+datagram's sender is told by its source address, a connection's by the process
+that owns its other end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
+
+from bench.addresses import CONTROL_PORT, PEER_PORT
+from bench.fleet import Balancer
+from bench.link import Cuts, Link
+from bench.procnet import owners_by_port
+from bench.sockets import Address, UdpSocket
+
+READ_BYTES = 65536
+IP_UDP_HEADER_BYTES = 28
+
+ListBalancers = Callable[[], list[Balancer]]
+
+
+class _Pipe:
+    """One relayed TCP connection from ``source`` to a data centre."""
+
+    def __init__(
+        self, source: Address, data_centre: str, writers: tuple[asyncio.StreamWriter, ...]
+    ) -> None:
+        self.source = source
+        self.data_centre = data_centre
+        self.writers = writers
+
+    def abort(self) -> None:
+        """Reset both ends."""
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class PeerRelay:
+    """Passes peer datagrams and control connections on unless they are cut."""
+
+    def __init__(self, link: Link, cuts: Cuts, balancers: ListBalancers) -> None:
+        self._link = link
+        self._cuts = cuts
+        self._balancers = balancers
+        self._sockets: list[UdpSocket] = []
+        self._servers: list[asyncio.Server] = []
+        self._pipes: set[_Pipe] = set()
+        self._bytes = 0
+        cuts.subscribe(self._close_cut_pipes)
+
+    @property
+    def link(self) -> Link:
+        """The link between balancers."""
+        return self._link
+
+    @property
+    def relayed_bytes(self) -> int:
+        """Bytes that balancers sent each other, with the IP and UDP headers of datagrams."""
+        return self._bytes
+
+    async def listen(self, balancer: Balancer) -> None:
+        """Take the traffic for ``balancer`` at its alias."""
+        on_datagram = partial(self._on_datagram, balancer)
+        self._sockets.append(UdpSocket((balancer.alias, PEER_PORT), on_datagram))
+        handler = partial(self._on_connection, balancer)
+        self._servers.append(await asyncio.start_server(handler, balancer.alias, CONTROL_PORT))
+
+    def close(self) -> None:
+        """Close all sockets and connections."""
+        for socket in self._sockets:
+            socket.close()
+        for server in self._servers:
+            server.close()
+        for pipe in list(self._pipes):
+            pipe.abort()
+
+    def _on_datagram(self, receiver: Balancer, data: bytes, source: Address) -> None:
+        self._bytes += len(data) + IP_UDP_HEADER_BYTES
+        sender = self._data_centre_at(source[0])
+        if self._cuts.is_blocked(sender, receiver.data_centre):
+            return
+        socket = next(s for s in self._sockets if s.address[0] == receiver.alias)
+        destination = (receiver.ip, PEER_PORT)
+        self._link.carry(partial(socket.send, data, destination))
+
+    def _data_centre_at(self, ip: str) -> str | None:
+        for balancer in self._balancers():
+            if balancer.ip == ip:
+                return balancer.data_centre
+        return None
+
+    async def _on_connection(
+        self,
+        receiver: Balancer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        source = writer.get_extra_info("peername")
+        if self._cuts.is_active:
+            sender = self._data_centre_of(source, self._data_centres_by_port())
+            if self._cuts.is_blocked(sender, receiver.data_centre):
+                writer.transport.abort()
+                return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(receiver.ip, CONTROL_PORT)
+        except OSError:
+            writer.transport.abort()
+            return
+        pipe = _Pipe(source, receiver.data_centre, (writer, far_writer))
+        self._pipes.add(pipe)
+        copies = (
+            asyncio.create_task(self._copy(reader, far_writer)),
+            asyncio.create_task(self._copy(far_reader, writer)),
+        )
+        try:
+            await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for copy in copies:
+                copy.cancel()
+            pipe.abort()
+            self._pipes.discard(pipe)
+
+    def _data_centre_of(self, source: Address, by_port: dict[int, str]) -> str | None:
+        return self._data_centre_at(source[0]) or by_port.get(source[1])
+
+    def _data_centres_by_port(self) -> dict[int, str]:
+        """Return the data centre of the balancer that owns each local TCP port.
+
+        A connection need not come from the address that its balancer binds, so
+        the processes are asked, while there are cuts.
+        """
+        data_centres = {b.pid: b.data_centre for b in self._balancers() if b.is_running}
+        owners = owners_by_port(data_centres)
+        return {port: data_centres[pid] for port, pid in owners.items()}
+
+    def _close_cut_pipes(self) -> None:
+        if not self._cuts.is_active:
+            return
+        data_centres = self._data_centres_by_port()
+        for pipe in list(self._pipes):
+            sender = self._data_centre_of(pipe.source, data_centres)
+            if self._cuts.is_blocked(sender, pipe.data_centre):
+                pipe.abort()
+
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(OSError):
+            while data := await reader.read(READ_BYTES):
+                self._bytes += len(data)
+                writer.write(data)
+                await writer.drain()
--- /dev/null
+++ b/bench/upstream.py
@@ -0,0 +1,178 @@
+"""What all stand-ins for upstreams share: their life, their socket and their counts."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from bench import coap
+from bench.capacity import ColdCapacity, Ramp
+from bench.health import HealthEndpoint, HealthSample
+from bench.runlog import RunLog
+from bench.sockets import Address, UdpSocket
+
+TICK_S = 0.2
+
+
+class UpstreamSpec(NamedTuple):
+    """What is fixed for an upstream during a run."""
+
+    name: str
+    service: str
+    data_centre: str
+    address: Address
+    slots: int = 2
+    service_time_s: float = 0.03
+    ramp: Ramp = Ramp()
+
+
+class UpstreamCounts:
+    """What the upstream saw, for the judge; times are of the monotonic clock."""
+
+    def __init__(self) -> None:
+        self.packets: list[float] = []
+        self.new_work: list[float] = []
+        self.shed = 0
+        self.cold_overloads = 0
+        self.misdelivered = 0
+
+
+class Upstream(ABC):
+    """One upstream at its own loopback address."""
+
+    def __init__(
+        self,
+        spec: UpstreamSpec,
+        runs: RunLog,
+        rng: random.Random,
+        is_cut_off: Callable[[str], bool] = lambda ip: False,
+        *,
+        cold: bool = False,
+    ) -> None:
+        self._spec = spec
+        self._runs = runs
+        self._rng = rng
+        self._is_cut_off = is_cut_off
+        self._loop = asyncio.get_running_loop()
+        self._counts = UpstreamCounts()
+        self._health = HealthEndpoint()
+        self._restarts: list[float] = []
+        self._is_late_comer = cold
+        self._socket: UdpSocket | None = None
+        self._tick_timer: asyncio.TimerHandle | None = None
+        self._boot_number = 0
+        self._boot(time.monotonic() if cold else float("-inf"))
+
+    @property
+    def spec(self) -> UpstreamSpec:
+        """Name, service, data centre, address and capacity."""
+        return self._spec
+
+    @property
+    def counts(self) -> UpstreamCounts:
+        """What the upstream saw."""
+        return self._counts
+
+    @property
+    def health(self) -> HealthEndpoint:
+        """The health endpoint, whose fault can be set."""
+        return self._health
+
+    @property
+    def boot(self) -> str:
+        """The identity of this start."""
+        return f"{self._spec.name}-{self._boot_number}"
+
+    @property
+    def restarts(self) -> list[float]:
+        """When the upstream went down, in seconds of the monotonic clock."""
+        return self._restarts
+
+    @property
+    def is_late_comer(self) -> bool:
+        """Whether the upstream was added cold to a running system."""
+        return self._is_late_comer
+
+    @property
+    @abstractmethod
+    def active(self) -> int:
+        """Requests that run now."""
+
+    @abstractmethod
+    def clear(self) -> None:
+        """Forget all that a restart loses."""
+
+    @abstractmethod
+    def on_datagram(self, data: bytes, source: Address) -> None:
+        """Take a datagram that is no health request."""
+
+    @abstractmethod
+    def on_tick(self) -> None:
+        """Do periodic work."""
+
+    def stop(self) -> None:
+        """Go down: drop everything; the kernel refuses datagrams from now on."""
+        if self._socket is None:
+            return
+        self._socket.close()
+        self._socket = None
+        self._restarts.append(time.monotonic())
+        if self._tick_timer is not None:
+            self._tick_timer.cancel()
+        self.clear()
+
+    def start_cold(self) -> None:
+        """Come back with a new boot identity and a cold start."""
+        if self._socket is None:
+            self._boot(time.monotonic())
+
+    def restart(self, down_s: float) -> None:
+        """Go down without warning and come back cold after ``down_s`` seconds."""
+        self.stop()
+        self._loop.call_later(down_s, self.start_cold)
+
+    def send(self, data: bytes, destination: Address) -> None:
+        """Send a datagram unless the network is cut."""
+        if self._socket is not None and not self._is_cut_off(destination[0]):
+            self._socket.send(data, destination)
+
+    def echo(self, key: str, extra: str = "") -> str:
+        """Return the words that tell a caller whose answer this is."""
+        return f"{key} {self._spec.service} {self._spec.name} {self.boot} {extra}"
+
+    def _boot(self, started_at: float) -> None:
+        self._boot_number += 1
+        self._cold = ColdCapacity(self._spec.ramp, started_at)
+        self._socket = UdpSocket(self._spec.address, self._receive)
+        self._tick()
+
+    def _receive(self, data: bytes, source: Address) -> None:
+        if self._is_cut_off(source[0]):
+            return
+        self._counts.packets.append(time.monotonic())
+        self.on_datagram(data, source)
+
+    def _tick(self) -> None:
+        self._sample_health()
+        self.on_tick()
+        self._tick_timer = self._loop.call_later(TICK_S, self._tick)
+
+    def _sample_health(self) -> None:
+        now = time.monotonic()
+        state = "warm" if self._cold.is_warm(now) else "cold"
+        self._health.add(HealthSample(now, state, self.active / self._spec.slots))
+
+    def health_response(self) -> coap.Response:
+        """Return the answer to a health request."""
+        self._sample_health()
+        return coap.Response(coap.CONTENT, self._health.render(self.boot))
+
+
+def is_health_request(message: Any) -> bool:
+    """Whether a decoded CoAP message asks for the health document."""
+    path = tuple(message.opt.uri_path)
+    return bool(path) and path[-1] == "health"
