Count flows that were handed over once

Cause: a new owner counted the flows that it had adopted and again as connections of the previous owner, so that with half the limit open all new ones were refused until the old owner spoke again. Change: adopted connections are taken off those elsewhere. Conclusion: the limit holds across a hand-over without refusing too early.

--- a/banyanline/core/gate/connections.py
+++ b/banyanline/core/gate/connections.py
@@ -24,12 +24,13 @@
         self._limit = limit
         self._open: dict[FlowId, None] = {}
         self._elsewhere = 0
+        self._adopted = 0
         self._last_opened_at: Seconds | None = None
 
     @property
     def elsewhere(self) -> int:
-        """Connections that a previous owner still holds."""
-        return self._elsewhere
+        """Connections of a previous owner that this one has not adopted."""
+        return max(0, self._elsewhere - self._adopted)
 
     def __len__(self) -> int:
         return len(self._open)
@@ -38,7 +39,7 @@
         return flow in self._open
 
     def set_elsewhere(self, count: int) -> None:
-        """Take in how many connections a previous owner still holds."""
+        """Take in how many connections a previous owner still holds, adopted ones included."""
         self._elsewhere = count
 
     def open(self, flow: FlowId, now: Seconds, interval_s: Seconds) -> RefusalReason | None:
@@ -48,7 +49,7 @@
         """
         if flow in self._open:
             return None
-        if len(self._open) + self._elsewhere >= self._limit:
+        if len(self._open) + self.elsewhere >= self._limit:
             return RefusalReason.CONNECTION_LIMIT
         last = self._last_opened_at
         if last is not None and now < last + interval_s:
@@ -58,8 +59,13 @@
         return None
 
     def adopt(self, flow: FlowId) -> None:
-        """Count a connection that was open before this owner came."""
-        self._open[flow] = None
+        """Count a connection that was open before this owner came.
+
+        It is no longer counted as one of the previous owner.
+        """
+        if flow not in self._open:
+            self._open[flow] = None
+            self._adopted += 1
 
     def close(self, flow: FlowId) -> bool:
         """Close the connection of ``flow``; tell whether it was open."""
--- a/banyanline/tests/test_gate.py
+++ b/banyanline/tests/test_gate.py
@@ -296,3 +296,28 @@
     assert gate.open_connection("flow-2", 0.2) is RefusalReason.CONNECTION_LIMIT
     assert gate.close_connection("stream")
     assert gate.open_connection("flow-2", 0.3) is None
+
+
+@pytest.mark.parametrize(
+    "released",
+    [
+        pytest.param(None, id="no word since"),
+        pytest.param(3, id="old owner still holds them"),
+        pytest.param(0, id="old owner closed them"),
+    ],
+)
+def test_flows_that_were_handed_over_count_once(released):
+    old = make_gate(connections=4)
+    flows = ["a", "b", "c"]
+    for flow in flows:
+        old.open_connection(flow, 0.0)
+    old.cede(0.0)
+    new = make_gate(StartHandedOver(old.hand_over(0.0)), connections=4)
+    assert new.open_connection("before the flows are adopted", 0.0) is None
+    new.close_connection("before the flows are adopted")
+    for flow in flows:
+        new.adopt_connection(flow)
+    if released is not None:
+        new.set_elsewhere(in_flight=0, connections=released, now=0.0)
+    assert new.open_connection("fourth", 1.0) is None
+    assert new.open_connection("fifth", 2.0) is RefusalReason.CONNECTION_LIMIT
