--- a/banyanline/core/gate/gate.py
+++ b/banyanline/core/gate/gate.py
@@ -30,9 +30,9 @@
     Work,
     WorkOutcome,
 )
-from banyanline.core.gate.occupancy import Occupancy
 from banyanline.core.gate.pacing import Pacing
-from banyanline.core.gate.queue import DeadlineQueue, Pace
+from banyanline.core.gate.queue import DeadlineQueue
+from banyanline.core.gate.scheduler import Scheduler
 from banyanline.core.invariants import require
 from banyanline.core.types import UpstreamState
 
@@ -80,9 +80,8 @@
         self._state = upstream.state
         self._is_ceded = False
         self._is_abandoned = False
-        self._queue = DeadlineQueue() if queue is None else queue
-        self._occupancy = Occupancy()
         self._pacing = Pacing(cold_start, upstream.slots, now)
+        self._scheduler = Scheduler(DeadlineQueue() if queue is None else queue, self._pacing)
         self._connections = Connections(upstream.connections)
         self._health = UpstreamHealth(rng)
         self._comeback = ComebackSchedule(rng)
@@ -99,17 +98,17 @@
     @property
     def in_flight(self) -> int:
         """Requests that this owner has running at the upstream."""
-        return self._occupancy.in_flight
+        return self._scheduler.occupancy.in_flight
 
     @property
     def in_flight_elsewhere(self) -> int:
         """Requests that a previous owner may still have running."""
-        return self._occupancy.elsewhere
+        return self._scheduler.occupancy.elsewhere
 
     @property
     def queued(self) -> int:
         """Requests that wait for a slot."""
-        return len(self._queue)
+        return len(self._scheduler.queue)
 
     @property
     def connections(self) -> int:
@@ -146,20 +145,14 @@
 
     def next_tick_at(self, now: Seconds) -> Seconds | None:
         """Return when :meth:`tick` is due at the latest, or None if it is not."""
-        times = [self._occupancy.next_release_at()]
-        first_deadline = self._queue.first_deadline
-        if first_deadline is not None:
-            times.append(first_deadline - self._pacing.service_time.mean_s)
-            times.append(self._pacing.next_change_at(now))
-        return min((time for time in times if time is not None), default=None)
+        return self._scheduler.next_at(now)
 
     def offer(self, work: Work, now: Seconds) -> GateEffects:
         """Take in a request: it is started, queued or refused at once.
 
         One that is known already is not taken in again.
         """
-        request_id = work.request_id
-        if request_id in self._occupancy or request_id in self._queue:
+        if work.request_id in self._scheduler:
             return []
         effects = self._pump(now)
         reason = self._admission(work, now)
@@ -169,7 +162,7 @@
 
     def finished(self, request_id: RequestId, outcome: WorkOutcome, now: Seconds) -> GateEffects:
         """Take in how a started request ended; an unknown one changes nothing."""
-        running = self._occupancy.end(request_id)
+        running = self._scheduler.occupancy.end(request_id)
         if running is None:
             return []
         if running.work.is_stream and not isinstance(outcome, Answered):
@@ -187,11 +180,11 @@
         While the upstream is cold a started one keeps its slot until its
         deadline, as the cancellation may be lost on the way.
         """
-        work = self._queue.remove(request_id)
+        work = self._scheduler.queue.remove(request_id)
         if work is not None:
             return [self._refuse(work, RefusalReason.CANCELLED, now)]
         is_cold = self._pacing.ramp.share(now) < 1.0
-        running = self._occupancy.cancel(request_id, keeps_slot=is_cold)
+        running = self._scheduler.occupancy.cancel(request_id, keeps_slot=is_cold)
         if running is None:
             return []
         if running.work.is_stream:
@@ -245,7 +238,7 @@
         """Give up all work and connections: the data centre is out of service."""
         self._is_abandoned = True
         effects = self._refuse_queue(RefusalReason.NO_UPSTREAM, now)
-        running = self._occupancy.clear()
+        running = self._scheduler.occupancy.clear()
         effects += [Abort(work, UnknownReason.DATA_CENTRE_OUT) for work in running]
         effects += [CloseConnection(flow) for flow in self._connections.clear()]
         return effects
@@ -259,9 +252,9 @@
         """Return what the next owner has to know, after :meth:`cede`."""
         require(self._is_ceded, "only a gate that has ceded is handed over")
         return HandOver(
-            in_flight=self._occupancy.taken,
+            in_flight=self._scheduler.occupancy.taken,
             connections=len(self._connections) + self._connections.elsewhere,
-            latest_deadline_in_s=self._occupancy.ended_by(now) - now,
+            latest_deadline_in_s=self._scheduler.occupancy.ended_by(now) - now,
             ramp_elapsed_s=self._pacing.ramp.elapsed_s(now),
             next_start_in_s=self._pacing.next_start_in_s(now),
             service_time_s=self._pacing.service_time.mean_s,
@@ -270,7 +263,7 @@
 
     def set_elsewhere(self, in_flight: int, connections: int, now: Seconds) -> GateEffects:
         """Take in what a ceding owner still has running and open."""
-        self._occupancy.lower_elsewhere(in_flight)
+        self._scheduler.occupancy.lower_elsewhere(in_flight)
         self._connections.set_elsewhere(connections)
         return self._pump(now)
 
@@ -279,11 +272,11 @@
         self._load_words += 1
         takes_work = self._standing_refusal() is None and not self.is_circuit_open
         takes_work = takes_work and now >= self._pacing.paused_until
-        pace = self._pace(now)
-        wait_s = pace.ready_in_s + len(self._queue) * pace.interval_s
+        pace = self._scheduler.pace(now)
+        wait_s = self._scheduler.expected_wait_s(pace)
         return LoadWord(
-            in_flight=self._occupancy.taken,
-            queued=len(self._queue),
+            in_flight=self._scheduler.occupancy.taken,
+            queued=len(self._scheduler.queue),
             slots=self.slots(now) if takes_work else 0,
             expected_wait_ms=int(1000.0 * wait_s),
             service_ms=int(1000.0 * pace.service_s),
@@ -307,7 +300,7 @@
     def _(self, start: StartHandedOver, now: Seconds) -> None:
         hand_over = start.hand_over
         until = now + hand_over.latest_deadline_in_s
-        self._occupancy.expect_elsewhere(hand_over.in_flight, until)
+        self._scheduler.occupancy.expect_elsewhere(hand_over.in_flight, until)
         self._connections.set_elsewhere(hand_over.connections)
         self._health = UpstreamHealth(self._rng, hand_over.boot)
         self._pacing.resume(
@@ -333,54 +326,27 @@
             # The start of the registration is paced like that of any request.
             reason = self._connections.open(work.request_id, now, 0.0)
         if reason is None:
-            reason = self._queue.admit(work, now, self._admission_pace(now))
+            reason = self._scheduler.admit(work, now)
             if reason is not None and work.is_stream:
                 self._connections.close(work.request_id)
         return reason
 
     def _may_try(self, work: Work, now: Seconds) -> bool:
-        is_idle = self.in_flight + len(self._queue) == 0
-        is_ready = is_idle and self._pacing.may_start(self._occupancy.taken, now)
+        is_ready = self._scheduler.is_idle and self._scheduler.may_start(now)
         return is_ready and self._health.may_try(work.idempotent, now)
 
-    def _pace(self, now: Seconds) -> Pace:
-        return self._pacing.pace(self._occupancy.taken, now)
-
-    def _admission_pace(self, now: Seconds) -> Pace:
-        pace = self._pace(now)
-        if self.in_flight + len(self._queue) == 0 and pace.ready_in_s == 0.0:
-            # An idle upstream takes whatever comes, or an estimate that has grown too
-            # long would keep out the requests that could correct it.
-            return pace._replace(service_s=0.0)
-        return pace
-
     def _pump(self, now: Seconds) -> GateEffects:
-        self._occupancy.release(now)
-        if not self._queue:
-            return []
-        effects: GateEffects = []
-        while self._queue and self._pacing.may_start(self._occupancy.taken, now):
-            work = self._queue.pop()
-            if self._is_too_late(work, now):
-                effects.append(self._refuse(work, RefusalReason.DEADLINE_PASSED, now))
-            else:
-                effects.append(self._start(work, now))
-        return effects + self._expire(now)
-
-    def _is_too_late(self, work: Work, now: Seconds) -> bool:
-        service_s = self._pacing.service_time.mean_s if self.in_flight else 0.0
-        return now + service_s >= work.deadline
-
-    def _start(self, work: Work, now: Seconds) -> Start:
+        started, late = self._scheduler.run(now)
+        effects: GateEffects = [
+            self._refuse(work, RefusalReason.DEADLINE_PASSED, now) for work in late
+        ]
+        if not started:
+            return effects
         require(self._standing_refusal() is None, "a gate that takes no work starts none")
-        require(now < work.deadline, "work is started before its deadline")
-        self._occupancy.start(work, now)
-        is_within_slots = self._occupancy.taken <= self.slots(now)
-        require(is_within_slots, "no more requests run than slots are in force")
-        self._pacing.started(now)
         if self.is_circuit_open:
             self._health.tried(now)
-        return Start(work)
+        effects += [Start(work) for work in started]
+        return effects
 
     def _note_outcome(self, outcome: WorkOutcome, elapsed_s: Seconds, now: Seconds) -> None:
         service_time = self._pacing.service_time
@@ -399,18 +365,14 @@
         if reason is not None:
             self._pacing.ramp.restart()
 
-    def _expire(self, now: Seconds) -> GateEffects:
-        expired = self._queue.expire(now + self._pacing.service_time.mean_s)
-        return [self._refuse(work, RefusalReason.DEADLINE_PASSED, now) for work in expired]
-
     def _refuse_queue(self, reason: RefusalReason, now: Seconds) -> GateEffects:
-        return [self._refuse(work, reason, now) for work in self._queue.clear()]
+        return [self._refuse(work, reason, now) for work in self._scheduler.queue.clear()]
 
     def _refuse(self, work: Work, reason: RefusalReason, now: Seconds) -> Refuse:
         if work.is_stream:
             self._connections.close(work.request_id)
         self._refusals[reason] += 1
-        pace = self._pace(now)
-        earliest_in_s = pace.ready_in_s + len(self._queue) * pace.interval_s
+        pace = self._scheduler.pace(now)
+        earliest_in_s = self._scheduler.expected_wait_s(pace)
         retry_after_s = self._comeback.retry_after_s(now, earliest_in_s, pace.interval_s)
         return Refuse(work, reason, retry_after_s)
--- a/bench/experiments/cold_start.py
+++ b/bench/experiments/cold_start.py
@@ -154,7 +154,7 @@
             second=StartCold(wait),
             first_ends_at_s=CHANGE_AT_S + LEASE_S,
         )
-        for wait in (0.0, LEASE_S, LEASE_S + PATIENCE_S)
+        for wait in (0.0, LEASE_S, LEASE_S + 0.5, LEASE_S + 1.0, LEASE_S + PATIENCE_S)
     ),
     *(
         Case(
