--- a/banyanline/tests/test_gate.py
+++ b/banyanline/tests/test_gate.py
@@ -321,3 +321,14 @@
         new.set_elsewhere(in_flight=0, connections=released, now=0.0)
     assert new.open_connection("fourth", 1.0) is None
     assert new.open_connection("fifth", 2.0) is RefusalReason.CONNECTION_LIMIT
+
+
+def test_callers_refused_together_are_told_different_times():
+    gate = make_gate()
+    now = serve(gate, 20, 0.0)
+    effects = [gate.offer(Work(index, now + 3.0), now) for index in range(200)]
+    waits = [e.retry_after_s for [e] in filter(None, effects) if isinstance(e, Refuse)]
+    assert len(waits) > 100
+    first, last = waits[:20], waits[-20:]
+    # One turn takes 0.05 s: 0.1 s a request over two slots.
+    assert sum(last) / 20 - sum(first) / 20 == pytest.approx(0.05 * (len(waits) - 20), rel=0.2)
