--- a/banyanline/tests/test_gate.py
+++ b/banyanline/tests/test_gate.py
@@ -296,3 +296,39 @@
     assert gate.open_connection("flow-2", 0.2) is RefusalReason.CONNECTION_LIMIT
     assert gate.close_connection("stream")
     assert gate.open_connection("flow-2", 0.3) is None
+
+
+@pytest.mark.parametrize(
+    "released",
+    [
+        pytest.param(None, id="no word since"),
+        pytest.param(3, id="old owner still holds them"),
+        pytest.param(0, id="old owner closed them"),
+    ],
+)
+def test_flows_that_were_handed_over_count_once(released):
+    old = make_gate(connections=4)
+    flows = ["a", "b", "c"]
+    for flow in flows:
+        old.open_connection(flow, 0.0)
+    old.cede(0.0)
+    new = make_gate(StartHandedOver(old.hand_over(0.0)), connections=4)
+    assert new.open_connection("before the flows are adopted", 0.0) is None
+    new.close_connection("before the flows are adopted")
+    for flow in flows:
+        new.adopt_connection(flow)
+    if released is not None:
+        new.set_elsewhere(in_flight=0, connections=released, now=0.0)
+    assert new.open_connection("fourth", 1.0) is None
+    assert new.open_connection("fifth", 2.0) is RefusalReason.CONNECTION_LIMIT
+
+
+def test_callers_refused_together_are_told_different_times():
+    gate = make_gate()
+    now = serve(gate, 20, 0.0)
+    effects = [gate.offer(Work(index, now + 3.0), now) for index in range(200)]
+    waits = [e.retry_after_s for [e] in filter(None, effects) if isinstance(e, Refuse)]
+    assert len(waits) > 100
+    first, last = waits[:20], waits[-20:]
+    # One turn takes 0.05 s: 0.1 s a request over two slots.
+    assert sum(last) / 20 - sum(first) / 20 == pytest.approx(0.05 * (len(waits) - 20), rel=0.2)
