Lay to a stop only requests that no fault touched

Change: crashes, pauses, cuts and restarts are noted with their spans; requests open during one or 5 s after are left out of requests_cut_by_stop. Scenarios of planned changes have no such spans and are judged as before; a table tests both.

--- a/bench/tests/test_judge.py
+++ b/bench/tests/test_judge.py
@@ -119,3 +119,21 @@
     world.upstreams[NAME].restarts.extend(restarted_at)
     result = judge(world, "steady", 1.0, FOOTPRINT)
     assert (result["flows_given_up"], result["flows_broken"]) == (given_up, 1 - given_up)
+
+
+@pytest.mark.parametrize(
+    ("fault_span", "cut"),
+    [
+        pytest.param((-30.0, -20.0), 1, id="fault long before"),
+        pytest.param((-8.0, -2.0), 0, id="shortly after a fault"),
+        pytest.param((0.5, 0.8), 0, id="during a fault"),
+        pytest.param((1.5, 2.0), 1, id="fault after its end"),
+    ],
+)
+async def test_request_open_during_a_fault_is_not_laid_to_a_stop(world, fault_span, cut):
+    plant_cut_by_stop(world)
+    started_at = world.observations.requests[0].started_at
+    began, ended = fault_span
+    number = world.open_fault(started_at + began)
+    world.close_fault(number, started_at + ended)
+    assert judge(world, "steady", 1.0, FOOTPRINT)["requests_cut_by_stop"] == cut
--- a/bench/world.py
+++ b/bench/world.py
@@ -76,6 +76,7 @@
         self.runs = RunLog()
         self.observations = Observations()
         self.events: list[Event] = []
+        self.fault_spans: list[tuple[float, float]] = []
         self.upstreams: dict[str, Upstream] = {}
         self.platform = Platform()
         self.platform.set_lag(HOSTS_KEY, HOSTS_LAG_S)
@@ -205,6 +206,16 @@
         """Remember an event for the judge and the plots."""
         self.events.append(Event(time.monotonic(), what))
 
+    def open_fault(self, at: float) -> int:
+        """Remember that a fault began; return its number for :meth:`close_fault`."""
+        self.fault_spans.append((at, float("inf")))
+        return len(self.fault_spans) - 1
+
+    def close_fault(self, number: int, at: float) -> None:
+        """Remember that a fault ended."""
+        began, _ = self.fault_spans[number]
+        self.fault_spans[number] = (began, at)
+
     async def close(self) -> None:
         """End all processes and close all sockets."""
         await self.fleet.kill_all()
