Read the configuration in the baseline as the balancer does; end a run on SIGTERM

Cause: the printed document leaves defaults out now, which the baseline read by hand; a run that got SIGTERM left its balancers behind.

Change: the baseline uses banyanline.config; SIGTERM cancels a run, which ends its processes.

--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -10,14 +10,16 @@
 
 import asyncio
 import configparser
-import json
 import signal
 from functools import partial
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import xxhash
 from absl import app, flags
 
+from banyanline.config import parse_document
+from banyanline.core.model import Configuration
+from banyanline.core.types import UpstreamState
 from bench.sockets import Address, UdpSocket
 
 FLAGS = flags.FLAGS
@@ -31,17 +33,17 @@
     upstreams: tuple[Address, ...]
 
 
-def parse_services(document: dict[str, Any]) -> dict[str, _Service]:
+def list_services(configuration: Configuration) -> dict[str, _Service]:
     """Return the upstreams that may get traffic, by service."""
-    out = {row["name"] for row in document["data_centres"] if row["state"] == "out"}
     services = {}
-    for row in document["services"]:
+    for service in configuration.services:
         upstreams = tuple(
-            _parse_address(upstream["address"])
-            for upstream in row["upstreams"]
-            if upstream["state"] == "in_service" and upstream["data_centre"] not in out
+            (upstream.endpoint.ip, upstream.endpoint.port)
+            for upstream in service.upstreams
+            if upstream.state is UpstreamState.IN_SERVICE
+            and configuration.is_data_centre_in_service(upstream.data_centre)
         )
-        services[row["name"]] = _Service(row["host_port"], upstreams)
+        services[service.name] = _Service(service.host_port, upstreams)
     return services
 
 
@@ -72,9 +74,12 @@
         self._sockets: dict[str, UdpSocket] = {}
         self._flows: dict[tuple[str, Address], UdpSocket] = {}
 
-    def configure(self, document: dict[str, Any]) -> None:
+    def configure(self, document: bytes) -> None:
         """Take a new configuration, whatever its revision."""
-        self._services = parse_services(document)
+        configuration = parse_document(document)
+        if not isinstance(configuration, Configuration):
+            return
+        self._services = list_services(configuration)
         for name, service in self._services.items():
             if name not in self._sockets:
                 on_datagram = partial(self._from_caller, name)
@@ -125,7 +130,7 @@
             continue
         if index != seen and body:
             seen = index
-            balancer.configure(json.loads(body))
+            balancer.configure(body)
 
 
 async def _serve(path: str) -> None:
--- a/bench/execute.py
+++ b/bench/execute.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 import tempfile
 import time
 from contextlib import AbstractContextManager, nullcontext
@@ -55,7 +56,10 @@
 
 
 async def execute(job: Job) -> RunOutput:
-    """Run ``job`` and judge it."""
+    """Run ``job`` and judge it; SIGTERM cancels the run and ends its processes."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     scenario = job.scenario
     options = Options(
         deployment=job.deployment,
--- a/bench/report.py
+++ b/bench/report.py
@@ -93,6 +93,7 @@
             numbers = range(max(bins) + 1)
             rates = [bins[number] / BIN_S for number in numbers]
             axes.step([n * BIN_S for n in numbers], rates, where="post", label=name, linewidth=1)
+    axes.set_ylim(bottom=0)
     _mark_events(axes, series["events"])
     axes.legend(loc="upper left", bbox_to_anchor=(1.0, 1.0), fontsize=7)
     return figure
