--- a/banyanline/net/balancer.py
+++ b/banyanline/net/balancer.py
@@ -6,11 +6,11 @@
 import random
 import time
 from collections.abc import Callable
-from functools import singledispatchmethod
 from typing import Any
 
 import structlog
 
+from banyanline.core.dispatch import singledispatchmethod
 from banyanline.core.effects import (
     CloseFlow,
     Effect,
@@ -41,10 +41,11 @@
 from banyanline.net.control import ControlClient, ControlMethod, ControlServer
 from banyanline.net.datagram import DatagramSocket, SocketAddress
 from banyanline.net.frames import decode_frame, encode_frame
-from banyanline.net.metrics import IoCounts, Metrics, Sources
+from banyanline.net.metrics import ControlTraffic, IoCounts, Metrics, Sources
 from banyanline.net.node_settings import node_settings
-from banyanline.net.seal import Rejected, RejectionReason, Sealer
+from banyanline.net.seal import Purpose, Rejected, RejectionReason, Sealer
 from banyanline.net.sockets import FlowSockets, ServiceSockets, UpstreamSockets
+from banyanline.net.stalls import StallMonitor
 from banyanline.net.transfers import (
     TRANSFER_METHOD,
     TransferDone,
@@ -72,22 +73,24 @@
         self._rng = random.Random()
         self._node = Node(node_settings(settings, time.time()), self._rng, time.time, self._clock())
         self._counts = IoCounts()
-        self._sealer = Sealer(keys, settings.host.name, time.time)
+        name = settings.host.name
+        self._sealer = Sealer(keys, name, time.time)
+        control_sealer = Sealer(keys, name, time.time, purpose=Purpose.CONTROL)
         local_ip = settings.host.local_ip
         self._services = ServiceSockets(local_ip, settings.fabric.delivery, self._from_caller)
-        self._upstreams = UpstreamSockets(local_ip, self._from_upstream)
+        self._upstreams = UpstreamSockets(local_ip, self._from_upstream, self._upstream_unreachable)
         self._flows = FlowSockets(local_ip, settings.limits.flow_sockets, self._from_flow)
         self._peer_socket: DatagramSocket | None = None
         self._control = ControlServer(
             Endpoint(local_ip, settings.host.control_port),
-            self._sealer,
+            control_sealer,
             {
                 TRANSFER_METHOD: ControlMethod(TransferRequest, self._answer_transfer),
                 FETCH_METHOD: ControlMethod(FetchRequest, self._answer_fetch),
             },
             count_rejection=self._counts.reject_frame,
         )
-        self._client = ControlClient(self._sealer)
+        self._client = ControlClient(control_sealer)
         self._transfers = Transfers(self._client, self._find_host, self._counts)
         platform = settings.platform
         self._reader = ConsulReader(
@@ -111,6 +114,7 @@
                 lambda: explain.gauges(self._node, self._clock()),
                 lambda: self._reader.calls,
                 self._datagram_totals,
+                lambda: self._reader.failures,
             )
         )
         self._admin = AdminServer(
@@ -122,8 +126,11 @@
                 lambda caller, service: explain.why(self._node, caller, service),
             ),
         )
+        self._stalls = StallMonitor(self._stalled)
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = float("inf")
+        self._is_settling = False
+        self._is_closed = False
         self._failure: asyncio.Future[None] | None = None
 
     @property
@@ -144,6 +151,7 @@
         await self._sync.read_once()
         self._update_reader()
         self._tick()
+        self._stalls.start()
         log.info("balancer_started", revision=self._node.revision)
 
     async def failed(self) -> None:
@@ -166,6 +174,8 @@
         await self._close()
 
     async def _close(self) -> None:
+        self._is_closed = True
+        self._stalls.stop()
         if self._timer is not None:
             self._timer.cancel()
         await self._sync.close()
@@ -190,6 +200,15 @@
             return
         for effect in effects:
             self._run(effect)
+        if not self._is_settling:
+            self._is_settling = True
+            asyncio.get_running_loop().call_soon(self._settle)
+
+    def _settle(self) -> None:
+        """Look at the revisions seen and the next timer, once for all events of a wake-up."""
+        self._is_settling = False
+        if self._is_closed:
+            return
         self._check_revision()
         self._set_timer()
 
@@ -203,6 +222,9 @@
     def _from_upstream(self, upstream: UpstreamName, payload: bytes) -> None:
         self._handle(self._node.receive_from_upstream, upstream, payload, self._clock())
 
+    def _upstream_unreachable(self, upstream: UpstreamName) -> None:
+        self._handle(self._node.upstream_unreachable, upstream, self._clock())
+
     def _from_flow(self, flow: FlowKey, payload: bytes) -> None:
         self._handle(self._node.receive_on_flow, flow, payload, self._clock())
 
@@ -250,7 +272,8 @@
 
     @_run.register
     def _(self, effect: SendProbe) -> None:
-        self._send_frame(effect.host, effect.endpoint, effect.message)
+        size = self._send_frame(effect.host, effect.endpoint, effect.message)
+        self._counts.add_control_bytes(ControlTraffic.PROBE, size)
 
     @_run.register
     def _(self, effect: TransferToPeer) -> None:
@@ -278,9 +301,12 @@
         if effect.event == "view_changed":
             asyncio.get_running_loop().call_soon(self._update_reader)
 
-    def _send_frame(self, host: HostName, endpoint: Endpoint, message: Any) -> None:
+    def _send_frame(self, host: HostName, endpoint: Endpoint, message: Any) -> int:
+        """Send a message in one datagram and return its bytes."""
+        frame = encode_frame(self._sealer, host, message)
         if self._peer_socket is not None:
-            self._peer_socket.send(encode_frame(self._sealer, host, message), endpoint)
+            self._peer_socket.send(frame, endpoint)
+        return len(frame)
 
     def _find_host(self, name: HostName) -> Host | None:
         return self._node.membership.view.host(name)
@@ -316,5 +342,9 @@
     async def _answer_fetch(self, _sender: HostName, request: FetchRequest) -> FetchReply:
         return self._sync.answer_fetch(request)
 
+    def _stalled(self, late_s: float) -> None:
+        self._counts.stall(late_s)
+        log.warning("loop_stalled", late_s=round(late_s, 3))
+
     def _datagram_totals(self) -> dict[str, Any]:
         return {"caller": self._services.totals(), "upstream": self._upstreams.totals()}
--- a/banyanline/net/sockets.py
+++ b/banyanline/net/sockets.py
@@ -80,9 +80,15 @@
 class UpstreamSockets:
     """One connected socket for each upstream of a request service."""
 
-    def __init__(self, local_ip: str, handler: UpstreamHandler) -> None:
+    def __init__(
+        self,
+        local_ip: str,
+        handler: UpstreamHandler,
+        on_unreachable: Callable[[UpstreamName], None],
+    ) -> None:
         self._local_ip = local_ip
         self._handler = handler
+        self._on_unreachable = on_unreachable
         self._sockets: dict[UpstreamName, DatagramSocket] = {}
         self._endpoints: dict[UpstreamName, Endpoint] = {}
 
@@ -99,6 +105,7 @@
             Endpoint(self._local_ip, ANY_PORT),
             lambda data, _addr: self._handler(upstream, data),
             connect_to=endpoint,
+            on_unreachable=partial(self._on_unreachable, upstream),
             receive_buffer_bytes=UPSTREAM_BUFFER_BYTES,
         )
         self._endpoints[upstream] = endpoint
