Keep what a run did in a chronicle of its own

Change: bench/chronicle.py; World builds its fabric in a method.

Conclusion: no change of behaviour.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -51,7 +51,7 @@
     await asyncio.sleep(pause_s)
     victim = world.fleet.balancers[0]
     _say(f"balancer {victim.name} is stopped")
-    world.note(f"stop {victim.name}")
+    world.chronicle.note(f"stop {victim.name}")
     stopping = asyncio.create_task(world.fleet.stop(victim))
     await asyncio.sleep(pause_s)
     upstream = world.add_upstream(service)
--- a/bench/execute.py
+++ b/bench/execute.py
@@ -127,7 +127,7 @@
 
 def _series(world: World, began: float) -> Series:
     return Series(
-        events=[(round(event.at - began, 3), event.what) for event in world.events],
+        events=[(round(event.at - began, 3), event.what) for event in world.chronicle.events],
         requests=[
             (
                 round(record.started_at - began, 3),
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -3,9 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
-from collections.abc import Iterator
-from contextlib import contextmanager
 
 from bench.fleet import Balancer
 from bench.world import World
@@ -13,36 +10,26 @@
 UPSTREAM_DOWN_S = 1.5
 
 
-@contextmanager
-def fault_span(world: World) -> Iterator[None]:
-    """Remember that a fault lasted from here to the end of the block."""
-    span = world.open_fault(time.monotonic())
-    try:
-        yield
-    finally:
-        world.close_fault(span, time.monotonic())
-
-
 async def crash(world: World, victims: list[Balancer]) -> None:
     """Kill balancers at once."""
     for victim in victims:
-        world.note(f"crash {victim.name}")
-    with fault_span(world):
+        world.chronicle.note(f"crash {victim.name}")
+    with world.chronicle.fault():
         await asyncio.gather(*(world.fleet.crash(victim) for victim in victims))
 
 
 async def pause(world: World, victim: Balancer, duration_s: float) -> None:
     """Stop a balancer's process with SIGSTOP for a while."""
-    world.note(f"pause {victim.name}")
-    with fault_span(world):
+    world.chronicle.note(f"pause {victim.name}")
+    with world.chronicle.fault():
         await world.fleet.pause(victim, duration_s)
-    world.note(f"resume {victim.name}")
+    world.chronicle.note(f"resume {victim.name}")
 
 
 async def restart_upstream(world: World, name: str) -> None:
     """Let an upstream go down without warning and come back cold."""
-    world.note(f"restart {name}")
-    with fault_span(world):
+    world.chronicle.note(f"restart {name}")
+    with world.chronicle.fault():
         world.upstreams[name].restart(UPSTREAM_DOWN_S)
         await asyncio.sleep(UPSTREAM_DOWN_S)
 
@@ -50,9 +37,9 @@
 async def cut_off(world: World, lone: str, duration_s: float) -> None:
     """Cut one data centre off from the others for a while."""
     others = [name for name in world.options.deployment.data_centres if name != lone]
-    world.note(f"cut {lone}")
-    with fault_span(world):
+    world.chronicle.note(f"cut {lone}")
+    with world.chronicle.fault():
         world.cuts.separate([lone], others)
         await asyncio.sleep(duration_s)
         world.cuts.heal()
-    world.note("healed")
+    world.chronicle.note("healed")
--- a/bench/judge.py
+++ b/bench/judge.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple, TypedDict
 
+from bench.chronicle import Span
 from bench.observations import FlowEnd, FlowRecord, Outcome, RequestRecord
 
 if TYPE_CHECKING:
@@ -164,7 +165,7 @@
     until = flow.ended_at + SETTLING_S
     if any(flow.opened_at <= at <= until for at in upstream.restarts):
         return True
-    spans = world.out_at.get(upstream.spec.data_centre, [])
+    spans = world.chronicle.out_spans(upstream.spec.data_centre)
     return any(
         flow.opened_at <= began <= until and flow.ended_at <= ended + SETTLING_S
         for began, ended in spans
@@ -172,14 +173,14 @@
 
 
 def _packets_after_out(world: World, upstream: Upstream) -> int:
-    spans = world.out_at.get(upstream.spec.data_centre, [])
+    spans = world.chronicle.out_spans(upstream.spec.data_centre)
     return sum(
         began + SETTLING_S < at < ended for at in upstream.counts.packets for began, ended in spans
     )
 
 
 def _late_work(world: World, upstream: Upstream) -> list[float]:
-    left_at = world.leaving_at.get(upstream.spec.name)
+    left_at = world.chronicle.leaving_at.get(upstream.spec.name)
     if left_at is None:
         return []
     return [at for at in upstream.counts.new_work if at > left_at + SETTLING_S]
@@ -187,10 +188,10 @@
 
 def _reverts(world: World, upstream: Upstream) -> int:
     """Return 1 if work came again after a removal had been in force for a while."""
-    spans = list(world.out_at.get(upstream.spec.data_centre, []))
-    left_at = world.leaving_at.get(upstream.spec.name)
+    spans = world.chronicle.out_spans(upstream.spec.data_centre)
+    left_at = world.chronicle.leaving_at.get(upstream.spec.name)
     if left_at is not None:
-        spans.append((left_at, float("inf")))
+        spans.append(Span(left_at))
     for began, ended in spans:
         work = [at for at in upstream.counts.new_work if began + SETTLING_S < at < ended]
         before = [at for at in upstream.counts.new_work if began < at <= began + SETTLING_S]
@@ -209,7 +210,7 @@
         return False
     if any(
         request.started_at <= ended + FAULT_AFTERMATH_S and request.finished_at >= began
-        for began, ended in world.fault_spans
+        for began, ended in world.chronicle.faults
     ):
         return False
     return any(
@@ -229,8 +230,8 @@
         is_whole = (
             not upstream.restarts
             and not upstream.is_late_comer
-            and spec.name not in world.leaving_at
-            and spec.data_centre not in world.out_at
+            and spec.name not in world.chronicle.leaving_at
+            and not world.chronicle.out_spans(spec.data_centre)
         )
         if is_whole:
             loads[spec.service].append(len(upstream.counts.new_work))
--- a/bench/mixture.py
+++ b/bench/mixture.py
@@ -58,7 +58,7 @@
     try:
         await world.add_balancer(data_centre)
     except NotReadyError:
-        world.note(f"a new balancer in {data_centre} does not serve")
+        world.chronicle.note(f"a new balancer in {data_centre} does not serve")
 
 
 async def _replace(world: World, rng: random.Random) -> None:
@@ -67,7 +67,7 @@
         return
     victim = rng.choice(spare)
     victim.is_busy = True
-    world.note(f"stop {victim.name}")
+    world.chronicle.note(f"stop {victim.name}")
     await world.fleet.stop(victim)
     await _add_balancer(world, victim.data_centre)
 
@@ -97,7 +97,7 @@
         upstream.spec.name
         for upstream in world.upstreams.values()
         if upstream.spec.service == service
-        and upstream.spec.name not in world.leaving_at
+        and upstream.spec.name not in world.chronicle.leaving_at
         and upstream.spec.data_centre not in world.document.out
     ]
 
@@ -141,11 +141,11 @@
     touched = rng.sample(readers, rng.randint(1, len(readers)))
     for reader in touched:
         world.platform.set_view(reader, rng.choice(views))
-    world.note(f"platform fault for {len(touched)} readers")
+    world.chronicle.note(f"platform fault for {len(touched)} readers")
     await asyncio.sleep(rng.uniform(1.0, LONGEST_OUTAGE_S))
     for reader in touched:
         world.platform.set_view(reader, ReaderView())
-    world.note("platform fault ends")
+    world.chronicle.note("platform fault ends")
 
 
 async def _mislead(world: World, rng: random.Random) -> None:
@@ -158,7 +158,7 @@
             HealthFault(),
         )
     )
-    world.note(f"{upstream.spec.name} misleads")
+    world.chronicle.note(f"{upstream.spec.name} misleads")
 
 
 ACTIONS: tuple[Action, ...] = (
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -45,7 +45,7 @@
         await asyncio.sleep(interval_s / 2)
         await world.add_balancer(balancer.data_centre)
         await asyncio.sleep(interval_s / 2)
-        world.note(f"stop {balancer.name}")
+        world.chronicle.note(f"stop {balancer.name}")
         await world.fleet.stop(balancer)
     await asyncio.sleep(interval_s)
 
@@ -133,7 +133,7 @@
         staying = [
             other
             for other in world.upstreams.values()
-            if other.spec.service == service and other.spec.name not in world.leaving_at
+            if other.spec.service == service and other.spec.name not in world.chronicle.leaving_at
         ]
         if upstream in staying and len(staying) > 2:
             candidates.append(upstream.spec.name)
@@ -155,14 +155,14 @@
     """Take the platform down for all readers, and replace a balancer meanwhile."""
     await asyncio.sleep(seconds / 5)
     _set_views(world, ReaderView(is_down=True))
-    world.note("platform down")
+    world.chronicle.note("platform down")
     await asyncio.sleep(seconds / 5)
     victim = world.rng.choice(world.fleet.balancers)
-    world.note(f"stop {victim.name}")
+    world.chronicle.note(f"stop {victim.name}")
     await world.fleet.stop(victim)
     await asyncio.sleep(seconds / 5)
     _set_views(world, ReaderView())
-    world.note("platform up")
+    world.chronicle.note("platform up")
     await world.add_balancer(victim.data_centre)
     await asyncio.sleep(seconds * 2 / 5)
 
@@ -176,15 +176,15 @@
     for balancer in world.fleet.balancers[::2]:
         reader = world.plan.platform(balancer.idx)
         world.platform.set_view(reader, ReaderView(stale_index=stale_index))
-    world.note("platform stale")
+    world.chronicle.note("platform stale")
     await asyncio.sleep(seconds / 6)
     victim = world.rng.choice(world.fleet.balancers)
     await world.add_balancer(victim.data_centre)
-    world.note(f"stop {victim.name}")
+    world.chronicle.note(f"stop {victim.name}")
     await world.fleet.stop(victim)
     await asyncio.sleep(seconds / 6)
     _set_views(world, ReaderView())
-    world.note("platform fresh")
+    world.chronicle.note("platform fresh")
     await asyncio.sleep(seconds / 3)
 
 
@@ -210,10 +210,10 @@
     usual = world.load.share
     await asyncio.sleep(seconds / 4)
     world.load.share = OVERLOAD_SHARE
-    world.note("overload begins")
+    world.chronicle.note("overload begins")
     await asyncio.sleep(seconds / 2)
     world.load.share = usual
-    world.note("overload ends")
+    world.chronicle.note("overload ends")
     await asyncio.sleep(seconds / 4)
 
 
@@ -225,7 +225,7 @@
     await asyncio.sleep(seconds / 4)
     idle.health.fault = HealthFault(load=0.0, state="warm")
     draining.health.fault = HealthFault(load=1.0, state="draining")
-    world.note(f"{idle.spec.name} and {draining.spec.name} mislead")
+    world.chronicle.note(f"{idle.spec.name} and {draining.spec.name} mislead")
     await asyncio.sleep(seconds * 3 / 4)
 
 
--- a/bench/tests/test_judge.py
+++ b/bench/tests/test_judge.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bench.chronicle import Span
 from bench.deployments import SPLIT
 from bench.fleet import StopRecord
 from bench.judge import Footprint, Result, judge, violations
@@ -40,17 +41,18 @@
 
 
 def plant_late_work(world: World) -> None:
-    world.leaving_at[NAME] = 100.0
+    world.chronicle.leaving_at[NAME] = 100.0
     world.upstreams[NAME].counts.new_work += [101.0, 103.5]
 
 
 def plant_revert(world: World) -> None:
-    world.leaving_at[NAME] = 100.0
+    world.chronicle.leaving_at[NAME] = 100.0
     world.upstreams[NAME].counts.new_work += [100.5, 110.0]
 
 
 def plant_packet_after_out(world: World) -> None:
-    world.out_at[DATA_CENTRE] = [(100.0, 200.0)]
+    world.chronicle.begin_out(DATA_CENTRE, 100.0)
+    world.chronicle.end_out(DATA_CENTRE, 200.0)
     world.upstreams[NAME].counts.packets += [102.0, 103.5, 200.5]
 
 
@@ -115,7 +117,9 @@
 )
 async def test_flow_is_given_up(world, out_at, restarted_at, given_up):
     plant_broken_flow(world)
-    world.out_at[DATA_CENTRE] = out_at
+    for began, ended in out_at:
+        world.chronicle.begin_out(DATA_CENTRE, began)
+        world.chronicle.end_out(DATA_CENTRE, ended)
     world.upstreams[NAME].restarts.extend(restarted_at)
     result = judge(world, "steady", 1.0, FOOTPRINT)
     assert (result["flows_given_up"], result["flows_broken"]) == (given_up, 1 - given_up)
@@ -134,6 +138,5 @@
     plant_cut_by_stop(world)
     started_at = world.observations.requests[0].started_at
     began, ended = fault_span
-    number = world.open_fault(started_at + began)
-    world.close_fault(number, started_at + ended)
+    world.chronicle.faults.append(Span(started_at + began, started_at + ended))
     assert judge(world, "steady", 1.0, FOOTPRINT)["requests_cut_by_stop"] == cut
--- a/bench/world.py
+++ b/bench/world.py
@@ -11,6 +11,7 @@
 
 from bench.addresses import CALLER_PORT, AddressPlan
 from bench.caller import Caller, CallerTimes
+from bench.chronicle import Chronicle
 from bench.coap_upstream import CoapUpstream
 from bench.configuration import ConfigurationDocument
 from bench.deployments import (
@@ -53,13 +54,6 @@
     faults: Faults = Faults()
 
 
-class Event(NamedTuple):
-    """Something that the run did to the system, at a time of the monotonic clock."""
-
-    at: float
-    what: str
-
-
 class NotReadyError(Exception):
     """The balancers did not answer in time."""
 
@@ -75,8 +69,7 @@
         self.cuts = Cuts()
         self.runs = RunLog()
         self.observations = Observations()
-        self.events: list[Event] = []
-        self.fault_spans: list[tuple[float, float]] = []
+        self.chronicle = Chronicle()
         self.upstreams: dict[str, Upstream] = {}
         self.platform = Platform()
         self.platform.set_lag(HOSTS_KEY, HOSTS_LAG_S)
@@ -84,19 +77,8 @@
         self._next_address = len(self._specs)
         self._protocols = {size.name: size.protocol for size in deployment.services}
         self.document = ConfigurationDocument(deployment, self.plan, self._specs)
-        self.leaving_at: dict[str, float] = {}
-        self.out_at: dict[str, list[tuple[float, float]]] = {}
         self._routes = service_routes(deployment, self.plan)
-        delay_s = options.deployment.caller_delay_s
-        faults = options.faults._replace(delay_s=delay_s, jitter_s=JITTER_S)
-        self.fabric = Fabric(
-            self.plan,
-            self._routes,
-            deployment.data_centres,
-            Link(self._new_rng(), faults),
-            self.cuts,
-            self._new_rng(),
-        )
+        self.fabric = self._new_fabric()
         module = BASELINE_MODULE if options.is_baseline else BALANCER_MODULE
         self.fleet = Fleet(
             self.plan,
@@ -159,7 +141,7 @@
     async def add_balancer(self, data_centre: str) -> Balancer:
         """Start one more balancer and let the fabric take it in when it answers."""
         balancer = self.fleet.new_balancer(data_centre)
-        self.note(f"start {balancer.name}")
+        self.chronicle.note(f"start {balancer.name}")
         await self.launch(balancer)
         await self.wait_ready([balancer])
         self.fleet.admit(balancer)
@@ -173,49 +155,34 @@
         upstream = self._start_upstream(spec, cold=True)
         self.document.add_upstream(spec)
         self.publish()
-        self.note(f"add {spec.name}")
+        self.chronicle.note(f"add {spec.name}")
         return upstream
 
     def drain_upstream(self, name: str) -> None:
         """Publish that the upstream leaves."""
         self.document.set_leaving(name)
-        self.leaving_at[name] = time.monotonic()
+        self.chronicle.leaving_at[name] = time.monotonic()
         self.publish()
-        self.note(f"drain {name}")
+        self.chronicle.note(f"drain {name}")
 
     def take_out(self, data_centre: str) -> None:
         """Publish that the data centre is out of service."""
         self.document.set_out(data_centre)
-        self.out_at.setdefault(data_centre, []).append((time.monotonic(), float("inf")))
+        self.chronicle.begin_out(data_centre, time.monotonic())
         self.publish()
-        self.note(f"out {data_centre}")
+        self.chronicle.note(f"out {data_centre}")
 
     def bring_back(self, data_centre: str) -> None:
         """Publish that the data centre is back in service."""
         self.document.set_in_service(data_centre)
-        began, _ = self.out_at[data_centre].pop()
-        self.out_at[data_centre].append((began, time.monotonic()))
+        self.chronicle.end_out(data_centre, time.monotonic())
         self.publish()
-        self.note(f"back {data_centre}")
+        self.chronicle.note(f"back {data_centre}")
 
     def publish(self) -> None:
         """Write the configuration as it stands to the platform."""
         self.platform.set(CONFIGURATION_KEY, self.document.encode())
 
-    def note(self, what: str) -> None:
-        """Remember an event for the judge and the plots."""
-        self.events.append(Event(time.monotonic(), what))
-
-    def open_fault(self, at: float) -> int:
-        """Remember that a fault began; return its number for :meth:`close_fault`."""
-        self.fault_spans.append((at, float("inf")))
-        return len(self.fault_spans) - 1
-
-    def close_fault(self, number: int, at: float) -> None:
-        """Remember that a fault ended."""
-        began, _ = self.fault_spans[number]
-        self.fault_spans[number] = (began, at)
-
     async def close(self) -> None:
         """End all processes and close all sockets."""
         await self.fleet.kill_all()
@@ -252,6 +219,18 @@
     def _new_rng(self) -> random.Random:
         return random.Random(self.rng.random())
 
+    def _new_fabric(self) -> Fabric:
+        deployment = self.options.deployment
+        faults = self.options.faults._replace(delay_s=deployment.caller_delay_s, jitter_s=JITTER_S)
+        return Fabric(
+            self.plan,
+            self._routes,
+            deployment.data_centres,
+            Link(self._new_rng(), faults),
+            self.cuts,
+            self._new_rng(),
+        )
+
     def _new_callers(self, routes: dict[str, ServiceRoute]) -> list[Caller]:
         options = self.options
         times = CallerTimes(options.deployment.patience_s, options.ack_timeout_s)
