--- a/bench/execute.py
+++ b/bench/execute.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import signal
 import tempfile
 import time
 from contextlib import AbstractContextManager, nullcontext
@@ -55,7 +56,10 @@
 
 
 async def execute(job: Job) -> RunOutput:
-    """Run ``job`` and judge it."""
+    """Run ``job`` and judge it; SIGTERM cancels the run and ends its processes."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     scenario = job.scenario
     options = Options(
         deployment=job.deployment,
@@ -123,7 +127,7 @@
 
 def _series(world: World, began: float) -> Series:
     return Series(
-        events=[(round(event.at - began, 3), event.what) for event in world.events],
+        events=[(round(event.at - began, 3), event.what) for event in world.chronicle.events],
         requests=[
             (
                 round(record.started_at - began, 3),
