--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from bench import faults
 from bench.health import HealthFault
 from bench.link import Faults
 from bench.mixture import all_at_once
@@ -15,7 +16,6 @@
 PAUSE_S = 10.0
 CHURN_INTERVAL_S = 0.5
 OVERLOAD_SHARE = 2.0
-UPSTREAM_DOWN_S = 1.5
 
 Act = Callable[[World, float], Awaitable[None]]
 
@@ -45,7 +45,7 @@
         await asyncio.sleep(interval_s / 2)
         await world.add_balancer(balancer.data_centre)
         await asyncio.sleep(interval_s / 2)
-        world.note(f"stop {balancer.name}")
+        world.chronicle.note(f"stop {balancer.name}")
         await world.fleet.stop(balancer)
     await asyncio.sleep(interval_s)
 
@@ -54,9 +54,7 @@
     """Kill ``count`` balancers at once, and replace them later."""
     await asyncio.sleep(seconds / 3)
     victims = world.rng.sample(world.fleet.balancers, count)
-    for victim in victims:
-        world.note(f"crash {victim.name}")
-    await asyncio.gather(*(world.fleet.crash(victim) for victim in victims))
+    await faults.crash(world, victims)
     await asyncio.sleep(seconds / 3)
     for victim in victims:
         await world.add_balancer(victim.data_centre)
@@ -77,9 +75,7 @@
     """Stop a balancer with SIGSTOP for 10 s, or half the time if that is less."""
     await asyncio.sleep(seconds / 4)
     victim = world.rng.choice(world.fleet.balancers)
-    world.note(f"pause {victim.name}")
-    await world.fleet.pause(victim, min(PAUSE_S, seconds / 2))
-    world.note(f"resume {victim.name}")
+    await faults.pause(world, victim, min(PAUSE_S, seconds / 2))
     await asyncio.sleep(seconds / 4)
 
 
@@ -104,12 +100,12 @@
     """Restart an upstream of each service without warning, twice."""
     await asyncio.sleep(seconds / 4)
     for _ in range(2):
+        victims = []
         for service in world.options.deployment.services:
             candidates = [u for u in world.upstreams.values() if u.spec.service == service.name]
-            victim = world.rng.choice(candidates)
-            world.note(f"restart {victim.spec.name}")
-            victim.restart(UPSTREAM_DOWN_S)
-        await asyncio.sleep(seconds * 3 / 8)
+            victims.append(world.rng.choice(candidates).spec.name)
+        await asyncio.gather(*(faults.restart_upstream(world, name) for name in victims))
+        await asyncio.sleep(seconds * 3 / 8 - faults.UPSTREAM_DOWN_S)
 
 
 async def config_churn(world: World, seconds: float) -> None:
@@ -137,7 +133,7 @@
         staying = [
             other
             for other in world.upstreams.values()
-            if other.spec.service == service and other.spec.name not in world.leaving_at
+            if other.spec.service == service and other.spec.name not in world.chronicle.leaving_at
         ]
         if upstream in staying and len(staying) > 2:
             candidates.append(upstream.spec.name)
@@ -159,14 +155,14 @@
     """Take the platform down for all readers, and replace a balancer meanwhile."""
     await asyncio.sleep(seconds / 5)
     _set_views(world, ReaderView(is_down=True))
-    world.note("platform down")
+    world.chronicle.note("platform down")
     await asyncio.sleep(seconds / 5)
     victim = world.rng.choice(world.fleet.balancers)
-    world.note(f"stop {victim.name}")
+    world.chronicle.note(f"stop {victim.name}")
     await world.fleet.stop(victim)
     await asyncio.sleep(seconds / 5)
     _set_views(world, ReaderView())
-    world.note("platform up")
+    world.chronicle.note("platform up")
     await world.add_balancer(victim.data_centre)
     await asyncio.sleep(seconds * 2 / 5)
 
@@ -180,15 +176,15 @@
     for balancer in world.fleet.balancers[::2]:
         reader = world.plan.platform(balancer.idx)
         world.platform.set_view(reader, ReaderView(stale_index=stale_index))
-    world.note("platform stale")
+    world.chronicle.note("platform stale")
     await asyncio.sleep(seconds / 6)
     victim = world.rng.choice(world.fleet.balancers)
     await world.add_balancer(victim.data_centre)
-    world.note(f"stop {victim.name}")
+    world.chronicle.note(f"stop {victim.name}")
     await world.fleet.stop(victim)
     await asyncio.sleep(seconds / 6)
     _set_views(world, ReaderView())
-    world.note("platform fresh")
+    world.chronicle.note("platform fresh")
     await asyncio.sleep(seconds / 3)
 
 
@@ -202,15 +198,10 @@
 async def partition_dc(world: World, seconds: float) -> None:
     """Cut one data centre off from the others and from the platform, then heal."""
     await asyncio.sleep(seconds / 4)
-    data_centres = list(world.options.deployment.data_centres)
-    lone = data_centres.pop(world.rng.randrange(len(data_centres)))
-    world.cuts.separate([lone], data_centres)
+    lone = world.rng.choice(world.options.deployment.data_centres)
     _set_views(world, ReaderView(is_down=True), lone)
-    world.note(f"cut {lone}")
-    await asyncio.sleep(seconds / 2)
-    world.cuts.heal()
+    await faults.cut_off(world, lone, seconds / 2)
     _set_views(world, ReaderView())
-    world.note("healed")
     await asyncio.sleep(seconds / 4)
 
 
@@ -219,10 +210,10 @@
     usual = world.load.share
     await asyncio.sleep(seconds / 4)
     world.load.share = OVERLOAD_SHARE
-    world.note("overload begins")
+    world.chronicle.note("overload begins")
     await asyncio.sleep(seconds / 2)
     world.load.share = usual
-    world.note("overload ends")
+    world.chronicle.note("overload ends")
     await asyncio.sleep(seconds / 4)
 
 
@@ -234,7 +225,7 @@
     await asyncio.sleep(seconds / 4)
     idle.health.fault = HealthFault(load=0.0, state="warm")
     draining.health.fault = HealthFault(load=1.0, state="draining")
-    world.note(f"{idle.spec.name} and {draining.spec.name} mislead")
+    world.chronicle.note(f"{idle.spec.name} and {draining.spec.name} mislead")
     await asyncio.sleep(seconds * 3 / 4)
 
 
