Compare views by digest, and let a take-over wait out the whole lease

Change: (1) probes and acknowledgements carry a 32-bit digest of the live hosts; a process that differs from its peers for 1 s, or whose lease was renewed, asks for state. (2) takeover_wait_s is the lease plus 0.5 s to spread the news plus the margin, 3.1 s in place of 1.7 s.

--- a/banyanline/core/membership/composer.py
+++ b/banyanline/core/membership/composer.py
@@ -50,8 +50,15 @@
         """Let ``update`` ride on the next datagrams."""
         self._queue.put(update)
 
-    def probe(self, receiver: Record, sequence: int, *, wants_state: bool) -> SendProbeMessage:
-        """Return a probe of ``receiver``."""
+    def probe(
+        self,
+        receiver: Record,
+        sequence: int,
+        *,
+        wants_state: bool = False,
+        wants_places: bool = False,
+    ) -> SendProbeMessage:
+        """Return a probe of ``receiver``, which may ask for its state and where hosts are."""
         local = self._table.local
         message = Probe(
             local.host.name,
@@ -61,13 +68,15 @@
             sequence,
             self._updates_for(receiver),
             wants_state,
+            wants_places,
+            self._table.digest,
         )
         return _send(receiver, message)
 
     def ack(
-        self, receiver: Record, sequence: int, now: Seconds, *, wants_state: bool = False
+        self, receiver: Record, sequence: int, now: Seconds, probe: Probe | None = None
     ) -> SendProbeMessage:
-        """Return the acknowledgement of a probe by ``receiver``."""
+        """Return the acknowledgement of a probe by ``receiver``, with what ``probe`` asks for."""
         local = self._table.local
         message = ProbeAck(
             local.host.name,
@@ -75,8 +84,9 @@
             local.is_leaving,
             self._revision,
             sequence,
-            self._state() if wants_state else self._updates_for(receiver),
+            self._state(probe) if probe and probe.wants_state else self._updates_for(receiver),
             self._contacts.pack(now, self._settings.contact_entries),
+            self._table.digest,
         )
         return _send(receiver, message)
 
@@ -110,17 +120,29 @@
         record = self._rng.choice(list(self._table))
         return record.update(with_place=not record.is_listed)
 
-    def _state(self) -> tuple[MemberUpdate, ...]:
-        """Return the latest changes, as many as fit, for a process that has just started."""
-        budget = self._settings.state_bytes
-        updates: list[MemberUpdate] = []
-        for record in sorted(self._table, key=lambda record: -record.changed_at):
-            update = record.update(with_place=record.is_live)
-            budget -= encoded_bytes(update)
-            if budget < 0:
-                break
-            updates.append(update)
-        return tuple(updates)
+    def _state(self, probe: Probe) -> tuple[MemberUpdate, ...]:
+        """Return the latest changes and, in the second half, what is held of other hosts."""
+        budget = self._settings.state_bytes // 2
+        latest = sorted(self._table, key=lambda record: -record.changed_at)
+        updates, rest = _fitting(latest, budget, probe.wants_places)
+        self._rng.shuffle(rest)
+        others, _ = _fitting(rest, budget, probe.wants_places)
+        return tuple(updates + others)
+
+
+def _fitting(
+    records: list[Record], budget: int, wants_places: bool
+) -> tuple[list[MemberUpdate], list[Record]]:
+    """Return the first records as updates of at most ``budget`` bytes, and the other records."""
+    updates: list[MemberUpdate] = []
+    for idx, record in enumerate(records):
+        with_place = record.is_live and (wants_places or not record.is_listed)
+        update = record.update(with_place=with_place)
+        budget -= encoded_bytes(update)
+        if budget < 0:
+            return updates, records[idx:]
+        updates.append(update)
+    return updates, []
 
 
 def _send(receiver: Record, message: MembershipMessage) -> SendProbeMessage:
--- a/banyanline/core/membership/detector.py
+++ b/banyanline/core/membership/detector.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from functools import singledispatchmethod
 
@@ -65,6 +66,8 @@
         self._suspicions = Suspicions(self._table, settings)
         self._composer = Composer(self._table, self._contacts, settings, rng)
         self._state_answers = 0
+        self._knows_places = False
+        self._differs_since = math.inf
         self._is_seeded = False
         self._removable_incarnation = incarnation
         self._table_version = -1
@@ -197,6 +200,7 @@
             self._note_sender(message, now, effects)
             for update in message.updates:
                 self._apply(update, now)
+            self._compare_views(message, now)
             self._answer(message, now, effects)
         self._refresh(now, effects)
         return effects
@@ -211,6 +215,18 @@
         if message.revision > self._composer.revision:
             effects.append(RevisionSeen(message.sender, message.revision))
 
+    def _compare_views(self, message: MembershipMessage, now: Seconds) -> None:
+        """Ask for state anew if the view differs from those of peers for some time."""
+        if isinstance(message, ProbeRequest):
+            return
+        if message.digest == self._table.digest:
+            self._differs_since = math.inf
+        elif now - self._differs_since >= self._settings.reconnect_interval_s:
+            self._differs_since = now
+            self._state_answers = min(self._state_answers, self._settings.state_answers - 1)
+        else:
+            self._differs_since = min(self._differs_since, now)
+
     @singledispatchmethod
     def _answer(
         self, message: MembershipMessage, now: Seconds, effects: list[MembershipEffect]
@@ -221,7 +237,7 @@
     def _(self, message: Probe, now: Seconds, effects: list[MembershipEffect]) -> None:
         sender = self._table.get(message.sender)
         if sender is not None:
-            ack = self._composer.ack(sender, message.sequence, now, wants_state=message.wants_state)
+            ack = self._composer.ack(sender, message.sequence, now, message)
             effects.append(ack)
 
     @_answer.register
@@ -229,7 +245,7 @@
         target = self._table.get(message.target)
         if target is not None:
             sequence = self._ledger.add_relayed(message.sender, message.sequence, now)
-            effects.append(self._composer.probe(target, sequence, wants_state=False))
+            effects.append(self._composer.probe(target, sequence))
 
     @_answer.register
     def _(self, message: ProbeAck, now: Seconds, effects: list[MembershipEffect]) -> None:
@@ -240,9 +256,13 @@
         probe = self._ledger.acknowledge(message.sequence, now)
         if probe is not None:
             self._state_answers += 1
+            self._knows_places |= self._state_answers >= self._settings.state_answers
             self._suspicions.restart(probe.target, now)
             self._contacts.record(probe.target, probe.sent_at)
+            was_fresh = self._contacts.is_fresh(now)
             self._contacts.merge(message.contacts, probe.sent_at, now)
+            if not was_fresh and self._contacts.is_fresh(now):
+                self._state_answers = 0
 
     def _apply(self, update: MemberUpdate, now: Seconds) -> None:
         if update.name == self.local.name:
@@ -334,7 +354,12 @@
     def _probe(self, record: Record, now: Seconds) -> SendProbeMessage:
         sequence = self._ledger.add(record.host.name, now, may_ask_others=record.is_live)
         wants_state = self._state_answers < self._settings.state_answers
-        return self._composer.probe(record, sequence, wants_state=wants_state)
+        return self._composer.probe(
+            record,
+            sequence,
+            wants_state=wants_state,
+            wants_places=wants_state and not self._knows_places,
+        )
 
     def _refresh(self, now: Seconds, effects: list[MembershipEffect]) -> None:
         """Announce the view if its shape has changed, and set when the next tick is due."""
--- a/banyanline/core/membership/messages.py
+++ b/banyanline/core/membership/messages.py
@@ -44,7 +44,10 @@
 
 
 class Probe(msgspec.Struct, tag="probe", array_like=True, frozen=True):
-    """Asks the receiver to acknowledge ``sequence``."""
+    """Asks the receiver to acknowledge ``sequence``.
+
+    ``digest`` is the same for two processes that hold the same hosts to be alive.
+    """
 
     sender: HostName
     incarnation: int
@@ -53,6 +56,8 @@
     sequence: int
     updates: tuple[MemberUpdate, ...] = ()
     wants_state: bool = False
+    wants_places: bool = False
+    digest: int = 0
 
 
 class ProbeAck(msgspec.Struct, tag="ack", array_like=True, frozen=True):
@@ -69,6 +74,7 @@
     sequence: int
     updates: tuple[MemberUpdate, ...] = ()
     contacts: bytes = b""
+    digest: int = 0
 
 
 class ProbeRequest(msgspec.Struct, tag="ask", array_like=True, frozen=True):
--- a/banyanline/core/membership/settings.py
+++ b/banyanline/core/membership/settings.py
@@ -27,6 +27,7 @@
     reconnect_interval_s: Seconds = 1.0
     forget_after_s: Seconds = 60.0
     lease_s: Seconds = 2.5
+    spread_s: Seconds = 0.5
     clock_margin_s: Seconds = 0.1
     stall_s: Seconds = 0.5
     max_health_penalty: int = 2
@@ -40,9 +41,8 @@
     def takeover_wait_s(self) -> Seconds:
         """How long after a host's removal its lease may still be fresh.
 
-        No one removes a host sooner than ``suspicion_min_s`` after a probe to it has
-        failed, and that is ``probe_failed_s`` after the probe. A host that was cut off
-        from the majority before that probe was lost has no lease ``lease_s`` later.
+        The peer that removed it can have been cut off itself at that time. The host is then
+        told of its removal within ``spread_s``, or is cut off by then and has no lease
+        ``lease_s`` later.
         """
-        earliest_removal_s = self.probe_failed_s + self.suspicion_min_s
-        return max(0.0, self.lease_s - earliest_removal_s) + self.clock_margin_s
+        return self.lease_s + self.spread_s + self.clock_margin_s
--- a/banyanline/core/membership/table.py
+++ b/banyanline/core/membership/table.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+import xxhash
+
 from banyanline.core.membership.messages import (
     MemberStatus,
     MemberUpdate,
@@ -95,6 +97,13 @@
         return MemberUpdate(self.host.name, status, incarnation, place=place)
 
 
+def _fingerprint(member: Member) -> int:
+    if not member.is_live:
+        return 0
+    identity = f"{member.host.name} {member.incarnation}"
+    return xxhash.xxh32_intdigest(identity.encode())
+
+
 class MemberTable:
     """All hosts that are known. The local host is one of them and never dead here."""
 
@@ -102,6 +111,7 @@
         self._records = {local.name: Record(local, MemberStatus.ALIVE, incarnation, now)}
         self._local_name = local.name
         self._members = {local.name: self.local.member()}
+        self._digest = _fingerprint(self.local.member())
         self._suspects: dict[HostName, Record] = {}
         self._version = 0
         self._standing_version = 0
@@ -127,6 +137,11 @@
         """Grows whenever a host comes, goes, dies, returns or starts to leave."""
         return self._standing_version
 
+    @property
+    def digest(self) -> int:
+        """A hash of the live hosts and their incarnations, 32 bits."""
+        return self._digest
+
     @property
     def members(self) -> dict[HostName, Member]:
         """A copy of what a view shows."""
@@ -237,6 +252,7 @@
     def _add(self, record: Record) -> None:
         self._records[record.host.name] = record
         self._members[record.host.name] = record.member()
+        self._digest ^= _fingerprint(record.member())
         self._version += 1
         self._standing_version += 1
 
@@ -247,6 +263,7 @@
         if old == new:
             return
         self._members[name] = new
+        self._digest ^= _fingerprint(old) ^ _fingerprint(new)
         is_news = (old.host, old.incarnation) != (new.host, new.incarnation)
         has_moved = record.standing != before
         self._version += is_news or has_moved
--- a/banyanline/tests/test_membership.py
+++ b/banyanline/tests/test_membership.py
@@ -128,6 +128,28 @@
     assert all(fleet.members[name].lease_fresh(fleet.now) for name in majority)
 
 
+@pytest.mark.parametrize("seed", [pytest.param(seed, id=f"seed-{seed}") for seed in range(12)])
+def test_lease_ends_in_time_if_the_remover_had_been_cut_off_before(seed):
+    fleet = settled(seed)
+    removed_at: list[float] = []
+    fresh_at: list[float] = []
+    cut_off = fleet.members[THIRD]
+
+    def observe(name: str) -> None:
+        if not removed_at and not fleet.members[FIRST].view.is_alive(THIRD):
+            removed_at.append(fleet.now)
+        if (cut_off.lease_since(fleet.now) or fleet.now) < SETTLE_S:
+            fresh_at.append(fleet.now)
+
+    fleet.on_event = observe
+    fleet.cut([FIRST, SECOND])
+    fleet.run(1.6)
+    fleet.cut([THIRD])
+    fleet.run(5.0)
+    assert removed_at
+    assert fresh_at[-1] < removed_at[0] + fleet.settings.takeover_wait_s
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_host_that_hears_but_is_not_heard_stands_back(seed):
     fleet = settled(seed)
@@ -147,6 +169,24 @@
     assert fleet.run(8.0, until=fleet.views_agree)
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_news_missed_in_a_cut_comes_from_others(seed):
+    forty = make_hosts(40)
+    fleet = Fleet(forty, seed)
+    fleet.run(SETTLE_S)
+    first, silent = forty[0].name, forty[1].name
+    fleet.cut([first])
+    fleet.run(6.0)
+    fleet.inject(silent, claim(fleet, MemberStatus.SUSPECT, silent, sender=forty[2].name))
+    fleet.run(25.0)
+    fleet.heal()
+    fleet.blocked = {(silent, first)}
+    member = fleet.members[first]
+    others = {host.name for host in forty} - {first, silent}
+    fleet.run(60.0, until=lambda: others <= set(member.view.homes(GROUP)))
+    assert fleet.run(1.0, until=lambda: member.view.is_alive(silent))
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_one_dead_link_removes_no_one(seed):
     fleet = settled(seed)
