Count every earlier owner as lost when a predecessor is lost

Cause (in-memory crashes, partitions): an owner that took over from a crashed host spoke for that host alone; what the host had been handed by others was lost with it, and a key of an older owner ran twice. Change: all earlier owners within the request lifetime count as lost; a claimer says whether it knows all previous homes. Limits of a running gate change in place.

--- a/banyanline/core/context.py
+++ b/banyanline/core/context.py
@@ -188,6 +188,15 @@
             return True
         return now - since >= period_s
 
+    def knows_history(self, now: Seconds) -> bool:
+        """Whether this process has seen all homes within the lifetime of a request."""
+        lease_since = self.membership.lease_since(now)
+        if lease_since is None:
+            return False
+        if lease_since <= self._founding.settled_at and self.is_founder(now):
+            return True
+        return now - lease_since >= self._limits.request_lifetime_s
+
     def is_founder(self, now: Seconds) -> bool:
         """Whether this process was there when the fleet began."""
         return self._founding.is_founder(self.membership.view, now)
@@ -196,6 +205,12 @@
         """Whether the fleet is just beginning."""
         return now <= self._founding.settled_at and self.is_founder(now)
 
+    def previous_owners(self, key: UpstreamKey, now: Seconds) -> list[HostName]:
+        """Return the earlier owners of an upstream whose requests may still be repeated."""
+        began = self._founding.settled_at if self.is_founder(now) else float("-inf")
+        owners = self.ownership.previous_owners(key, now)
+        return [owner.host for owner in owners if owner.until > began]
+
     def previous_homes(self, slot: int, now: Seconds) -> list[HostName]:
         """Return the earlier homes of a slot whose requests may still be repeated."""
         began = self._founding.settled_at if self.is_founder(now) else float("-inf")
--- a/banyanline/core/home/claims.py
+++ b/banyanline/core/home/claims.py
@@ -114,10 +114,11 @@
                 key,
                 ballot,
                 previous,
+                context.knows_history(now),
                 tuple(owners.get(host, ())),
                 tuple(former.get(host, ())),
             )
-            for host in owners.keys() | former.keys()
+            for host in sorted(owners.keys() | former.keys())
         }
 
     def resend(self, key: RequestKey) -> bool:
--- a/banyanline/core/home/lookups.py
+++ b/banyanline/core/home/lookups.py
@@ -103,7 +103,7 @@
         self._send(self._last_question, question)
 
     def _send(self, number: int, question: _Question) -> None:
-        for owner in question.missing:
+        for owner in sorted(question.missing):
             self._context.send(owner, Lookup(number, question.flows))
 
     def receive(self, sender: HostName, reply: LookupReply) -> None:
--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -251,13 +251,15 @@
     """A new home asks an owner for a request key before it dispatches the key.
 
     ``previous_homes`` are the hosts that held the slot within the lifetime of a
-    request; ``upstreams`` those of the service that the claimer takes the receiver to own,
-    and ``former`` those that it was the last to own, before they were taken out.
+    request, all of them if the claimer ``knows_history``. ``upstreams`` are those of
+    the service that the claimer takes the receiver to own, and ``former`` those that
+    it was the last to own, before they were taken out.
     """
 
     key: RequestKey
     ballot: Ballot
     previous_homes: tuple[HostName, ...]
+    knows_history: bool
     upstreams: tuple[UpstreamName, ...]
     former: tuple[UpstreamName, ...] = ()
 
--- a/banyanline/core/node.py
+++ b/banyanline/core/node.py
@@ -368,7 +368,7 @@
         self._alive = alive
         context.log("view_changed", version=view.version, live=len(alive))
         self._placement_changed(now)
-        for host in lost:
+        for host in sorted(lost):
             context.log("host_lost", host=host)
             self._home.host_lost(host, now)
             self._owner.host_lost(host, now)
--- a/banyanline/core/owner/claims.py
+++ b/banyanline/core/owner/claims.py
@@ -69,8 +69,10 @@
                 return ClaimObstacle.NOT_OWNER
             if owned.tenure.stage is Stage.AWAITING_HANDOVER:
                 return ClaimObstacle.AWAITING_HANDOVER
-            had_choice = self._had_choice(message.key.service, owned, now)
-            if owned.tenure.may_have_carried(message.previous_homes, had_choice, now):
+            is_excluded = message.knows_history and self._had_choice(
+                message.key.service, owned, now
+            )
+            if owned.tenure.may_have_carried(message.previous_homes, is_excluded, now):
                 return ClaimObstacle.PREVIOUS_OWNER_LOST
         return None
 
--- a/banyanline/core/owner/owned.py
+++ b/banyanline/core/owner/owned.py
@@ -74,16 +74,10 @@
         for stream in self.exchanges.streams.values():
             self.gate.adopt_connection(stream.connection)
 
-    def reconfigure(self, service: Service, upstream: Upstream) -> bool:
-        """Take a new configuration of the upstream in; true if its limits have changed."""
-        earlier = self.upstream
+    def reconfigure(self, service: Service, upstream: Upstream) -> None:
+        """Take a new configuration of the upstream in."""
         self.service = service
         self.upstream = upstream
-        return (earlier.slots, earlier.connections, earlier.endpoint) != (
-            upstream.slots,
-            upstream.connections,
-            upstream.endpoint,
-        )
 
     def load_report(self, now: Seconds) -> LoadReport:
         """Return the word on the upstream's load for a reply to a home."""
--- a/banyanline/core/owner/succession.py
+++ b/banyanline/core/owner/succession.py
@@ -106,12 +106,11 @@
     def _reconfigure(
         self, owned: OwnedUpstream, service: Service, upstream: Upstream, now: Seconds
     ) -> None:
-        has_new_limits = owned.reconfigure(service, upstream)
+        owned.reconfigure(service, upstream)
         if not owned.is_active:
             return
-        if has_new_limits:
-            self._requests.run(owned, owned.gate.cede(now), now)
-            owned.activate(StartHandedOver(owned.gate.hand_over(now)), now)
+        effects = owned.gate.reconfigure(upstream, service.cold_start, now)
+        self._requests.run(owned, effects, now)
         self._requests.run(owned, owned.gate.set_state(upstream.state, now), now)
 
     def _new_tenure(self, upstream: Upstream, now: Seconds) -> Tenure:
@@ -120,18 +119,26 @@
         is_new_upstream = self._known and upstream.name not in self._known
         previous = context.ownership.previous_owners(key_of(upstream), now)
         predecessor = previous[0].host if previous else self._likely_predecessor(upstream, view)
-        is_known = bool(previous)
-        lifetime_s = context.limits.request_lifetime_s
         if predecessor is not None and view.is_alive(predecessor):
             wait_s = FOUNDERS_WAIT_S if context.is_founding(now) else HANDOVER_WAIT_S
-            return Tenure(Stage.AWAITING_HANDOVER, now + wait_s, predecessor, is_known)
+            return Tenure(Stage.AWAITING_HANDOVER, now + wait_s, predecessor)
         if previous or not (is_new_upstream or context.is_founder(now)):
             wait_s = context.membership.takeover_wait_s
-            tenure = Tenure(Stage.WAITING_OUT_LEASE, now + wait_s, predecessor, is_known)
-            tenure.lose(predecessor or UNKNOWN_HOST, now + lifetime_s)
+            tenure = Tenure(Stage.WAITING_OUT_LEASE, now + wait_s, predecessor)
+            self._lose_all_before(tenure, upstream, now)
             return tenure
         return Tenure(Stage.ACTIVE, now, None)
 
+    def _lose_all_before(self, tenure: Tenure, upstream: Upstream, now: Seconds) -> None:
+        """Note that nothing is known of what the earlier owners have carried.
+
+        A predecessor that is lost takes along what those before it had handed over.
+        """
+        until = now + self._context.limits.request_lifetime_s
+        earlier = self._context.previous_owners(key_of(upstream), now)
+        for host in earlier or [UNKNOWN_HOST]:
+            tenure.lose(host, until)
+
     def _likely_predecessor(self, upstream: Upstream, view: View) -> HostName | None:
         """Return who owns the upstream if this host is left out, for a host that just came."""
         if self._known and upstream.name not in self._known:
@@ -250,8 +257,7 @@
             return
         tenure.stage = Stage.WAITING_OUT_LEASE
         tenure.until = now + context.membership.takeover_wait_s
-        predecessor = tenure.predecessor if tenure.is_predecessor_known else None
-        tenure.lose(predecessor or UNKNOWN_HOST, now + context.limits.request_lifetime_s)
+        self._lose_all_before(tenure, owned.upstream, now)
 
     @staticmethod
     def _start_after_loss(owned: OwnedUpstream) -> GateStart:
@@ -281,7 +287,7 @@
     def _note_unfinished(self, owned: OwnedUpstream, now: Seconds) -> None:
         tenure = owned.tenure
         if tenure.predecessor is not None and not self._context.is_founder(now):
-            tenure.lose(tenure.predecessor, now + self._context.limits.request_lifetime_s)
+            self._lose_all_before(tenure, owned.upstream, now)
 
     def _chunks(self, owned: OwnedUpstream, now: Seconds) -> Iterator[Cede]:
         flows = [flow for flow, entry in self._flows.items() if entry.upstream == owned.name]
--- a/banyanline/core/owner/tenure.py
+++ b/banyanline/core/owner/tenure.py
@@ -29,23 +29,17 @@
 
 
 class Tenure:
-    """The stage of one ownership, when it ends, and the lost owners before it.
-
-    ``is_predecessor_known`` tells whether ``predecessor`` was seen as owner, or only
-    is who would be owner without this host.
-    """
+    """The stage of one ownership, when it ends, and the lost owners before it."""
 
     def __init__(
         self,
         stage: Stage,
         until: Seconds,
         predecessor: HostName | None,
-        is_predecessor_known: bool = False,
     ) -> None:
         self.stage = stage
         self.until = until
         self.predecessor = predecessor
-        self.is_predecessor_known = is_predecessor_known
         self._lost: dict[HostName, Seconds] = {}
 
     def lose(self, host: HostName, until: Seconds) -> None:
@@ -58,13 +52,14 @@
         return tuple(LostOwner(host, until) for host, until in self._lost.items())
 
     def may_have_carried(
-        self, previous_homes: Iterable[HostName], had_choice: bool, now: Seconds
+        self, previous_homes: Iterable[HostName], is_home_excluded: bool, now: Seconds
     ) -> bool:
         """Whether a lost owner can have carried a request of these homes.
 
         A home never sends a non-idempotent request to an upstream of its own if
-        another host owns one of the service, so a lost owner that was the only
+        another host owns one of the service. With ``is_home_excluded`` that was so
+        and the homes are all that there were; then a lost owner that was the only
         previous home of a flow has not carried that flow's requests as owner.
         """
         homes = set(previous_homes)
-        return any(not (had_choice and homes == {lost.host}) for lost in self.lost(now))
+        return any(not (is_home_excluded and homes == {lost.host}) for lost in self.lost(now))
