Let a gate take new limits in without a hand-over

Cause: a gate that is replaced at a change of limits counts its own running requests as a previous owner's until their deadlines: with 2 slots both were still taken after both requests had been answered. Change: UpstreamGate.reconfigure; another endpoint starts cold. Conclusion: succession should call it in place of ceding to itself.

--- a/banyanline/core/gate/connections.py
+++ b/banyanline/core/gate/connections.py
@@ -38,6 +38,10 @@
     def __contains__(self, flow: FlowId) -> bool:
         return flow in self._open
 
+    def set_limit(self, limit: int) -> None:
+        """Bound the connections by ``limit`` from now on; open ones stay."""
+        self._limit = limit
+
     def set_elsewhere(self, count: int) -> None:
         """Take in how many connections a previous owner still holds, adopted ones included."""
         self._elsewhere = count
--- a/banyanline/core/gate/gate.py
+++ b/banyanline/core/gate/gate.py
@@ -234,6 +234,19 @@
         self._suspect(SuspicionReason.RETURNED)
         return []
 
+    def reconfigure(self, upstream: Upstream, cold_start: ColdStart, now: Seconds) -> GateEffects:
+        """Take new limits in; what runs, waits and is open stays.
+
+        An upstream at another endpoint is a new one and starts cold. The state is
+        taken in by :meth:`set_state`.
+        """
+        if upstream.endpoint != self._upstream.endpoint:
+            self._suspect(SuspicionReason.RETURNED)
+        self._upstream = upstream
+        self._connections.set_limit(upstream.connections)
+        self._pacing.ramp.set_limits(cold_start, upstream.slots)
+        return self._pump(now)
+
     def abandon(self, now: Seconds) -> GateEffects:
         """Give up all work and connections: the data centre is out of service."""
         self._is_abandoned = True
--- a/banyanline/core/gate/ramp.py
+++ b/banyanline/core/gate/ramp.py
@@ -27,9 +27,7 @@
     """
 
     def __init__(self, cold_start: ColdStart, slots: int) -> None:
-        self._cold_start = cold_start
-        self._full_slots = slots
-        self._initial_slots = max(1, min(cold_start.initial_slots, slots))
+        self.set_limits(cold_start, slots)
         self._began_at: Seconds | None = None
 
     @property
@@ -42,6 +40,12 @@
         """Whether the upstream answered since the ramp was last restarted."""
         return self._began_at is not None
 
+    def set_limits(self, cold_start: ColdStart, slots: int) -> None:
+        """Grow along ``cold_start`` to ``slots`` from now on, as far as the time since allows."""
+        self._cold_start = cold_start
+        self._full_slots = slots
+        self._initial_slots = max(1, min(cold_start.initial_slots, slots))
+
     def restart(self) -> None:
         """Go back to the beginning until the upstream gives a sign of life."""
         self._began_at = None
--- a/banyanline/tests/test_gate.py
+++ b/banyanline/tests/test_gate.py
@@ -332,3 +332,27 @@
     first, last = waits[:20], waits[-20:]
     # One turn takes 0.05 s: 0.1 s a request over two slots.
     assert sum(last) / 20 - sum(first) / 20 == pytest.approx(0.05 * (len(waits) - 20), rel=0.2)
+
+
+@pytest.mark.parametrize(
+    ("slots", "started_at_once", "started_after_two"),
+    [
+        pytest.param(3, ["c"], [], id="more slots"),
+        pytest.param(1, [], ["c"], id="fewer slots"),
+    ],
+)
+def test_new_limits_keep_what_runs_and_waits(slots, started_at_once, started_after_two):
+    gate = make_gate(slots=2)
+    for name in "abc":
+        gate.offer(Work(name, 5.0), 0.0)
+    limits = gate.upstream._replace(slots=slots)
+    assert started(gate.reconfigure(limits, COLD_START, 0.1)) == started_at_once
+    assert started(gate.finished("a", Answered(), 0.2)) == []
+    assert started(gate.finished("b", Answered(), 0.3)) == started_after_two
+
+
+def test_another_endpoint_starts_cold():
+    gate = make_gate()
+    moved = gate.upstream._replace(endpoint=Endpoint("203.0.113.9", 5683))
+    gate.reconfigure(moved, COLD_START, 1.0)
+    assert gate.ramp_share(1.0) == 0.0
--- a/properties/test_gate.py
+++ b/properties/test_gate.py
@@ -182,6 +182,12 @@
     def disconnect(self, flow):
         self.gate.close_connection(flow)
 
+    @rule(slots=st.integers(1, 4))
+    def reconfigure(self, slots):
+        self.slots = slots
+        self.upstream = self.upstream._replace(slots=slots)
+        self.take(self.gate.reconfigure(self.upstream, COLD_START, self.now))
+
     @rule()
     def change_owner(self):
         self.take(self.gate.cede(self.now))
