Name the single cases behind a judgement

Change: each breach and broken flow is a line in the series, on the report and after the table; a new balancer that runs but does not answer within 8 s is taken into the fabric, so that the result shows what callers lose by it.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -95,6 +95,8 @@
         write_output(output, Path(FLAGS.json))
     for violation in output.violations:
         print(f"VIOLATION {violation}")
+    if output.violations:
+        print("\n".join(output.series["evidence"]))
     print("nothing was broken" if not output.violations else "something was broken")
     sys.exit(1 if output.violations else 0)
 
--- a/bench/execute.py
+++ b/bench/execute.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple, TypedDict
 
 from bench.deployments import Deployment
+from bench.evidence import collect
 from bench.judge import Footprint, Result, judge, violations
 from bench.looplag import LoopLag
 from bench.pages import write_pages
@@ -32,6 +33,7 @@
     """Start, latency in milliseconds, outcome."""
     flow_ends: list[tuple[float, str]]
     upstream_work: dict[str, list[float]]
+    evidence: list[str]
 
 
 class RunOutput(NamedTuple):
@@ -143,6 +145,7 @@
             name: [round(at - began, 3) for at in upstream.counts.new_work]
             for name, upstream in world.upstreams.items()
         },
+        evidence=collect(world, began),
     )
 
 
--- a/bench/report.py
+++ b/bench/report.py
@@ -142,6 +142,8 @@
         title = f"{result['scenario']}, {result['deployment']}, seed {result['seed']}"
         parts.append(f"<h2>{html.escape(path.stem)}: {html.escape(title)}</h2>")
         series: Series = json.loads(series_path(path).read_text())
+        if series["evidence"]:
+            parts.append(f"<pre>{html.escape(chr(10).join(series['evidence']))}</pre>")
         parts += [_embed(plot(series)) for plot in (plot_latency, plot_load, plot_flows)]
     return "\n".join(parts)
 
--- a/bench/run.py
+++ b/bench/run.py
@@ -13,6 +13,7 @@
 from bench.world import NotReadyError
 
 FLAGS = flags.FLAGS
+MOST_LINES = 20
 
 
 def define_flags() -> None:
@@ -51,11 +52,13 @@
     columns = {}
     found: list[str] = []
     lag = ""
+    evidence: list[str] = []
     try:
         if FLAGS.baseline != "only":
             output = run_job(job)
             columns["banyanline"] = output.result
             found = output.violations
+            evidence = output.series["evidence"]
             lag = format_lag(output.lag)
             if path:
                 write_output(output, path)
@@ -71,6 +74,8 @@
     print(lag)
     for violation in found:
         print(f"VIOLATION {violation}")
+    if found:
+        print("\n".join(evidence[:MOST_LINES]))
     sys.exit(1 if found else 0)
 
 
--- a/bench/world.py
+++ b/bench/world.py
@@ -37,6 +37,7 @@
 HOSTS_LAG_S = 0.5
 JITTER_S = 0.0005
 READY_LIMIT_S = 20.0
+ADMIT_LIMIT_S = 8.0
 READY_PAUSE_S = 0.2
 BALANCER_MODULE = "banyanline.cli.balancer"
 BASELINE_MODULE = "bench.baseline"
@@ -129,9 +130,9 @@
             await self.relay.listen(balancer)
         await self.fleet.start(balancer)
 
-    async def wait_ready(self, balancers: list[Balancer]) -> None:
+    async def wait_ready(self, balancers: list[Balancer], limit_s: float = READY_LIMIT_S) -> None:
         """Wait until each balancer answers a caller's request; raise NotReadyError."""
-        deadline = time.monotonic() + READY_LIMIT_S
+        deadline = time.monotonic() + limit_s
         for balancer in balancers:
             while not await self._probe(balancer):
                 if time.monotonic() > deadline or not balancer.is_running:
@@ -139,11 +140,20 @@
                 await asyncio.sleep(READY_PAUSE_S)
 
     async def add_balancer(self, data_centre: str) -> Balancer:
-        """Start one more balancer and let the fabric take it in when it answers."""
+        """Start one more balancer and let the fabric take it in when it answers.
+
+        One that runs and does not answer in time is taken in all the same: what
+        callers lose by it is then seen in the result.
+        """
         balancer = self.fleet.new_balancer(data_centre)
         self.chronicle.note(f"start {balancer.name}")
         await self.launch(balancer)
-        await self.wait_ready([balancer])
+        try:
+            await self.wait_ready([balancer], ADMIT_LIMIT_S)
+        except NotReadyError:
+            if not balancer.is_running:
+                raise
+            self.chronicle.note(f"{balancer.name} does not answer yet")
         self.fleet.admit(balancer)
         return balancer
 
