Keep no version of a transfer that found no room

Cause: a full transfer table refused the transfer but kept its version, which nothing expired. Change: the version is kept only with the transfer. Conclusion: a table of transfers is bounded by its limit.

--- a/banyanline/core/transfers.py
+++ b/banyanline/core/transfers.py
@@ -4,7 +4,7 @@
 
 from aiocoap.message import Message
 
-from banyanline.core.flows import FlowTable
+from banyanline.core.flows import FlowTable, Opened
 from banyanline.core.messages import FlowKey, TransferKey, TransferState
 from banyanline.core.types import Seconds, UpstreamName
 
@@ -39,9 +39,9 @@
     def put(
         self, key: TransferKey, upstream: UpstreamName, version: bytes | None, now: Seconds
     ) -> None:
-        """Note a transfer, or that it has begun anew."""
-        self._table.open(key, upstream, now)
-        self._versions[key] = version
+        """Note a transfer, or that it has begun anew; a full table takes no new one."""
+        if isinstance(self._table.open(key, upstream, now), Opened):
+            self._versions[key] = version
 
     def states(self) -> list[TransferState]:
         """Return all transfers."""
