Take datagrams with a cut or overlong token for malformed

Cause: the codec reads a token shorter than announced, one of more than 8 bytes, and an empty message with content (RFC 7252, 3 and 4.1), so a truncated datagram became a request. Change: decode checks the announced token length and that an empty message is the header alone. Conclusion: truncated datagrams are counted as malformed. A payload marker without payload is still taken.

--- a/banyanline/core/coap.py
+++ b/banyanline/core/coap.py
@@ -24,6 +24,9 @@
 OBSERVE_REGISTER = 0
 OBSERVE_DEREGISTER = 1
 MAX_DATAGRAM_BYTES = 1400
+HEADER_BYTES = 4
+MAX_TOKEN_BYTES = 8
+TOKEN_LENGTH_MASK = 0x0F
 MAX_AGE_LIMIT_S = 300
 DEFAULT_MAX_AGE_S = 60
 """Max-Age of a response without the option (RFC 7252, 5.10.5)."""
@@ -84,6 +87,17 @@
 Decoded: TypeAlias = Malformed | Request | Empty | Response
 
 
+def _has_whole_token(datagram: bytes) -> bool:
+    """Whether the header is there and the token that it announces (RFC 7252, section 3).
+
+    The codec takes a token that is cut short, and one of more than 8 bytes.
+    """
+    if len(datagram) < HEADER_BYTES:
+        return False
+    length = datagram[0] & TOKEN_LENGTH_MASK
+    return length <= MAX_TOKEN_BYTES and len(datagram) >= HEADER_BYTES + length
+
+
 def decode(datagram: bytes) -> Decoded:
     """Read one datagram.
 
@@ -92,12 +106,16 @@
     """
     if len(datagram) > MAX_DATAGRAM_BYTES:
         return Malformed("oversized")
+    if not _has_whole_token(datagram):
+        return Malformed("unparsable")
     try:
         message = Message.decode(datagram)
     except (CodecError, ValueError, IndexError):
         return Malformed("unparsable")
     code = message.code
     if code is _EMPTY_CODE:
+        if len(datagram) > HEADER_BYTES:
+            return Malformed("empty message with content")
         return Empty(message.mtype, message.mid)
     if code.is_response():
         return Response(message, message.mtype, message.mid, message.token)
