--- /dev/null
+++ b/banyanline/tests/test_flows.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+import pytest
+
+from banyanline.core.flows import FlowTable, Opened, TableFull
+
+
+@pytest.mark.parametrize(
+    ("uses", "at", "closed"),
+    [
+        pytest.param([], 29, [], id="within the idle time"),
+        pytest.param([], 31, ["f"], id="idle"),
+        pytest.param([20], 49, [], id="traffic in between"),
+        pytest.param([20], 51, ["f"], id="idle after traffic"),
+        pytest.param([10, 20, 30, 40], 69, [], id="steady traffic"),
+    ],
+)
+def test_flow_is_closed_after_its_idle_time(uses, at, closed):
+    table: FlowTable[str] = FlowTable(limit=10, idle_timeout_s=30.0)
+    table.open("f", "u", 0.0)
+    found: list[str] = []
+    for second in range(at + 1):
+        if second in uses:
+            table.use("f", float(second))
+        found += table.expire(float(second))
+    assert found == closed
+    assert ("f" in table) is not bool(closed)
+
+
+def test_full_table_refuses_new_flows_and_keeps_the_open_ones():
+    table: FlowTable[str] = FlowTable(limit=1, idle_timeout_s=30.0)
+    table.open("f", "u", 0.0)
+    assert table.open("g", "u", 0.0) == TableFull(1)
+    assert isinstance(table.open("f", "v", 1.0), Opened)
+    flow = table.get("f")
+    assert flow is not None
+    assert (flow.upstream, "g" in table) == ("v", False)
+
+
+def test_flow_opened_again_is_not_closed_by_its_earlier_entry():
+    table: FlowTable[str] = FlowTable(limit=10, idle_timeout_s=30.0)
+    table.open("f", "u", 0.0)
+    table.close("f")
+    table.open("f", "v", 20.0)
+    assert list(table.expire(35.0)) == []
+    assert list(table.expire(50.0)) == ["f"]
+
+
+def test_looking_at_a_flow_is_no_traffic():
+    table: FlowTable[str] = FlowTable(limit=10, idle_timeout_s=30.0)
+    table.open("f", "u", 0.0)
+    table.get("f")
+    assert list(table.expire(31.0)) == ["f"]
