--- /dev/null
+++ b/banyanline/tests/test_docs.py
@@ -0,0 +1,61 @@
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+from banyanline.core.counters import Counters
+from banyanline.net.metrics import GAUGE_DOCS, PREFIX, Gauges, IoCounts, Metrics, Sources
+
+ROOT = Path(__file__).resolve().parents[2]
+PAGES = sorted([ROOT / "README.md", *(ROOT / "docs").rglob("*.md")])
+LINK = re.compile(r"\[[^\]]*\]\(([^)\s]+)\)")
+METRIC_ROW = re.compile(r"^\| (`[a-z_]+`(?:, `[a-z_]+`)*) \|", re.MULTILINE)
+CODE_WORD = re.compile(r"`([a-z_]+)`")
+RENDERED = re.compile(rf"^# TYPE {PREFIX}_([a-z_]+) ", re.MULTILINE)
+LOG_CALL = re.compile(r"\blog(?:\.[a-z]+|ger\(\)\.[a-z]+)?\(\s*\"([a-z_]+)\"")
+GET_LOGGER_CALL = re.compile(r"get_logger\(\)\.[a-z]+\(\s*\"([a-z_]+)\"")
+OWN_LOG_CALL = re.compile(r"self\._log\(\s*\"([a-z_]+)\"")
+
+
+def relative_path(page: Path) -> str:
+    return page.relative_to(ROOT).as_posix()
+
+
+@pytest.mark.parametrize("page", PAGES, ids=relative_path)
+def test_relative_links_point_to_files(page: Path) -> None:
+    targets = [link.split("#")[0] for link in LINK.findall(page.read_text(encoding="utf-8"))]
+    relative = [target for target in targets if target and "://" not in target]
+    assert [target for target in relative if not (page.parent / target).exists()] == []
+
+
+def rendered_metrics() -> set[str]:
+    """Return all names that a scrape shows, metrics without a value included."""
+    body, _ = Metrics(Sources(Counters(), IoCounts(), Gauges)).render()
+    return set(RENDERED.findall(body.decode()))
+
+
+def test_metrics_page_names_what_is_rendered() -> None:
+    page = (ROOT / "docs/operators/metrics.md").read_text(encoding="utf-8")
+    counters = {name for row in METRIC_ROW.findall(page) for name in CODE_WORD.findall(row)}
+    gauges = set(CODE_WORD.findall(page.split("\nGauges: ")[1].split("\n\n")[0]))
+    assert gauges == {gauge.name for gauge in GAUGE_DOCS}
+    assert counters | gauges == rendered_metrics()
+
+
+def logged_events() -> set[str]:
+    """Return the names of all events in calls of loggers."""
+    sources = [path for path in (ROOT / "banyanline").rglob("*.py") if "tests" not in path.parts]
+    text = "\n".join(path.read_text(encoding="utf-8") for path in sources)
+    return {
+        name
+        for pattern in (LOG_CALL, GET_LOGGER_CALL, OWN_LOG_CALL)
+        for name in pattern.findall(text)
+    }
+
+
+def test_logs_page_lists_each_event() -> None:
+    page = (ROOT / "docs/operators/logs.md").read_text(encoding="utf-8")
+    listed = set(re.findall(r"^\| `([a-z_]+)` \|", page, re.MULTILINE))
+    assert listed == logged_events()
