--- a/bench/evidence.py
+++ b/bench/evidence.py
@@ -16,6 +16,10 @@
 def collect(world: World, began: float) -> list[str]:
     """Return a line for each breach and broken flow; times are seconds since ``began``."""
     lines = [f"doubled {key}: {_runs(world, key, began)}" for key in world.runs.doubled]
+    for flow in world.observations.flows:
+        if flow.end is not FlowEnd.CLOSED and not is_given_up(world, flow):
+            when = f"{flow.opened_at - began:.2f} to {flow.ended_at - began:.2f}"
+            lines.append(f"broken flow: {flow.key} at {flow.upstream}, {when}, {flow.end.value}")
     for request in world.observations.requests:
         when = f"{request.started_at - began:.2f} to {request.finished_at - began:.2f}"
         what = f"{request.kind} {request.key} of {request.service}, {when}, {request.detail}"
@@ -25,10 +29,6 @@
             lines.append(f"wrong: {what}")
         if is_cut_by_stop(world, request):
             lines.append(f"cut by a stop: {what}, {request.outcome.value}")
-    for flow in world.observations.flows:
-        if flow.end is not FlowEnd.CLOSED and not is_given_up(world, flow):
-            when = f"{flow.opened_at - began:.2f} to {flow.ended_at - began:.2f}"
-            lines.append(f"broken flow: {flow.key} at {flow.upstream}, {when}, {flow.end.value}")
     return lines[:MOST_LINES]
 
 
