Take in any well-typed message of a peer

Cause: fuzzing Node found three faults: an unreadable request in a Dispatch raised in the owner after the gate had started it, so its slot was never freed; an unknown reason in FlowRefused, NotRun or Unknown raised ValueError at the home and left the request open. Change: the reasons of FlowRefused and NotRun are typed, so that frames with others are rejected; an unknown reason of Unknown counts as owner_lost; the owner refuses an unreadable request before it starts. Callers' addresses in messages are taken as valid.

--- a/banyanline/core/home/datagrams.py
+++ b/banyanline/core/home/datagrams.py
@@ -131,7 +131,7 @@
     def refused(self, message: FlowRefused) -> None:
         """Place a flow elsewhere that the owner of its upstream could not take."""
         context = self._context
-        context.counters.refuse(RefusalReason(message.reason), message.flow.service)
+        context.counters.refuse(message.reason, message.flow.service)
         entry = self._flows.get(message.flow)
         if entry is None or entry.upstream != message.upstream:
             return
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -526,10 +526,11 @@
 
 
 def _reason(reason: str) -> UnknownReason | RefusalReason:
-    try:
-        return UnknownReason(reason)
-    except ValueError:
-        return RefusalReason(reason)
+    for reasons in (UnknownReason, RefusalReason):
+        if reason in reasons.__members__.values():
+            return reasons(reason)
+    # A peer of another version may know more reasons.
+    return UnknownReason.OWNER_LOST
 
 
 def _caller(flow: FlowKey) -> Endpoint:
--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from banyanline.core.answers import RefusalReason
 from banyanline.core.gate import HandOver, LoadWord
 from banyanline.core.types import HostName, ServiceName, UpstreamName
 
@@ -125,7 +126,7 @@
 class NotRun(_Message, frozen=True, tag="n"):
     """The owner promises that its upstream has not run and will not run the request."""
 
-    reason: str
+    reason: RefusalReason
     retry_after_s: float
 
 
@@ -194,7 +195,7 @@
 
     flow: FlowKey
     upstream: UpstreamName
-    reason: str
+    reason: RefusalReason
 
 
 class FlowsAlive(_Message, frozen=True, tag="fa"):
--- a/banyanline/core/owner/requests.py
+++ b/banyanline/core/owner/requests.py
@@ -213,10 +213,16 @@
     def _start(self, owned: OwnedUpstream, work: Work, now: Seconds) -> None:
         key: RequestKey = work.request_id  # type: ignore[assignment]
         pending = owned.pending.pop(key)
+        request = coap.decode(pending.request)
+        if not isinstance(request, coap.Request):
+            self._conclude(owned, key, NotRun(RefusalReason.CANCELLED, 1.0), now)
+            self.run(owned, owned.gate.cancel(key, now), now)
+            return
         exchange = owned.exchanges.start(pending, key)
-        message = coap.message(pending.request)
         remaining_ms = int((work.deadline - now) * 1000)
-        payload = coap.for_upstream(message, exchange.message_id, exchange.token, remaining_ms)
+        payload = coap.for_upstream(
+            request.message, exchange.message_id, exchange.token, remaining_ms
+        )
         self._context.send_upstream(owned.upstream, payload)
         self._timers.add(work.deadline, (owned, exchange))
 
--- a/banyanline/tests/test_ledger.py
+++ b/banyanline/tests/test_ledger.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from banyanline.core.answers import RefusalReason
 from banyanline.core.ledger import (
     Admitted,
     Attempt,
@@ -26,7 +27,7 @@
 KEY = RequestKey("orders", "192.0.2.1", 40000, 7, b"t")
 OTHER = KEY._replace(message_id=8)
 LOW, HIGH = Ballot(10, "a"), Ballot(20, "b")
-MOVED = NotRun("owner_moved", 1.0)
+MOVED = NotRun(RefusalReason.OWNER_MOVED, 1.0)
 DONE = Answered(b"done")
 
 
