--- /dev/null
+++ b/bench/measure_view_changes.py
@@ -0,0 +1,180 @@
+"""What a change of the view costs one balancer, and what an owner hands over.
+
+    python -m bench.measure_view_changes tables --sizes 9,73,220,440
+    python -m bench.measure_view_changes cede-flows --sizes 5000,10000,20000
+    python -m bench.measure_view_changes cede-keys --sizes 1000,2000,4000
+
+``tables`` brings the table of homes and that of owners up to date after one host of the
+fabric group was lost and after it came back, with 3,300 upstreams in six data centres, and
+lets the owner role look at all upstreams. The others let an owner cede those of its
+upstreams that fall to a host that has joined, and the successor take them in.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import time
+from collections.abc import Callable, Iterator
+from itertools import islice
+from typing import Any
+
+from aiocoap.numbers.codes import Code
+
+from banyanline.config import ConfigurationErrors, check_document
+from banyanline.core.effects import TransferToPeer
+from banyanline.core.membership import MemberStatus
+from banyanline.core.membership.view import Member, View
+from banyanline.core.messages import Cede
+from banyanline.core.model import Configuration
+from banyanline.core.types import Host
+from bench.measure_state import give_flows, give_requests
+from bench.replay_world import (
+    HOME,
+    HOSTS,
+    INGRESS,
+    OWNER,
+    TELEMETRY,
+    US_PER_S,
+    World,
+    encode,
+    make_node,
+)
+from examples import large
+
+REPEATS = 5
+MS_PER_S = 1000.0
+
+Row = dict[str, Any]
+
+
+def _spent_ms(action: Callable[[], object]) -> float:
+    began = time.process_time()
+    action()
+    return (time.process_time() - began) * MS_PER_S
+
+
+def _hosts(count: int) -> tuple[Host, ...]:
+    centres = large.DATA_CENTRES
+    names = ((f"{centres[idx % len(centres)]}-{idx:03}", idx) for idx in range(count))
+    return tuple(
+        Host(name, centres[idx % len(centres)], "north", f"192.0.2.{idx % 250}", 7100, 7101)
+        for name, idx in names
+    )
+
+
+def _view(hosts: tuple[Host, ...], version: int) -> View:
+    return View(version, {host.name: Member(host, MemberStatus.ALIVE, 1) for host in hosts})
+
+
+def _large_configuration() -> Configuration:
+    checked = check_document(large.configuration(1))
+    if isinstance(checked, ConfigurationErrors):
+        raise AssertionError(str(checked))
+    return checked
+
+
+def measure_tables(count: int) -> Iterator[Row]:
+    """Measure one host leaving and coming back, among ``count`` hosts."""
+    hosts = _hosts(count)
+    upstreams = [one for service in _large_configuration().services for one in service.upstreams]
+    node = make_node(HOME)
+    node.configure(_large_configuration(), 100.0)
+    context = node.context
+    now = 101.0
+    context.slots.update([host.name for host in hosts], now)
+    context.ownership.update(upstreams, _view(hosts, 1), now)
+    spent: dict[str, list[float]] = {}
+    for number in range(2 * REPEATS):
+        now += 10.0
+        live = hosts[1:] if number % 2 == 0 else hosts
+        event = "leave" if number % 2 == 0 else "join"
+        view = _view(live, number + 2)
+        names = [host.name for host in live]
+        began = time.process_time()
+        context.slots.update(names, now)
+        slots_done = time.process_time()
+        context.ownership.update(upstreams, view, now)
+        owners_done = time.process_time()
+        node.owner.placement_changed(now)
+        role_done = time.process_time()
+        spent.setdefault(f"{event}, slots", []).append(slots_done - began)
+        spent.setdefault(f"{event}, owners", []).append(owners_done - slots_done)
+        spent.setdefault(f"{event}, owner role", []).append(role_done - owners_done)
+        context.take_effects()
+    for step, times in spent.items():
+        yield {
+            "what": f"{step}, ms",
+            "held": count,
+            "ms": round(statistics.median(times) * MS_PER_S, 2),
+        }
+
+
+def _cede(world: World, size: int, what: str) -> Iterator[Row]:
+    node = world.node(OWNER)
+    upstreams = [one for service in world.configuration.services for one in service.upstreams]
+    joined = HOSTS[0]._replace(data_centre="south")
+    view = _view((joined, *HOSTS[1:]), 1)
+    moved = node.context.ownership.update(upstreams, view, world.now)
+    spent_ms = _spent_ms(lambda: node.owner.placement_changed(world.now))
+    effects = node.context.take_effects()
+    chunks = [
+        effect.message
+        for effect in effects
+        if isinstance(effect, TransferToPeer) and isinstance(effect.message, Cede)
+    ]
+    sent = sum(len(encode(chunk)) for chunk in chunks)
+    count = max(1, sum(len(chunk.flows) + len(chunk.keys) for chunk in chunks))
+    successor = world.node(INGRESS)
+    began = time.process_time()
+    for chunk in chunks:
+        successor.receive_from_peer(OWNER, chunk, world.now)
+    taken_us = (time.process_time() - began) * US_PER_S
+    yield {
+        "what": what,
+        "held": size,
+        "upstreams_moved": len(moved),
+        "moved": count,
+        "us": round(spent_ms * 1000),
+        "us_each": round(spent_ms * 1000 / count, 2),
+        "bytes": sent,
+        "bytes_each": round(sent / count, 1),
+        "take_us_each": round(taken_us / count, 2),
+    }
+
+
+def measure_cede_flows(size: int) -> Iterator[Row]:
+    """Cede upstreams with open flows."""
+    world = World()
+    give_flows(world, OWNER, list(islice(world.callers(TELEMETRY), size)), is_new=True)
+    return _cede(world, size, "cede flows")
+
+
+def measure_cede_keys(size: int) -> Iterator[Row]:
+    """Cede upstreams with remembered request keys."""
+    world = World()
+    give_requests(world, size, Code.POST, None)
+    return _cede(world, size, "cede keys")
+
+
+KINDS = {
+    "tables": measure_tables,
+    "cede-flows": measure_cede_flows,
+    "cede-keys": measure_cede_keys,
+}
+
+
+def main() -> None:
+    """Measure one kind at all sizes and print a JSON row each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("kind", choices=KINDS)
+    parser.add_argument("--sizes", default="9,73,220,440")
+    options = parser.parse_args()
+    for size in options.sizes.split(","):
+        for row in KINDS[options.kind](int(size)):
+            print(json.dumps(row), flush=True)
+
+
+if __name__ == "__main__":
+    main()
