Measure tables, streams that move, and how a revision spreads at 440 hosts

Change: kinds memory, stream-handover and revision; the fleet of the mass events starts settled, as a running one is.

--- a/bench/measure_mass_events.py
+++ b/bench/measure_mass_events.py
@@ -3,6 +3,7 @@
     python -m bench.measure_mass_events crash --lost 1,12,73
     python -m bench.measure_mass_events cut --lost 220 --seconds 40
     python -m bench.measure_mass_events replace --lost 12
+    python -m bench.measure_mass_events revision --hosts 440
 
 Two regions of three data centres; only the detectors run, on a bus in memory. Printed for
 each event: when the last running host had dropped the last lost one (or, after a cut or a
@@ -179,15 +180,44 @@
     return [{**row, "all_back_after_s": back}]
 
 
+def measure_revision(count: int, readers: int, seed: int) -> list[Row]:
+    """Give a revision to some hosts of each data centre; the others see it in probes."""
+    fleet = CountingFleet(count, seed)
+    fleet.run(SETTLE_S)
+    by_centre: dict[str, list[str]] = {}
+    for name, host in fleet.hosts.items():
+        by_centre.setdefault(host.data_centre, []).append(name)
+    informed = {name for names in by_centre.values() for name in names[:readers]}
+    for name in informed:
+        fleet.members[name].set_revision(1)
+    fleet.revisions_seen.clear()
+
+    def all_informed() -> bool:
+        for name, seen in fleet.revisions_seen:
+            if name not in informed:
+                informed.add(name)
+                fleet.members[name].set_revision(seen.revision)
+        fleet.revisions_seen.clear()
+        return len(informed) == count
+
+    spread = _run_until(fleet, all_informed, DETECTION_LIMIT_S)
+    return [{"event": "revision", "hosts": count, "readers": readers, "spread_s": spread}]
+
+
 def main() -> None:
     """Measure one kind of event and print JSON rows."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("kind", choices=("crash", "cut", "replace"))
+    parser.add_argument("kind", choices=("crash", "cut", "replace", "revision"))
     parser.add_argument("--hosts", type=int, default=HOSTS)
     parser.add_argument("--lost", default="1")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0, help="length of a cut")
+    parser.add_argument("--readers", type=int, default=3, help="readers of a data centre")
     options = parser.parse_args()
+    if options.kind == "revision":
+        for row in measure_revision(options.hosts, options.readers, options.seed):
+            print(json.dumps(row))
+        return
     for lost in map(int, options.lost.split(",")):
         if options.kind == "crash":
             rows = measure_crash(options.hosts, lost, options.seed)
--- a/bench/measure_state.py
+++ b/bench/measure_state.py
@@ -3,7 +3,7 @@
 Each row is one JSON object: what was done, the role, how many, bytes held and processor
 time for one. Run as ``python -m bench.measure_state KIND --sizes 10000,50000``; KIND is
 one of ``home-flows``, ``owner-flows``, ``requests``, ``streams``,
-``claims``, ``lookups``, ``handover``. ``bench.fit_slopes`` reads
+``claims``, ``lookups``, ``handover``, ``stream-handover``. ``bench.fit_slopes`` reads
 the rows.
 """
 
@@ -19,7 +19,16 @@
 from aiocoap.numbers.codes import Code
 
 from banyanline.core.effects import TransferToPeer
-from banyanline.core.messages import Ballot, Claim, FlowData, FlowKey, Lookup, RequestKey, ToHome
+from banyanline.core.messages import (
+    Ballot,
+    Claim,
+    FlowData,
+    FlowKey,
+    HomeHandover,
+    Lookup,
+    RequestKey,
+    ToHome,
+)
 from banyanline.core.types import Endpoint
 from bench.replay_world import (
     FLOW_IDLE_S,
@@ -185,6 +194,17 @@
     """Walk over all flows of a home after a change that moves none, and one that moves some."""
     world = World()
     give_flows(world, HOME, list(islice(world.callers(TELEMETRY), size)), is_new=True)
+    return _measure_walks(world, "flows", size)
+
+
+def measure_stream_handover(size: int) -> Iterator[Row]:
+    """Walk over all streams of a home after such changes."""
+    world = World()
+    give_requests(world, size, Code.GET, 0)
+    return _measure_walks(world, "streams", size)
+
+
+def _measure_walks(world: World, things: str, size: int) -> Iterator[Row]:
     node = world.node(HOME)
     for what, hosts in (("none moves", (INGRESS, HOME)), ("some move", (INGRESS, HOME, "joined"))):
         node.context.slots.update(hosts, world.now)
@@ -194,22 +214,18 @@
         chunks = [
             effect.message
             for effect in node.context.take_effects()
-            if isinstance(effect, TransferToPeer)
+            if isinstance(effect, TransferToPeer) and isinstance(effect.message, HomeHandover)
         ]
-        moved = size - len(node.home.datagrams)
-        began = time.process_time()
+        moved = sum(len(chunk.flows) + len(chunk.streams) for chunk in chunks)
         sent = sum(len(encode(chunk)) for chunk in chunks)
-        encode_us = (time.process_time() - began) * US_PER_S
         yield {
-            "what": f"handover, {what}",
+            "what": f"handover of {things}, {what}",
             "role": "home",
             "held": size,
-            "count": size,
             "us": round(spent_us),
             "us_each": round(spent_us / size, 2),
             "moved": moved,
             "bytes_each": round(sent / max(1, moved), 1),
-            "encode_us_each": round(encode_us / max(1, moved), 2),
             "chunks": len(chunks),
         }
 
@@ -222,6 +238,7 @@
     "claims": measure_claims,
     "lookups": measure_lookups,
     "handover": measure_handover,
+    "stream-handover": measure_stream_handover,
 }
 
 
--- a/bench/measure_view_changes.py
+++ b/bench/measure_view_changes.py
@@ -1,6 +1,7 @@
 """What a change of the view costs one balancer, and what an owner hands over.
 
     python -m bench.measure_view_changes tables --sizes 9,73,220,440
+    python -m bench.measure_view_changes memory --sizes 9,73,220,440
     python -m bench.measure_view_changes cede-flows --sizes 5000,10000,20000
     python -m bench.measure_view_changes cede-keys --sizes 1000,2000,4000
 
@@ -16,6 +17,7 @@
 import json
 import statistics
 import time
+import tracemalloc
 from collections.abc import Callable, Iterator
 from itertools import islice
 from typing import Any
@@ -111,6 +113,23 @@
         }
 
 
+def measure_memory(count: int) -> Iterator[Row]:
+    """Measure what a node holds for ``count`` hosts and 3,300 upstreams before any flow."""
+    hosts = _hosts(count)
+    configuration = _large_configuration()
+    upstreams = [one for service in configuration.services for one in service.upstreams]
+    tracemalloc.start()
+    node = make_node(HOME)
+    node.learn_hosts(hosts, 100.0)
+    node.configure(configuration, 100.0)
+    node.context.slots.update([host.name for host in hosts], 101.0)
+    node.context.ownership.update(upstreams, _view(hosts, 1), 101.0)
+    node.context.take_effects()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    yield {"what": "tables of a node", "held": count, "bytes": held}
+
+
 def _cede(world: World, size: int, what: str) -> Iterator[Row]:
     node = world.node(OWNER)
     upstreams = [one for service in world.configuration.services for one in service.upstreams]
@@ -160,6 +179,7 @@
 
 KINDS = {
     "tables": measure_tables,
+    "memory": measure_memory,
     "cede-flows": measure_cede_flows,
     "cede-keys": measure_cede_keys,
 }
