--- a/bench/measure_mass_events.py
+++ b/bench/measure_mass_events.py
@@ -19,7 +19,7 @@
 import json
 import statistics
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any
 
 import msgspec
@@ -130,7 +130,7 @@
     return [{**row, "all_dropped_after_s": settled}]
 
 
-def measure_cut(count: int, lost: int, seed: int, seconds: float) -> list[Row]:
+def measure_cut(count: int, lost: int, seed: int, seconds: float) -> Iterator[Row]:
     """Cut a region off from the other, let time pass, and heal the cut."""
     fleet = CountingFleet(count, seed)
     fleet.run(SETTLE_S)
@@ -142,21 +142,18 @@
     began = fleet.now
     alive = frozenset(others)
     settled = _run_until(fleet, lambda: _holds(fleet, others, alive), DETECTION_LIMIT_S)
-    rows = [
-        {**_row(fleet, "region cut off", others, fleet.now - began), "all_dropped_after_s": settled}
-    ]
+    row = _row(fleet, "region cut off", others, fleet.now - began)
+    yield {**row, "all_dropped_after_s": settled}
     fleet.reset()
     fleet.run(seconds)
-    rows.append(_row(fleet, "while cut off", others, seconds))
+    yield _row(fleet, "while cut off", others, seconds)
     fleet.heal()
     fleet.reset()
     began = fleet.now
     observers = list(fleet.hosts)
     back = _run_until(fleet, lambda: _holds(fleet, observers, everyone), DETECTION_LIMIT_S)
-    rows.append(
-        {**_row(fleet, "cut healed", observers, fleet.now - began), "all_back_after_s": back}
-    )
-    return rows
+    row = _row(fleet, "cut healed", observers, fleet.now - began)
+    yield {**row, "all_back_after_s": back}
 
 
 def measure_replace(count: int, lost: int, seed: int) -> list[Row]:
@@ -219,6 +216,7 @@
             print(json.dumps(row))
         return
     for lost in map(int, options.lost.split(",")):
+        rows: Iterable[Row]
         if options.kind == "crash":
             rows = measure_crash(options.hosts, lost, options.seed)
         elif options.kind == "cut":
