--- /dev/null
+++ b/properties/scenes.py
@@ -0,0 +1,62 @@
+"""A settled fleet of three hosts, and who plays which role for a caller in it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from banyanline.core.context import Limits
+from banyanline.core.messages import FlowKey
+from banyanline.core.node import Node
+from banyanline.core.types import Endpoint
+from properties.bus import RAW, Fleet
+
+NAMES = ("a-1", "b-1", "c-1")
+SETTLE_S = 6.0
+TAKEOVER_S = 5.0
+"""After this time a lost host's roles are in other hands."""
+
+
+def settled_fleet(seed: int = 1, limits: Limits | None = None, **options: Any) -> Fleet:
+    """Return a fleet that takes work."""
+    fleet = Fleet(NAMES, seed, limits, **options)
+    fleet.run(SETTLE_S)
+    return fleet
+
+
+def caller(number: int = 1) -> Endpoint:
+    """Return one of many callers."""
+    return Endpoint(f"10.0.0.{number}", 4000)
+
+
+def any_node(fleet: Fleet) -> Node:
+    """Return a running node."""
+    return next(iter(fleet.nodes.values()))
+
+
+def home_of(fleet: Fleet, service: str, who: Endpoint) -> str:
+    """Return the home of a caller's flow."""
+    home = any_node(fleet).context.home_of(FlowKey(service, *who))
+    assert home is not None
+    return home
+
+
+def owner_of(fleet: Fleet, upstream: str) -> str:
+    """Return the owner of an upstream."""
+    owner = any_node(fleet).context.owner_of(upstream)
+    assert owner is not None
+    return owner
+
+
+def upstreams_of(fleet: Fleet, who: Endpoint) -> set[str]:
+    """Return the upstreams that a caller's opaque flow has reached."""
+    reached: set[str] = fleet.upstreams.flow_upstreams.get(FlowKey(RAW, *who), set())
+    return reached
+
+
+def total(fleet: Fleet, table: str, reason: Any) -> int:
+    """Return how often a reason was counted in the whole fleet."""
+    counted = 0
+    for node in fleet.nodes.values():
+        counts = getattr(node.context.counters, table)
+        counted += sum(n for key, n in counts.items() if reason in (key, key[0]))
+    return counted
