--- /dev/null
+++ b/banyanline/tests/test_claims.py
@@ -0,0 +1,196 @@
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from banyanline.core.answers import RefusalReason
+from banyanline.core.effects import SendToPeer
+from banyanline.core.home.claims import (
+    ClaimCarried,
+    ClaimFree,
+    ClaimOpen,
+    ClaimRounds,
+    ClaimUndecided,
+)
+from banyanline.core.ledger import Attempt
+from banyanline.core.messages import (
+    NO_BALLOT,
+    Answered,
+    Ballot,
+    CannotTell,
+    Carried,
+    Claim,
+    ClaimObstacle,
+    ClaimReply,
+    Free,
+    NotRun,
+    Pending,
+    RequestKey,
+    Unknown,
+)
+from banyanline.core.model import ColdStart, Configuration, DataCentre, Service, Upstream
+from banyanline.core.node import Node, NodeSettings
+from banyanline.core.types import Endpoint, Host, Protocol
+
+KEY = RequestKey("orders", "192.0.2.1", 40000, 7, b"t")
+HOSTS = tuple(Host(f"{dc}-1", dc, "g", f"192.0.2.{idx}", 1, 2) for idx, dc in enumerate("abc"))
+UPSTREAMS = tuple(
+    Upstream(f"orders-{dc}", "orders", dc, Endpoint(f"203.0.113.{idx}", 5683))
+    for idx, dc in enumerate("abc")
+)
+ADDRESS = Endpoint("198.51.100.1", 5683)
+CONFIGURATION = Configuration(
+    1,
+    tuple(DataCentre(dc) for dc in "abc"),
+    (),
+    (Service("orders", ADDRESS, 5683, Protocol.COAP, UPSTREAMS, ColdStart()),),
+)
+DONE = Carried("orders-a", Answered(b"x"))
+REFUSED = Carried("orders-a", NotRun(RefusalReason.UPSTREAM_SHED, 1.0))
+MOVING = CannotTell(ClaimObstacle.AWAITING_HANDOVER)
+LOST = CannotTell(ClaimObstacle.PREVIOUS_OWNER_LOST)
+
+
+def node(hosts: tuple[Host, ...] = HOSTS) -> Node:
+    made = Node(NodeSettings(HOSTS[0], 1), random.Random(1), lambda: 1.7e9, 0.0)
+    made.learn_hosts(hosts, 0.0)
+    made.configure(CONFIGURATION, 0.0)
+    return made
+
+
+def rounds() -> tuple[ClaimRounds, Ballot, list[str]]:
+    started = node()
+    started.tick(3.0)
+    context = started.context
+    claims = ClaimRounds(context)
+    context.take_effects()
+    ballot, state = claims.start(KEY, 0, 3.0)
+    assert isinstance(state, ClaimOpen)
+    asked = [effect.host for effect in context.take_effects() if isinstance(effect, SendToPeer)]
+    assert all(isinstance(message, Claim) for message in context.loopback)
+    return claims, ballot, sorted([*asked, *["a-1"] * len(context.loopback)])
+
+
+@pytest.mark.parametrize(
+    ("verdicts", "expected"),
+    [
+        pytest.param([Free(), Free(), Free()], ClaimFree, id="all free"),
+        pytest.param([Free(), Free()], ClaimOpen, id="one is missing"),
+        pytest.param([Free(), DONE], ClaimCarried, id="carried"),
+        pytest.param([REFUSED, Free()], ClaimOpen, id="refused by one, one is missing"),
+        pytest.param([REFUSED, Free(), Free()], ClaimCarried, id="refused by one"),
+        pytest.param([REFUSED, DONE], ClaimCarried, id="refused by one, run by another"),
+        pytest.param([Free(), MOVING], ClaimUndecided, id="handover"),
+        pytest.param([LOST], ClaimUndecided, id="owner lost"),
+    ],
+)
+def test_claim_is_decided_by_all_owners(verdicts, expected):
+    claims, ballot, asked = rounds()
+    assert asked == ["a-1", "b-1", "c-1"]
+    state: Any = None
+    for host, verdict in zip(asked, verdicts, strict=False):
+        state = claims.receive(host, ClaimReply(KEY, ballot, verdict))
+    assert isinstance(state, expected)
+    assert len(claims) == (expected is ClaimOpen)
+    if DONE in verdicts:
+        assert state.outcome == DONE.outcome
+    if isinstance(state, ClaimUndecided):
+        assert state.is_final is (LOST in verdicts)
+
+
+@pytest.mark.parametrize(
+    ("change", "sender"),
+    [
+        pytest.param({"ballot": NO_BALLOT}, "c-1", id="earlier ballot"),
+        pytest.param({"key": KEY._replace(message_id=8)}, "c-1", id="another key"),
+        pytest.param({}, "b-1", id="the same owner twice"),
+        pytest.param({}, "d-1", id="a host that was not asked"),
+    ],
+)
+def test_reply_that_does_not_count(change, sender):
+    claims, ballot, _ = rounds()
+    for host in ("a-1", "b-1"):
+        claims.receive(host, ClaimReply(KEY, ballot, Free()))
+    reply = ClaimReply(**({"key": KEY, "ballot": ballot, "verdict": Free()} | change))
+    assert claims.receive(sender, reply) == ClaimOpen()
+    assert len(claims) == 1
+
+
+def test_later_claims_have_greater_ballots_within_one_millisecond():
+    claims, ballot, _ = rounds()
+    assert claims.start(KEY, 0, 3.0)[0] > ballot
+
+
+def test_claim_that_waits_for_a_lost_host_is_given_up():
+    claims, ballot, _ = rounds()
+    claims.receive("b-1", ClaimReply(KEY, ballot, Free()))
+    assert claims.owner_gone("b-1") == []
+    assert claims.owner_gone("c-1") == [KEY]
+    assert len(claims) == 0
+
+
+def ready() -> Node:
+    """Return the only host of a fleet, which owns everything."""
+    made = node(HOSTS[:1])
+    for now in (0.0, 3.0, 6.0):
+        made.tick(now)
+    return made
+
+
+CLAIM = Claim(KEY, Ballot(5, "b-1"), ("b-1",), ("orders-a",))
+
+
+@pytest.mark.parametrize(
+    ("change", "outcome", "now", "expected"),
+    [
+        pytest.param({}, None, 6.0, Free(), id="unseen"),
+        pytest.param({}, Pending(), 6.0, Carried("orders-a", Pending()), id="pending"),
+        pytest.param({}, Unknown("x"), 6.0, Carried("orders-a", Unknown("x")), id="unknown"),
+        pytest.param({}, REFUSED.outcome, 6.0, REFUSED, id="refused"),
+        pytest.param(
+            {"upstreams": ("orders-z",)},
+            None,
+            6.0,
+            CannotTell(ClaimObstacle.NOT_OWNER),
+            id="not the owner",
+        ),
+        pytest.param({"former": ("orders-z",)}, None, 6.0, LOST, id="never served the former"),
+        pytest.param(
+            {"upstreams": ("orders-z",)},
+            REFUSED.outcome,
+            6.0,
+            CannotTell(ClaimObstacle.NOT_OWNER),
+            id="refusal of a host that does not own",
+        ),
+    ],
+)
+def test_owner_judges_a_claim(change, outcome, now, expected):
+    owner = ready()
+    if outcome is not None:
+        admitted: Any = owner.owner._ledger.admit(KEY, NO_BALLOT, "orders-a", now)
+        admitted.record.outcome = outcome
+        admitted.record.last_attempt = Attempt("b-1", 1)
+    claim = Claim(**({field: getattr(CLAIM, field) for field in CLAIM.__struct_fields__} | change))
+    effects = owner.receive_from_peer("b-1", claim, now)
+    replies = [effect.message for effect in effects if isinstance(effect, SendToPeer)]
+    assert replies == [ClaimReply(KEY, CLAIM.ballot, expected)]
+
+
+@pytest.mark.parametrize(
+    ("ballot", "expected"),
+    [
+        pytest.param(Ballot(4, "z-1"), CannotTell(ClaimObstacle.SUPERSEDED), id="lesser"),
+        pytest.param(CLAIM.ballot, Free(), id="the same again"),
+        pytest.param(Ballot(5, "c-1"), Free(), id="greater host"),
+    ],
+)
+def test_second_claim_of_a_free_key(ballot, expected):
+    owner = ready()
+    owner.receive_from_peer("b-1", CLAIM, 6.0)
+    claim = Claim(KEY, ballot, ("b-1",), ("orders-a",))
+    effects = owner.receive_from_peer("b-1", claim, 6.0)
+    assert [effect.message for effect in effects if isinstance(effect, SendToPeer)] == [
+        ClaimReply(KEY, ballot, expected)
+    ]
