--- a/bench/measure_mass_events.py
+++ b/bench/measure_mass_events.py
@@ -30,6 +30,7 @@
 from bench.measure_membership import DATAGRAM_OVERHEAD_BYTES, MeteredMembership, hosts_of
 
 SETTLE_S = 6.0
+WINDOW_S = 0.5
 DETECTION_LIMIT_S = 12.0
 HOSTS = 440
 
@@ -43,6 +44,7 @@
 
     def __init__(self, count: int, seed: int) -> None:
         self.view_changes: Counter[HostName] = Counter()
+        self.busy_windows: dict[HostName, set[int]] = {}
         self.sent: Counter[HostName] = Counter()
         self.sent_bytes: Counter[HostName] = Counter()
         make_member = functools.partial(MeteredMembership, is_settled=True)
@@ -54,6 +56,7 @@
         changes = sum(isinstance(effect, ViewChanged) for effect in effects)
         if changes:
             self.view_changes[sender] += changes
+            self.busy_windows.setdefault(sender, set()).add(int(self.now / WINDOW_S))
         super().run_effects(sender, effects)
 
     def _note(self, datagram: Datagram) -> None:
@@ -65,6 +68,7 @@
         """Count anew."""
         for counter in (self.view_changes, self.sent, self.sent_bytes):
             counter.clear()
+        self.busy_windows.clear()
 
 
 def _holds(fleet: CountingFleet, observers: list[str], alive: frozenset[str]) -> bool:
@@ -93,6 +97,9 @@
         "seconds": round(seconds, 1),
         "view_changes_median": statistics.median(changes),
         "view_changes_max": max(changes),
+        "windows_with_changes_median": statistics.median(
+            len(fleet.busy_windows.get(name, ())) for name in observers
+        ),
         "messages_per_s": round(
             sum(fleet.sent[name] for name in observers) / seconds / len(observers), 1
         ),
