--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from banyanline.core.answers import RefusalReason
 from banyanline.core.gate import HandOver, LoadWord
 from banyanline.core.types import HostName, ServiceName, UpstreamName
 
@@ -125,7 +126,7 @@
 class NotRun(_Message, frozen=True, tag="n"):
     """The owner promises that its upstream has not run and will not run the request."""
 
-    reason: str
+    reason: RefusalReason
     retry_after_s: float
 
 
@@ -194,7 +195,7 @@
 
     flow: FlowKey
     upstream: UpstreamName
-    reason: str
+    reason: RefusalReason
 
 
 class FlowsAlive(_Message, frozen=True, tag="fa"):
@@ -251,13 +252,15 @@
     """A new home asks an owner for a request key before it dispatches the key.
 
     ``previous_homes`` are the hosts that held the slot within the lifetime of a
-    request; ``upstreams`` those of the service that the claimer takes the receiver to own,
-    and ``former`` those that it was the last to own, before they were taken out.
+    request, all of them if the claimer ``knows_history``. ``upstreams`` are those of
+    the service that the claimer takes the receiver to own, and ``former`` those that
+    it was the last to own, before they were taken out.
     """
 
     key: RequestKey
     ballot: Ballot
     previous_homes: tuple[HostName, ...]
+    knows_history: bool
     upstreams: tuple[UpstreamName, ...]
     former: tuple[UpstreamName, ...] = ()
 
