--- a/banyanline/net/node_settings.py
+++ b/banyanline/net/node_settings.py
@@ -8,7 +8,7 @@
 from banyanline.settings import BalancerSettings
 
 MS_PER_S = 1000
-SUSPICION_MAX_RATIO = 1.8
+SUSPICION_MAX_RATIO = 1.6
 """Longest suspicion as a multiple of the shortest one that the setting gives."""
 
 
--- a/properties/bus.py
+++ b/properties/bus.py
@@ -194,6 +194,23 @@
         self._schedule_tick(name, node)
         return node
 
+    def add_host(self, name: str) -> None:
+        """List a new host and start its balancer."""
+        number = len(self.hosts)
+        host = Host(name, name.split("-")[0], "g", f"192.0.3.{number}", 7100, 7101)
+        self.hosts = (*self.hosts, host)
+        self._list_hosts()
+        self.start(name)
+
+    def drop_host(self, name: str) -> None:
+        """Take a stopped host off the platform's list."""
+        self.hosts = tuple(host for host in self.hosts if host.name != name)
+        self._list_hosts()
+
+    def _list_hosts(self) -> None:
+        for name, node in list(self.nodes.items()):
+            self._run(name, node.learn_hosts(self.hosts, self.now))
+
     def wall(self) -> float:
         return WALL_START_S + self.now
 
--- a/properties/chaos.py
+++ b/properties/chaos.py
@@ -46,6 +46,7 @@
         self._faults = faults or Faults(loss=0.01, duplication=0.02, jitter=0.003)
         self._period_s = period_s
         self._number = 0
+        self._replaced = 0
         self._sent: dict[str, tuple[str, Endpoint, int]] = {}
         self._revision = 1
         self._streams: list[tuple[Endpoint, int]] = []
@@ -167,6 +168,23 @@
             self._note(f"leave {name}")
             self.fleet.leave(name)
 
+    def _replace(self) -> None:
+        """Start a host under a new name and stop one of its data centre for good."""
+        running = self._running()
+        if len(running) <= len(self.fleet.hosts) - MAX_ABSENT:
+            return
+        name = self.rng.choice(running)
+        self._replaced += 1
+        new = f"{name.split('-')[0]}-{10 + self._replaced}"
+        self._note(f"replace {name} by {new}")
+        self.fleet.add_host(new)
+        self.fleet.later(4.0, lambda: self._retire(name))
+
+    def _retire(self, name: str) -> None:
+        if name in self.fleet.nodes and name not in self.fleet.paused:
+            self.fleet.leave(name)
+            self.fleet.later(3.0, lambda: self.fleet.drop_host(name))
+
     def _partition(self) -> None:
         data_centre = self.rng.choice(("a", "b", "c"))
         seconds = self.rng.choice((1.0, 4.0, 12.0))
