Join an earlier dispatch without starting it; resume a stream once an attempt

Change: joined dispatches only wait; resumptions are sent again under the same key; every registration can be cancelled by its own number; forgotten streams are rejected with a reset; a stopping host waits for its streams to move.

--- a/banyanline/core/home/entry.py
+++ b/banyanline/core/home/entry.py
@@ -48,6 +48,7 @@
         "excluded",
         "flow",
         "hash",
+        "is_joined",
         "is_unseen",
         "key",
         "may_have_run",
@@ -75,6 +76,7 @@
         self.phase = Phase.WAITING_FOR_LEASE
         self.ballot: Ballot = NO_BALLOT
         self.is_unseen = False
+        self.is_joined = False
         self.may_have_run = False
         self.pinned: UpstreamName | None = None
         self.refusal: Refusal | None = None
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -231,8 +231,11 @@
                 if is_final:
                     self._finish_unknown(entry, UnknownReason.WITNESS_UNREACHABLE, now)
                 else:
-                    entry.phase = Phase.WAITING_TO_CLAIM
-                    self._timers.add(now + RECLAIM_DELAY_S, (entry, Phase.WAITING_TO_CLAIM, 0))
+                    self._claim_later(entry, now)
+
+    def _claim_later(self, entry: Entry, now: Seconds) -> None:
+        entry.phase = Phase.WAITING_TO_CLAIM
+        self._timers.add(now + RECLAIM_DELAY_S, (entry, Phase.WAITING_TO_CLAIM, 0))
 
     def _go_on(self, entry: Entry, now: Seconds) -> None:
         """Do what the claim was made for: dispatch the request or refuse it."""
@@ -252,6 +255,7 @@
         """Wait for, or pass on, the outcome of a dispatch by an earlier home."""
         entry.upstream = upstream
         if isinstance(outcome, Pending):
+            entry.is_joined = True
             self._send_dispatch(entry, owner, now)
         elif isinstance(outcome, Answered):
             self._answered(entry, outcome.payload, now)
@@ -311,7 +315,7 @@
             attempt=entry.attempt,
             idempotent=request.idempotent,
             stream=request.observe == coap.OBSERVE_REGISTER,
-            resume=False,
+            join=entry.is_joined,
             payload=request.datagram,
         )
 
@@ -364,6 +368,11 @@
         self._finish(entry, decoded.message, now)
 
     def _not_run(self, entry: Entry, outcome: NotRun, now: Seconds) -> None:
+        if entry.is_joined:
+            # The earlier home may go on to another owner, so its word is asked for again.
+            entry.is_joined = False
+            self._claim_later(entry, now)
+            return
         attempt_outcome = _NOT_RUN_OUTCOMES.get(outcome.reason, AttemptOutcome.OWNER_REFUSED)
         if attempt_outcome is not AttemptOutcome.OWNER_MOVED:
             entry.excluded |= {entry.upstream}
--- a/banyanline/core/home/streams.py
+++ b/banyanline/core/home/streams.py
@@ -57,6 +57,7 @@
         "owner",
         "registration",
         "request",
+        "resume_owner",
         "resume_serial",
         "resuming_since",
         "sent_sequence",
@@ -74,6 +75,7 @@
         self.sequence: int | None = None
         self.sent_sequence: int | None = None
         self.ids: deque[int] = deque(maxlen=REMEMBERED_MESSAGE_IDS)
+        self.resume_owner: HostName = ""
         self.resume_serial = 0
         self.resuming_since: float | None = None
 
@@ -287,13 +289,19 @@
         self._resume(key, stream, owner, now)
 
     def _resume(self, key: StreamKey, stream: Stream, owner: HostName, now: Seconds) -> None:
+        """Begin an attempt to register a stream with an owner."""
         self._resuming.pop(stream.resume_serial, None)
-        serial = self._next_serial()
-        stream.resume_serial = serial
-        self._resuming[serial] = key
+        stream.resume_serial = self._next_serial()
+        stream.resume_owner = owner
+        self._resuming[stream.resume_serial] = key
+        self._send_resumption(key, stream, now)
+
+    def _send_resumption(self, key: StreamKey, stream: Stream, now: Seconds) -> None:
+        """Send an attempt, or send it again: the owner starts it once."""
+        serial = stream.resume_serial
         message = Dispatch(
             serial=serial,
-            owner_incarnation=self._context.incarnation_of(owner),
+            owner_incarnation=self._context.incarnation_of(stream.resume_owner),
             key=RequestKey(*key[:3], RESUMPTION_ID_BASE + serial, key.token),
             upstream=stream.upstream,
             remaining_ms=RESUME_PATIENCE_MS,
@@ -301,10 +309,10 @@
             attempt=1,
             idempotent=True,
             stream=True,
-            resume=True,
+            join=False,
             payload=stream.request,
         )
-        self._context.send(owner, message)
+        self._context.send(stream.resume_owner, message)
         self._timers.add(now + RESUME_RETRY_S, (key, serial))
 
     def receive_result(self, sender: HostName, result: Result, now: Seconds) -> bool:
@@ -331,10 +339,12 @@
                 self._stop_resuming(stream)
             elif now - stream.resuming_since > RESUME_LIMIT_S:
                 self._end(key, FlowEnd.RECOVERY_FAILED)
-            elif owner is not None:
-                self._resume(key, stream, owner, now)
-            else:
+            elif owner is None:
                 self._timers.add(now + RESUME_RETRY_S, (key, serial))
+            elif serial in self._resuming and owner == stream.resume_owner:
+                self._send_resumption(key, stream, now)
+            else:
+                self._resume(key, stream, owner, now)
 
     # -- changes
 
--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -80,6 +80,9 @@
 class Dispatch(_Message, frozen=True, tag="d"):
     """A request from its home to the owner of the chosen upstream.
 
+    With ``join`` the home only wants the outcome of a dispatch by an earlier home;
+    nothing is started for it.
+
     ``owner_incarnation`` names the owner's process as the home knew it when it sent
     the attempt for the first time. A process that has started since cannot know
     whether the one before it ran the request.
@@ -94,7 +97,7 @@
     attempt: int
     idempotent: bool
     stream: bool
-    resume: bool
+    join: bool
     payload: bytes
 
 
--- a/banyanline/core/owner/exchanges.py
+++ b/banyanline/core/owner/exchanges.py
@@ -72,6 +72,7 @@
         self._by_key: dict[RequestKey, Exchange] = {}
         self._streams: dict[bytes, OwnedStream] = {}
         self._stream_tokens: dict[StreamKey, bytes] = {}
+        self._registrations: dict[tuple[StreamKey, int], bytes] = {}
 
     def __len__(self) -> int:
         """Return the number of requests without a response."""
@@ -135,18 +136,22 @@
         """Note a registered stream; return the earlier registration that it replaces."""
         earlier = self._streams.get(exchange.token)
         stream = OwnedStream(key, exchange.token, exchange.key, exchange.request)
+        if earlier is not None:
+            self._registrations.pop((key, earlier.registration), None)
+        self._registrations[key, stream.registration] = exchange.token
         self._streams[exchange.token] = stream
         self._stream_tokens[key] = exchange.token
         return earlier
 
-    def stream(self, key: StreamKey) -> OwnedStream | None:
-        """Return a registered stream."""
-        token = self._stream_tokens.get(key)
+    def stream(self, key: StreamKey, registration: int) -> OwnedStream | None:
+        """Return one registration of a stream."""
+        token = self._registrations.get((key, registration))
         return None if token is None else self._streams.get(token)
 
     def close_stream(self, stream: OwnedStream) -> None:
         """Forget a stream."""
         self._streams.pop(stream.token, None)
+        self._registrations.pop((stream.key, stream.registration), None)
         if self._stream_tokens.get(stream.key) == stream.token:
             del self._stream_tokens[stream.key]
 
--- a/banyanline/core/owner/owner.py
+++ b/banyanline/core/owner/owner.py
@@ -61,8 +61,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether nothing runs at an upstream through this balancer."""
-        return all(not len(owned.exchanges) and not owned.pending for owned in self._owned.values())
+        """Whether nothing runs, and no stream is registered, through this balancer."""
+        return all(owned.is_idle and not owned.pending for owned in self._owned.values())
 
     def next_at(self, now: Seconds) -> Seconds:
         """Return when the owner needs attention next."""
--- a/banyanline/core/owner/requests.py
+++ b/banyanline/core/owner/requests.py
@@ -81,6 +81,9 @@
             self._reply(owned, sender, message.serial, message.key, outcome, now)
         elif record is not None and record.is_carried:
             self._repeat(owned, record, sender, message, now)
+        elif message.join:
+            outcome = Unknown(UnknownReason.OWNER_LOST)
+            self._reply(owned, sender, message.serial, message.key, outcome, now)
         elif owned is None or not self._context.membership.lease_fresh(now):
             self._reply_moved(owned, sender, message, now)
         elif owned.is_active:
@@ -155,7 +158,7 @@
         now: Seconds,
     ) -> bool:
         is_same_attempt = record.last_attempt == Attempt(sender, message.attempt)
-        if owned is None or not owned.is_active or is_same_attempt:
+        if owned is None or not owned.is_active or is_same_attempt or message.join:
             return False
         if not self._context.membership.lease_fresh(now):
             return False
@@ -310,7 +313,14 @@
         if stream is not None:
             self._notify(owned, stream, response, payload)
         else:
-            self._context.counters.drop(DropReason.UNMATCHED_ANSWER)
+            self._reject(owned, response)
+
+    def _reject(self, owned: OwnedUpstream, response: coap.Response) -> None:
+        """Drop a response that nothing waits for, and end a forgotten stream (RFC 7641, 3.6)."""
+        self._context.counters.drop(DropReason.UNMATCHED_ANSWER)
+        if coap.observe_sequence(response.message) is not None:
+            reset = coap.empty(Type.RST, response.message_id)
+            self._context.send_upstream(owned.upstream, reset)
 
     def _finish(
         self,
@@ -419,8 +429,10 @@
     def cancel_stream(self, message: CancelStream) -> None:
         """Deregister a stream at its upstream."""
         owned = self._owned.get(message.upstream)
-        stream = owned.exchanges.stream(message.stream) if owned is not None else None
-        if owned is None or stream is None or stream.registration != message.registration:
+        if owned is None:
+            return
+        stream = owned.exchanges.stream(message.stream, message.registration)
+        if stream is None:
             return
         self._drop_stream(owned, stream)
         message_id = owned.exchanges.next_message_id()
