--- a/banyanline/cli/balancer.py
+++ b/banyanline/cli/balancer.py
@@ -36,6 +36,9 @@
 
     SIGTERM and SIGINT stop it without cutting a request, within stop.grace_s; a second
     one ends it at once.
+
+    Exit status: 0 after a stop by a signal, 1 if a socket could not be bound or an
+    invariant was broken, 2 if the command line, a setting or the key file is wrong.
     """,
 )
 define_settings_flags(_PROGRAM)
