Let queue_wait_s, budget_share and peer_frame_bytes do what they say

Cause: the three settings were checked and then not used; the values in force were constants of the core.

Change: Limits has queue_wait_s and retry_share; an owner makes the queue of a gate, and a home its retry budgets, with them. A balancer neither sends nor takes a frame beyond peer_frame_bytes; both are counted as oversized. A share of 0 allows no retry but the free redirect. The claims of bench.measure_state follow the new field of Claim.

--- a/banyanline/core/context.py
+++ b/banyanline/core/context.py
@@ -18,6 +18,7 @@
     TransferToPeer,
 )
 from banyanline.core.founding import Founding
+from banyanline.core.gate.queue import MAX_QUEUE_WAIT_S
 from banyanline.core.invariants import require
 from banyanline.core.membership import Membership
 from banyanline.core.messages import DataMessage, FlowKey
@@ -31,18 +32,24 @@
     key_of,
     slot_of,
 )
+from banyanline.core.retry import RETRY_SHARE
 from banyanline.core.types import Endpoint, Host, HostName, Seconds, ServiceName, UpstreamName
 
 EMPTY_CONFIGURATION = Configuration(revision=0, data_centres=(), caller_groups=(), services=())
 
 
 class Limits(NamedTuple):
-    """Bounds of one balancer's tables."""
+    """Bounds of one balancer's tables and queues.
+
+    ``retry_share`` is the number of retries that one answered request allows.
+    """
 
     flows: int = 400_000
     requests: int = 200_000
     request_lifetime_s: float = 247.0
     held_datagrams: int = 4096
+    queue_wait_s: float = MAX_QUEUE_WAIT_S
+    retry_share: float = RETRY_SHARE
 
 
 class Context:
--- a/banyanline/core/home/policies.py
+++ b/banyanline/core/home/policies.py
@@ -99,7 +99,7 @@
     def _retry_policy(self, service: ServiceName, now: Seconds) -> RetryPolicy:
         policy = self._retries.get(service)
         if policy is None:
-            policy = RetryPolicy(RetryBudget(now))
+            policy = RetryPolicy(RetryBudget(now, self._context.limits.retry_share))
             self._retries[service] = policy
         return policy
 
--- a/banyanline/core/owner/owned.py
+++ b/banyanline/core/owner/owned.py
@@ -11,6 +11,7 @@
     StartCold,
     UpstreamGate,
 )
+from banyanline.core.gate.queue import DeadlineQueue
 from banyanline.core.messages import Dispatch, LoadReport, RequestKey
 from banyanline.core.model import Service, Upstream
 from banyanline.core.owner.exchanges import Exchanges, PendingWork
@@ -62,7 +63,9 @@
         return not len(self.exchanges) and not self.exchanges.streams
 
     def _new_gate(self, start: GateStart, now: Seconds) -> UpstreamGate:
-        return UpstreamGate(self.upstream, self.service.cold_start, start, now, self._context.rng)
+        context = self._context
+        queue = DeadlineQueue(max_wait_s=context.limits.queue_wait_s)
+        return UpstreamGate(self.upstream, self.service.cold_start, start, now, context.rng, queue)
 
     def activate(self, start: GateStart, now: Seconds) -> None:
         """Begin to give the upstream work."""
--- a/banyanline/core/retry.py
+++ b/banyanline/core/retry.py
@@ -85,19 +85,20 @@
 class RetryBudget:
     """Retries that one home may make for one service: a share of its recent successes.
 
-    Each success saves ``RETRY_SHARE`` of a retry and each retry spends one. What
+    Each success saves ``share`` of a retry and each retry spends one. What
     was saved halves every ``SUCCESS_HALF_LIFE_S``, down to the one that a service
     has from the start. The attempts of any run of requests therefore number at
-    most 1.1 times the requests plus what was saved before it, and without
-    successes hardly any retry is made.
+    most ``1 + share`` times the requests plus what was saved before it, and
+    without successes hardly any retry is made. A share of 0 allows none at all.
 
     >>> budget = RetryBudget(now=0.0)
     >>> budget.spend(now=0.0), budget.spend(now=0.0)
     (True, False)
     """
 
-    def __init__(self, now: Seconds) -> None:
-        self._saved = INITIAL_RETRIES
+    def __init__(self, now: Seconds, share: float = RETRY_SHARE) -> None:
+        self._share = share
+        self._saved = INITIAL_RETRIES if share > 0.0 else 0.0
         self._updated_at = now
 
     def saved(self, now: Seconds) -> float:
@@ -108,7 +109,7 @@
     def succeeded(self, now: Seconds) -> None:
         """Take in that a request was answered by an upstream."""
         self._decay(now)
-        self._saved = min(MAX_RETRIES_SAVED, self._saved + RETRY_SHARE)
+        self._saved = min(MAX_RETRIES_SAVED, self._saved + self._share)
 
     def spend(self, now: Seconds) -> bool:
         """Take one retry from the budget; tell whether there was one."""
--- a/banyanline/net/balancer.py
+++ b/banyanline/net/balancer.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from banyanline.core.counters import DropReason
 from banyanline.core.dispatch import singledispatchmethod
 from banyanline.core.effects import (
     CloseFlow,
@@ -229,6 +230,9 @@
         self._handle(self._node.receive_on_flow, flow, payload, self._clock())
 
     def _from_peer(self, frame: bytes, _addr: SocketAddress) -> None:
+        if len(frame) > self._settings.limits.peer_frame_bytes:
+            self._counts.reject_frame(RejectionReason.OVERSIZED)
+            return
         received = decode_frame(self._sealer, frame, time.time())
         if isinstance(received, Rejected):
             self._counts.reject_frame(received.reason)
@@ -302,8 +306,11 @@
             asyncio.get_running_loop().call_soon(self._update_reader)
 
     def _send_frame(self, host: HostName, endpoint: Endpoint, message: Any) -> int:
-        """Send a message in one datagram and return its bytes."""
+        """Send a message in one datagram and return its bytes; 0 if it is too long."""
         frame = encode_frame(self._sealer, host, message)
+        if len(frame) > self._settings.limits.peer_frame_bytes:
+            self._node.context.counters.drop(DropReason.OVERSIZED)
+            return 0
         if self._peer_socket is not None:
             self._peer_socket.send(frame, endpoint)
         return len(frame)
--- a/banyanline/net/node_settings.py
+++ b/banyanline/net/node_settings.py
@@ -24,6 +24,8 @@
             requests=limits.requests,
             request_lifetime_s=limits.request_lifetime_s,
             held_datagrams=limits.recovery_held_packets,
+            queue_wait_s=limits.queue_wait_s,
+            retry_share=settings.retries.budget_share,
         ),
         membership=MembershipSettings()._replace(
             probe_interval_s=membership.probe_interval_s,
--- a/banyanline/tests/test_frames.py
+++ b/banyanline/tests/test_frames.py
@@ -7,9 +7,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from banyanline.core.counters import DropReason
 from banyanline.core.keys import Key, KeyRing
 from banyanline.core.membership import MembershipMessage, Probe
 from banyanline.core.messages import FlowKey, Lookup, ToHome
+from banyanline.core.types import Endpoint
 from banyanline.net.balancer import Balancer
 from banyanline.net.frames import Received, decode_frame, encode_frame
 from banyanline.net.seal import Rejected, RejectionReason, Sealer
@@ -101,3 +103,25 @@
     assert taken == ([probe] if is_taken else [])
     rejected = {} if is_taken else {RejectionReason.BAD_PAYLOAD: 1}
     assert dict(balancer._counts.peer_rejections) == rejected
+
+
+@pytest.mark.parametrize(
+    ("payload_bytes", "passes"),
+    [pytest.param(1000, True, id="short"), pytest.param(2000, False, id="long")],
+)
+async def test_frames_beyond_the_bound_are_neither_sent_nor_taken(
+    monkeypatch, payload_bytes, passes
+):
+    settings = load_settings(None, ["host.name=south", "limits.peer_frame_bytes=1500", *SETTINGS])
+    assert isinstance(settings, BalancerSettings)
+    balancer = Balancer(settings, KeyRing((Key("k", b"k" * 32),)))
+    message = ToHome(FlowKey("orders", "192.0.2.7", 40000), bytes(payload_bytes), 1)
+    taken: list[ToHome] = []
+    monkeypatch.setattr(balancer, "_handle", lambda method, sender, got, now: taken.append(got))
+    sent = encode_frame(Sealer(balancer._sealer._keys, "north", time.time), "south", message)
+    balancer._from_peer(sent, ("192.0.2.1", 7100))
+    assert taken == ([message] if passes else [])
+    rejected = {} if passes else {RejectionReason.OVERSIZED: 1}
+    assert dict(balancer._counts.peer_rejections) == rejected
+    assert (balancer._send_frame("north", Endpoint("192.0.2.1", 7100), message) > 0) == passes
+    assert balancer._node.context.counters.drops[DropReason.OVERSIZED] == (0 if passes else 1)
--- a/banyanline/tests/test_retry.py
+++ b/banyanline/tests/test_retry.py
@@ -67,3 +67,21 @@
     assert budget.saved(0.0) == pytest.approx(21.0)
     assert budget.saved(10.0) == pytest.approx(11.0)
     assert budget.saved(1000.0) == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize(
+    ("share", "expected"),
+    [
+        pytest.param(0.0, 0, id="none"),
+        pytest.param(0.1, 3, id="a tenth"),
+        pytest.param(0.5, 11, id="half"),
+    ],
+)
+def test_share_of_successes_that_may_be_retried(share, expected):
+    budget = RetryBudget(0.0, share)
+    for _ in range(20):
+        budget.succeeded(0.0)
+    spent = 0
+    while budget.spend(0.0):
+        spent += 1
+    assert spent == expected
--- a/bench/measure_state.py
+++ b/bench/measure_state.py
@@ -168,7 +168,7 @@
     for number, caller in enumerate(islice(world.callers(ORDERS), size)):
         world.advance(FLOW_STEP_S)
         key = RequestKey(ORDERS, *caller, number % 65_536, number.to_bytes(4, "big"))
-        claim = encode(Claim(key, ballot, (INGRESS,), upstreams))
+        claim = encode(Claim(key, ballot, (INGRESS,), knows_history=True, upstreams=upstreams))
         world.give_alone(OWNER, "receive_from_peer", HOME, claim)
     inputs = world.inputs[OWNER]
     yield _row("claim", OWNER, size, size, replay(OWNER, inputs, before, len(inputs)))
