Let established work through while an upstream leaves; read the platform until configured

Cause: a leaving upstream refused later blocks of transfers and resumptions of streams after a change of owner; a balancer that started while the platform was down never read it again, as only ready hosts are readers; a full stream table told the caller that it was registered. Change: dispatches of pinned work are marked and admitted; a host without a configuration watches the platform; a refused stream is answered without the Observe option.

--- a/banyanline/core/gate/gate.py
+++ b/banyanline/core/gate/gate.py
@@ -59,8 +59,8 @@
     >>> from banyanline.core.types import Endpoint
     >>> upstream = Upstream("orders-1", "orders", "north", Endpoint("203.0.113.1", 5683), slots=1)
     >>> gate = UpstreamGate(upstream, ColdStart(), StartWarm(), 0.0, random.Random(1))
-    >>> gate.offer(Work("a", deadline=2.0), now=0.0)
-    [Start(work=Work(request_id='a', deadline=2.0, idempotent=False, is_stream=False))]
+    >>> [effect.work.request_id for effect in gate.offer(Work("a", deadline=2.0), now=0.0)]
+    ['a']
     >>> gate.offer(Work("b", deadline=2.0), now=0.0)
     []
     >>> [effect.work.request_id for effect in gate.finished("a", Answered(), now=0.1)]
@@ -320,15 +320,16 @@
             now, hand_over.ramp_elapsed_s, hand_over.next_start_in_s, hand_over.service_time_s
         )
 
-    def _standing_refusal(self) -> RefusalReason | None:
+    def _standing_refusal(self, *, is_established: bool = False) -> RefusalReason | None:
         if self._is_ceded:
             return RefusalReason.OWNER_MOVED
-        if self._is_abandoned or self._state is UpstreamState.LEAVING:
+        is_leaving = self._state is UpstreamState.LEAVING
+        if self._is_abandoned or (is_leaving and not is_established):
             return RefusalReason.NO_UPSTREAM
         return None
 
     def _admission(self, work: Work, now: Seconds) -> RefusalReason | None:
-        reason = self._standing_refusal()
+        reason = self._standing_refusal(is_established=work.is_established)
         if reason is not None:
             return reason
         if now >= work.deadline:
@@ -355,7 +356,9 @@
         ]
         if not started:
             return effects
-        require(self._standing_refusal() is None, "a gate that takes no work starts none")
+        for work in started:
+            refusal = self._standing_refusal(is_established=work.is_established)
+            require(refusal is None, "a gate that takes no work starts none")
         if self.is_circuit_open:
             self._health.tried(now)
         effects += [Start(work) for work in started]
--- a/banyanline/core/gate/messages.py
+++ b/banyanline/core/gate/messages.py
@@ -17,13 +17,16 @@
 class Work(NamedTuple):
     """One request that a home offers to the owner of an upstream.
 
-    ``deadline`` is a time of this host's monotonic clock in seconds.
+    ``deadline`` is a time of this host's monotonic clock in seconds. An established
+    one belongs to a stream or transfer that the upstream has begun, and is taken on
+    while the upstream is leaving.
     """
 
     request_id: RequestId
     deadline: Seconds
     idempotent: bool = False
     is_stream: bool = False
+    is_established: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -315,6 +315,7 @@
             attempt=entry.attempt,
             idempotent=request.idempotent,
             stream=request.observe == coap.OBSERVE_REGISTER,
+            established=entry.pinned is not None,
             join=entry.is_joined,
             payload=request.datagram,
         )
@@ -458,6 +459,8 @@
                 self._finish_unknown(entry, UnknownReason.UPSTREAM_TIMEOUT, now)
             case Phase.WAITING_TO_RETRY:
                 self._refuse(entry, RefusalReason.DEADLINE_PASSED, 1.0, now)
+            case Phase.FINDING_TRANSFER:
+                self._finish(entry, coap.transfer_restart(), now)
             case Phase.CLAIMING | Phase.WAITING_TO_CLAIM:
                 self._finish_unknown(entry, UnknownReason.WITNESS_UNREACHABLE, now)
             case _:
--- a/banyanline/core/home/streams.py
+++ b/banyanline/core/home/streams.py
@@ -14,6 +14,7 @@
 from aiocoap.numbers.types import Type
 
 from banyanline.core import coap
+from banyanline.core.answers import RefusalReason
 from banyanline.core.context import Context
 from banyanline.core.counters import DropReason, FlowEnd
 from banyanline.core.messages import (
@@ -136,7 +137,10 @@
         key = StreamKey(*flow, request.token)
         stream = self._streams.get(key)
         if stream is None and len(self._streams) >= self._context.limits.flows:
-            self._context.send(owner, CancelStream(key, upstream, request.message_id))
+            # A response without the option tells the caller that it is not registered.
+            response.message.opt.observe = None
+            self._cancel_at(owner, key, upstream, request.message_id)
+            self._context.counters.refuse(RefusalReason.FLOW_TABLE_FULL, key.service)
             return
         if stream is None or stream.upstream != upstream:
             stream = Stream(upstream, owner, request.message_id, request.datagram)
@@ -309,6 +313,7 @@
             attempt=1,
             idempotent=True,
             stream=True,
+            established=True,
             join=False,
             payload=stream.request,
         )
--- a/banyanline/core/messages.py
+++ b/banyanline/core/messages.py
@@ -80,7 +80,8 @@
 class Dispatch(_Message, frozen=True, tag="d"):
     """A request from its home to the owner of the chosen upstream.
 
-    With ``join`` the home only wants the outcome of a dispatch by an earlier home;
+    An ``established`` one belongs to a stream or a transfer that the upstream has
+    begun. With ``join`` the home only wants the outcome of a dispatch by an earlier home;
     nothing is started for it.
 
     ``owner_incarnation`` names the owner's process as the home knew it when it sent
@@ -97,6 +98,7 @@
     attempt: int
     idempotent: bool
     stream: bool
+    established: bool
     join: bool
     payload: bytes
 
--- a/banyanline/core/owner/requests.py
+++ b/banyanline/core/owner/requests.py
@@ -182,7 +182,7 @@
         if message.stream:
             stream = StreamKey(key.service, key.caller_ip, key.caller_port, key.token)
         deadline = now + message.remaining_ms / 1000.0 - RESULT_MARGIN_S
-        work = Work(key, deadline, message.idempotent, message.stream)
+        work = Work(key, deadline, message.idempotent, message.stream, message.established)
         owned.pending[key] = PendingWork(work, message.payload, stream)
         self.run(owned, owned.gate.offer(work, now), now)
 
--- a/banyanline/net/balancer.py
+++ b/banyanline/net/balancer.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from banyanline.core.counters import DropReason
 from banyanline.core.dispatch import singledispatchmethod
 from banyanline.core.effects import (
     CloseFlow,
@@ -229,6 +230,9 @@
         self._handle(self._node.receive_on_flow, flow, payload, self._clock())
 
     def _from_peer(self, frame: bytes, _addr: SocketAddress) -> None:
+        if len(frame) > self._settings.limits.peer_frame_bytes:
+            self._counts.reject_frame(RejectionReason.OVERSIZED)
+            return
         received = decode_frame(self._sealer, frame, time.time())
         if isinstance(received, Rejected):
             self._counts.reject_frame(received.reason)
@@ -302,8 +306,11 @@
             asyncio.get_running_loop().call_soon(self._update_reader)
 
     def _send_frame(self, host: HostName, endpoint: Endpoint, message: Any) -> int:
-        """Send a message in one datagram and return its bytes."""
+        """Send a message in one datagram and return its bytes; 0 if it is too long."""
         frame = encode_frame(self._sealer, host, message)
+        if len(frame) > self._settings.limits.peer_frame_bytes:
+            self._node.context.counters.drop(DropReason.OVERSIZED)
+            return 0
         if self._peer_socket is not None:
             self._peer_socket.send(frame, endpoint)
         return len(frame)
@@ -318,6 +325,7 @@
         for service, error in self._services.update(configuration.services):
             log.error("service_address_not_bound", service=service, error=str(error))
         self._upstreams.keep_only(self._node.context.directory.reachable)
+        self._update_reader()
 
     def _apply_hosts(self, hosts: tuple[Host, ...]) -> None:
         self._handle(self._node.learn_hosts, hosts, self._clock())
@@ -327,7 +335,8 @@
         host = self._settings.host
         candidates = self._node.membership.view.owners(host.data_centre)
         chosen = readers(candidates, self._settings.platform.readers_per_data_centre)
-        self._sync.set_reader(host.name in chosen and not self._node.context.stopping)
+        is_reader = host.name in chosen or self._node.revision == 0
+        self._sync.set_reader(is_reader and not self._node.context.stopping)
 
     def _check_revision(self) -> None:
         revision, host = self._node.greatest_revision_seen
--- a/banyanline/tests/test_claims.py
+++ b/banyanline/tests/test_claims.py
@@ -139,7 +139,7 @@
     return made
 
 
-CLAIM = Claim(KEY, Ballot(5, "b-1"), ("b-1",), ("orders-a",))
+CLAIM = Claim(KEY, Ballot(5, "b-1"), ("b-1",), True, ("orders-a",))
 
 
 @pytest.mark.parametrize(
@@ -189,7 +189,7 @@
 def test_second_claim_of_a_free_key(ballot, expected):
     owner = ready()
     owner.receive_from_peer("b-1", CLAIM, 6.0)
-    claim = Claim(KEY, ballot, ("b-1",), ("orders-a",))
+    claim = Claim(KEY, ballot, ("b-1",), True, ("orders-a",))
     effects = owner.receive_from_peer("b-1", claim, 6.0)
     assert [effect.message for effect in effects if isinstance(effect, SendToPeer)] == [
         ClaimReply(KEY, ballot, expected)
--- a/banyanline/tests/test_exchanges.py
+++ b/banyanline/tests/test_exchanges.py
@@ -76,8 +76,8 @@
     exchanges = made()
     first = start(exchanges, stream=STREAM)
     exchanges.open_stream(first, STREAM)
-    stream = exchanges.stream(STREAM)
+    stream = exchanges.stream(STREAM, KEY.message_id)
     assert stream is not None
     exchanges.close_stream(stream)
-    assert exchanges.stream(STREAM) is None
+    assert exchanges.stream(STREAM, KEY.message_id) is None
     assert exchanges.streams == {}
