Treat a lost predecessor as lost after the founding time too

Change: only the founding time itself, and not having been there, lets an owner start without waiting.

--- a/banyanline/core/owner/succession.py
+++ b/banyanline/core/owner/succession.py
@@ -65,7 +65,6 @@
         self._served = served
         self._early: dict[UpstreamName, EarlyCede] = {}
         self._lease_since: Seconds | None = None
-        self._was_interrupted = False
         self._known: set[UpstreamName] = set()
 
     # -- taking over
@@ -125,7 +124,8 @@
         if predecessor is not None and view.is_alive(predecessor):
             wait_s = FOUNDERS_WAIT_S if context.is_founding(now) else HANDOVER_WAIT_S
             return Tenure(Stage.AWAITING_HANDOVER, now + wait_s, predecessor)
-        if previous or not (is_new_upstream or context.is_founder(now)):
+        had_none = is_new_upstream or context.is_founding(now) or context.knows_history(now)
+        if previous or not had_none:
             wait_s = context.membership.takeover_wait_s + IN_FLIGHT_S
             tenure = Tenure(Stage.WAITING_OUT_LEASE, now + wait_s, predecessor)
             self._lose_all_before(tenure, upstream, now)
@@ -166,7 +166,6 @@
         self._lease_since = lease_since
         if is_first:
             return
-        self._was_interrupted = True
         self._context.log("lease_regained")
         for owned in self._owned.values():
             if owned.is_active:
@@ -257,7 +256,7 @@
     def _miss_handover(self, owned: OwnedUpstream, now: Seconds) -> None:
         context = self._context
         tenure = owned.tenure
-        if context.is_founder(now) and not self._was_interrupted:
+        if context.is_founding(now):
             self._activate(owned, StartCold(), now)
             return
         tenure.stage = Stage.WAITING_OUT_LEASE
@@ -284,7 +283,7 @@
 
     def _note_unfinished(self, owned: OwnedUpstream, now: Seconds) -> None:
         tenure = owned.tenure
-        if tenure.predecessor is not None and not self._context.is_founder(now):
+        if tenure.predecessor is not None and not self._context.is_founding(now):
             self._lose_all_before(tenure, owned.upstream, now)
 
     def _chunks(self, owned: OwnedUpstream, now: Seconds) -> Iterator[Cede]:
--- a/properties/scenes.py
+++ b/properties/scenes.py
@@ -12,7 +12,7 @@
 
 NAMES = ("a-1", "b-1", "c-1")
 SETTLE_S = 6.0
-TAKEOVER_S = 5.0
+TAKEOVER_S = 7.0
 """After this time a lost host's roles are in other hands."""
 
 
