Let requests answer while their data centre goes out, and take it back at once

Change: running exchanges may answer for 1 s, no packet is sent for that; the last owner takes the upstream up again, or cedes it to the new one, with its keys.

--- a/banyanline/core/home/home.py
+++ b/banyanline/core/home/home.py
@@ -123,8 +123,10 @@
         """End or move what waits for a host that is no longer alive."""
         self._requests.host_lost(host, now)
 
-    def upstreams_gone(self, gone: dict[UpstreamName, FlowEnd], now: Seconds) -> None:
-        """Give up what belongs to upstreams to which no packet may go any more."""
-        self._requests.upstreams_gone(frozenset(gone), now)
+    def upstreams_gone(self, gone: dict[UpstreamName, FlowEnd]) -> None:
+        """Give up what belongs to upstreams to which no packet may go any more.
+
+        Requests that run there are ended by their owner, which lets them answer first.
+        """
         self._streams.upstreams_gone(gone)
         self._datagrams.upstreams_gone(gone)
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -363,6 +363,9 @@
         if not self._transfers.is_same_version(entry.flow, request, decoded, entry.upstream, now):
             self._finish(entry, coap.transfer_restart(), now)
             return
+        is_reachable = entry.upstream in self._context.directory.reachable
+        if not is_reachable:
+            decoded.message.opt.observe = None
         if entry.is_registration and decoded.message.opt.observe is not None:
             self._streams.registered(entry.flow, request, entry.upstream, entry.owner, decoded, now)
         self._context.counters.answer(entry.key.service, now - entry.arrived_at)
@@ -478,13 +481,6 @@
         for entry in lost:
             self._lose(entry, UnknownReason.OWNER_LOST, AttemptOutcome.OWNER_LOST, now)
 
-    def upstreams_gone(self, gone: frozenset[UpstreamName], now: Seconds) -> None:
-        """End or move what runs at upstreams to which no packet may go any more."""
-        lost = [entry for entry in self._dispatched.values() if entry.upstream in gone]
-        for entry in lost:
-            entry.pinned = None
-            self._lose(entry, UnknownReason.DATA_CENTRE_OUT, AttemptOutcome.OWNER_LOST, now)
-
     def _lose(self, entry: Entry, reason: str, outcome: AttemptOutcome, now: Seconds) -> None:
         self._forget_dispatch(entry)
         if entry.phase is Phase.DISPATCHED:
--- a/banyanline/core/node.py
+++ b/banyanline/core/node.py
@@ -222,7 +222,7 @@
         gone = _upstreams_gone(earlier, context.directory)
         self._home.configuration_changed()
         if gone:
-            self._home.upstreams_gone(gone, now)
+            self._home.upstreams_gone(gone)
             self._owner.upstreams_gone(gone, now)
         self._placement_changed(now)
         return self._settle(now)
--- a/banyanline/core/owner/claims.py
+++ b/banyanline/core/owner/claims.py
@@ -15,7 +15,7 @@
     Verdict,
 )
 from banyanline.core.owner.owned import OwnedUpstream
-from banyanline.core.owner.tenure import Stage, Tenure
+from banyanline.core.owner.tenure import Stage
 from banyanline.core.placement import key_of
 from banyanline.core.types import HostName, Seconds, ServiceName, UpstreamName
 
@@ -28,7 +28,7 @@
         context: Context,
         ledger: OwnerLedger,
         owned: dict[UpstreamName, OwnedUpstream],
-        former: dict[UpstreamName, Tenure],
+        former: dict[UpstreamName, OwnedUpstream],
     ) -> None:
         self._context = context
         self._ledger = ledger
@@ -62,8 +62,8 @@
 
     def _obstacle(self, message: Claim, now: Seconds) -> ClaimObstacle | None:
         for name in message.former:
-            tenure = self._former.get(name)
-            if tenure is None or tenure.may_have_carried(message.previous_homes, False, now):
+            last = self._former.get(name)
+            if last is None or last.tenure.may_have_carried(message.previous_homes, False, now):
                 return ClaimObstacle.PREVIOUS_OWNER_LOST
         for name in message.upstreams:
             owned = self._owned.get(name)
--- a/banyanline/core/owner/owner.py
+++ b/banyanline/core/owner/owner.py
@@ -23,7 +23,6 @@
 from banyanline.core.owner.owned import OwnedUpstream
 from banyanline.core.owner.requests import OwnerRequests
 from banyanline.core.owner.succession import Succession
-from banyanline.core.owner.tenure import Tenure
 from banyanline.core.types import HostName, Protocol, Seconds, UpstreamName
 
 
@@ -38,10 +37,17 @@
         self._requests = OwnerRequests(context, self._ledger, self._owned)
         self._flows = OwnerFlows(context, self._owned, flow_idle_timeout_s, now)
         self._served: set[UpstreamName] = set()
-        self._former: dict[UpstreamName, Tenure] = {}
+        self._retiring: dict[UpstreamName, OwnedUpstream] = {}
+        self._former: dict[UpstreamName, OwnedUpstream] = {}
         self._claims = ClaimJudge(context, self._ledger, self._owned, self._former)
         self._succession = Succession(
-            context, self._ledger, self._owned, self._requests, self._flows.table, self._served
+            context,
+            self._ledger,
+            self._owned,
+            self._former,
+            self._requests,
+            self._flows.table,
+            self._served,
         )
 
     @property
@@ -119,8 +125,8 @@
 
     def receive(self, upstream: UpstreamName, payload: bytes, now: Seconds) -> None:
         """Take a datagram in that came on an upstream's request socket."""
-        owned = self._owned.get(upstream)
-        if owned is None or upstream not in self._context.directory.reachable:
+        owned = self._owned.get(upstream) or self._retiring.get(upstream)
+        if owned is None:
             self._context.counters.drop(DropReason.UNMATCHED_ANSWER)
         else:
             self._requests.receive(owned, payload, now)
@@ -148,7 +154,9 @@
                 self._probe(owned, now)
         self._flows.tick(now)
         self._ledger.expire(now)
-        for name in [name for name, tenure in self._former.items() if tenure.until <= now]:
+        for name in [name for name, owned in self._retiring.items() if not len(owned.exchanges)]:
+            del self._retiring[name]
+        for name in [name for name, last in self._former.items() if last.tenure.until <= now]:
             del self._former[name]
 
     def _probe(self, owned: OwnedUpstream, now: Seconds) -> None:
@@ -174,10 +182,11 @@
         for name in gone:
             owned = self._owned.pop(name, None)
             if owned is not None:
+                self._retiring[name] = owned
                 if owned.is_active:
                     owned.tenure.until = now + self._context.limits.request_lifetime_s
-                    self._former[name] = owned.tenure
-                self._requests.run(owned, owned.gate.abandon(now), now)
+                    self._former[name] = owned
+                self._requests.retire(owned, owned.gate.abandon(now), now)
         self._flows.upstreams_gone(gone)
 
     def service_of(self, upstream: UpstreamName) -> Service | None:
--- a/banyanline/core/owner/requests.py
+++ b/banyanline/core/owner/requests.py
@@ -49,6 +49,9 @@
 from banyanline.core.transfers import TransferTable, transfer_key
 from banyanline.core.types import HostName, Seconds, UpstreamName
 
+LAST_ANSWERS_S = 1.0
+"""How long requests that run in a data centre may answer after it was taken out."""
+
 RESULT_MARGIN_S = 0.005
 """Part of a request's time that is kept for the result's way to the home."""
 
@@ -213,8 +216,23 @@
                 case _:
                     pass
 
+    def retire(self, owned: OwnedUpstream, effects: Iterable[GateEffect], now: Seconds) -> None:
+        """End all work of an upstream that was taken out; what runs may still answer for a while.
+
+        No packet is needed for that, so none is sent.
+        """
+        for effect in effects:
+            match effect:
+                case Abort(work):
+                    exchange = owned.exchanges.by_key(_key_of(work))
+                    if exchange is not None:
+                        until = min(exchange.deadline, now + LAST_ANSWERS_S)
+                        self._timers.add(until, (owned, exchange))
+                case _:
+                    self.run(owned, [effect], now)
+
     def _start(self, owned: OwnedUpstream, work: Work, now: Seconds) -> None:
-        key: RequestKey = work.request_id  # type: ignore[assignment]
+        key = _key_of(work)
         pending = owned.pending.pop(key)
         request = coap.decode(pending.request)
         if not isinstance(request, coap.Request):
@@ -230,14 +248,14 @@
         self._timers.add(work.deadline, (owned, exchange))
 
     def _refuse(self, owned: OwnedUpstream, work: Work, outcome: NotRun, now: Seconds) -> None:
-        key: RequestKey = work.request_id  # type: ignore[assignment]
+        key = _key_of(work)
         owned.pending.pop(key, None)
         self._conclude(owned, key, outcome, now)
 
     def _abort(
         self, owned: OwnedUpstream, work: Work, reason: UnknownReason | None, now: Seconds
     ) -> None:
-        key: RequestKey = work.request_id  # type: ignore[assignment]
+        key = _key_of(work)
         exchange = owned.exchanges.by_key(key)
         if exchange is None:
             return
@@ -445,9 +463,14 @@
         """End the exchanges whose time is over."""
         self._transfers.expire(now)
         for owned, exchange in self._timers.due(now):
-            if owned.exchanges.by_key(exchange.key) is exchange:
+            if owned.exchanges.by_key(exchange.key) is not exchange:
+                continue
+            if owned.name in self._context.directory.reachable:
                 self._send_reset(owned, exchange)
                 self._lose(owned, exchange, TimedOut(), now)
+            else:
+                owned.exchanges.end(exchange)
+                self._conclude(owned, exchange.key, Unknown(UnknownReason.DATA_CENTRE_OUT), now)
 
     def fail_pending(self, upstreams: frozenset[UpstreamName], now: Seconds) -> None:
         """End requests that a lost previous owner was still running."""
@@ -459,5 +482,12 @@
                     self.tell_waiters(owned, key, record, now)
 
 
+def _key_of(work: Work) -> RequestKey:
+    """Return the request key by which this owner names its work."""
+    key = work.request_id
+    assert isinstance(key, RequestKey)
+    return key
+
+
 def _is_here(owned: OwnedUpstream, key: RequestKey) -> bool:
     return key in owned.pending or owned.exchanges.by_key(key) is not None
--- a/banyanline/core/owner/succession.py
+++ b/banyanline/core/owner/succession.py
@@ -53,6 +53,7 @@
         context: Context,
         ledger: OwnerLedger,
         owned: dict[UpstreamName, OwnedUpstream],
+        former: dict[UpstreamName, OwnedUpstream],
         requests: OwnerRequests,
         flows: FlowTable[FlowKey],
         served: set[UpstreamName],
@@ -60,6 +61,7 @@
         self._context = context
         self._ledger = ledger
         self._owned = owned
+        self._former = former
         self._requests = requests
         self._flows = flows
         self._served = served
@@ -82,6 +84,7 @@
                 self._take(owned, service, upstream, now)
             elif owned is not None and not owned.is_ceded and owner is not None:
                 self._cede(owned, owner, now)
+        self._cede_former(now)
         self._known = set(context.directory.reachable)
 
     def _take(
@@ -91,6 +94,12 @@
             self._reconfigure(owned, service, upstream, now)
             return
         tenure = self._new_tenure(upstream, now)
+        last = self._former.pop(upstream.name, None)
+        if last is not None:
+            # The data centre is back, and nobody has owned the upstream in between.
+            tenure = Tenure(Stage.ACTIVE, now, None)
+            for lost in last.tenure.lost(now):
+                tenure.lose(lost.host, lost.until)
         if owned is None:
             owned = OwnedUpstream(self._context, service, upstream, tenure, now)
             self._owned[upstream.name] = owned
@@ -105,6 +114,14 @@
         elif early is not None and now - early.at <= EARLY_CEDE_LIFETIME_S:
             self.receive_cede(early.sender, early.message, now)
 
+    def _cede_former(self, now: Seconds) -> None:
+        """Hand upstreams whose data centre is back to their owner, if that is another host."""
+        for name in [name for name in self._former if name in self._context.directory.reachable]:
+            last = self._former.pop(name)
+            owner = self._context.owner_of(name)
+            if owner is not None and owner != self._context.local.name:
+                self._cede(last, owner, now)
+
     def _reconfigure(
         self, owned: OwnedUpstream, service: Service, upstream: Upstream, now: Seconds
     ) -> None:
--- a/banyanline/net/balancer.py
+++ b/banyanline/net/balancer.py
@@ -29,6 +29,7 @@
 from banyanline.core.messages import FlowKey
 from banyanline.core.model import Configuration
 from banyanline.core.node import Node
+from banyanline.core.owner.requests import LAST_ANSWERS_S
 from banyanline.core.readers import readers
 from banyanline.core.types import Endpoint, Host, HostName, ServiceName, UpstreamName
 from banyanline.net import explain
@@ -324,12 +325,15 @@
         self._handle(self._node.configure, configuration, self._clock())
         for service, error in self._services.update(configuration.services):
             log.error("service_address_not_bound", service=service, error=str(error))
-        self._upstreams.keep_only(self._node.context.directory.reachable)
+        asyncio.get_running_loop().call_later(LAST_ANSWERS_S, self._close_unused_sockets)
         self._update_reader()
 
     def _apply_hosts(self, hosts: tuple[Host, ...]) -> None:
         self._handle(self._node.learn_hosts, hosts, self._clock())
 
+    def _close_unused_sockets(self) -> None:
+        self._upstreams.keep_only(self._node.context.directory.reachable)
+
     def _update_reader(self) -> None:
         """Watch the platform if this host is one of the readers of its data centre."""
         host = self._settings.host
