--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -185,15 +185,27 @@
         self._timers.add(now + FIND_TRANSFER_S, (entry, Phase.FINDING_TRANSFER, 0))
 
     def receive_transfer(self, message: TransferFound, now: Seconds) -> None:
-        """Take an owner's word on the upstream of a block-wise transfer in."""
+        """Take an owner's word on the upstream of a block-wise transfer in.
+
+        Two upstreams may have begun the transfer, if the first one did not answer in
+        time. Which of them the caller has blocks of is not known then.
+        """
         entry = self._ledger.get(message.key)
         if entry is None or entry.phase is not Phase.FINDING_TRANSFER:
             return
+        self._context.ensure_same_service(entry.key.service, message.upstream)
+        if entry.pinned in (None, message.upstream):
+            entry.pinned = message.upstream
+        else:
+            self._finish(entry, coap.transfer_restart(), now)
+
+    def _transfer_found(self, entry: Entry, now: Seconds) -> None:
+        """Go on with the upstream that the owners named, or make the caller start anew."""
         request = entry.request
         assert request is not None
-        self._context.ensure_same_service(entry.key.service, message.upstream)
-        self._context.counters.recovered["transfer"] += 1
-        self._transfers.learn(entry.flow, request.message, message.upstream, now)
+        if entry.pinned is not None:
+            self._context.counters.recovered["transfer"] += 1
+            self._transfers.learn(entry.flow, request.message, entry.pinned, now)
         self._admit(entry, now)
 
     def _wait_for_lease(self, entry: Entry, now: Seconds) -> None:
@@ -418,7 +430,9 @@
 
     def _continue(self, entry: Entry, serial: int, now: Seconds) -> None:
         match entry.phase:
-            case Phase.WAITING_FOR_LEASE | Phase.FINDING_TRANSFER:
+            case Phase.FINDING_TRANSFER:
+                self._transfer_found(entry, now)
+            case Phase.WAITING_FOR_LEASE:
                 self._readmit(entry, now)
             case Phase.CLAIMING if serial == entry.ballot.wall_ms:
                 self._claims.resend(entry.key)
@@ -433,7 +447,7 @@
     def _readmit(self, entry: Entry, now: Seconds) -> None:
         if entry.refusal is not None:
             self._claim(entry, slot_of(entry.hash), now)
-        elif entry.phase is Phase.FINDING_TRANSFER or self._context.may_decide(now):
+        elif self._context.may_decide(now):
             self._admit(entry, now)
         else:
             self._wait_for_lease(entry, now)
@@ -495,8 +509,12 @@
         """Refuse with a promise that nothing ran, or without one where it would not be true.
 
         A home that has not held the slot for long asks the owners first whether the
-        request ran for an earlier home.
+        request ran for an earlier home. A block of a transfer that has begun elsewhere
+        makes the caller start the transfer anew.
         """
+        if entry.request is not None and entry.request.continues_transfer:
+            self._finish(entry, coap.transfer_restart(), now)
+            return
         if not entry.is_unseen and not entry.may_have_run and entry.refusal is None:
             entry.refusal = Refusal(reason, retry_after_s)
             self._claim(entry, slot_of(entry.hash), now)
