--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -509,13 +509,16 @@
         """Refuse with a promise that nothing ran, or without one where it would not be true.
 
         A home that has not held the slot for long asks the owners first whether the
-        request ran for an earlier home. A block of a transfer that has begun elsewhere
-        makes the caller start the transfer anew.
+        request ran for an earlier home. For an idempotent request every home asks, since
+        a home on the other side of a partition may run it. A block of a transfer that
+        has begun elsewhere makes the caller start the transfer anew.
         """
         if entry.request is not None and entry.request.continues_transfer:
             self._finish(entry, coap.transfer_restart(), now)
             return
-        if not entry.is_unseen and not entry.may_have_run and entry.refusal is None:
+        is_sure = entry.is_unseen and not entry.is_idempotent
+        if not is_sure and not entry.may_have_run and entry.refusal is None:
+            entry.is_unseen = False
             entry.refusal = Refusal(reason, retry_after_s)
             self._claim(entry, slot_of(entry.hash), now)
             return
