Do not keep dispatches waiting when a handover does not come

Change: when the handover is given up, what has waited is sent back as not run and goes to another upstream.

--- a/banyanline/core/owner/succession.py
+++ b/banyanline/core/owner/succession.py
@@ -279,6 +279,10 @@
         tenure.stage = Stage.WAITING_OUT_LEASE
         tenure.until = now + context.membership.takeover_wait_s + IN_FLIGHT_S
         self._lose_all_before(tenure, owned.upstream, now)
+        # Homes may still find another upstream for what has waited here.
+        held, owned.held = owned.held, []
+        for home, dispatch in held:
+            self._requests.dispatch(home, dispatch, now)
 
     # -- ceding
 
