Remove code that nothing calls

Cause: the read-through of the change found three functions without a caller (is_rejection, is_success, Owner.service_of) and a field that was only written (Entry.answered_at). Change: they are gone; behaviour is the same.

--- a/banyanline/core/coap.py
+++ b/banyanline/core/coap.py
@@ -262,11 +262,6 @@
     return bool(message.code is Code.SERVICE_UNAVAILABLE)
 
 
-def is_success(message: Message) -> bool:
-    """Whether the response has a code of class 2."""
-    return bool(message.code.is_successful())
-
-
 def observe_sequence(message: Message) -> int | None:
     """Return the sequence number of a notification (RFC 7641, 3.4)."""
     value: int | None = message.opt.observe
--- a/banyanline/core/home/entry.py
+++ b/banyanline/core/home/entry.py
@@ -40,7 +40,6 @@
 
     __slots__ = (
         "answer",
-        "answered_at",
         "arrived_at",
         "attempt",
         "ballot",
@@ -71,7 +70,6 @@
         self.hash = flow_hash
         self.request: Request | None = request
         self.arrived_at = now
-        self.answered_at = now
         self.deadline = now
         self.phase = Phase.WAITING_FOR_LEASE
         self.ballot: Ballot = NO_BALLOT
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -539,7 +539,6 @@
         request = entry.request
         assert request is not None
         entry.phase = Phase.ANSWERED
-        entry.answered_at = now
         entry.answer = self._reply(entry.flow, request, message)
         self._close(entry)
 
--- a/banyanline/core/home/streams.py
+++ b/banyanline/core/home/streams.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 
 import msgspec
-from aiocoap.numbers.types import Type
 
 from banyanline.core import coap
 from banyanline.core.answers import RefusalReason
@@ -410,8 +409,3 @@
         and stream.owner == message.owner
         and stream.registration == message.registration
     )
-
-
-def is_rejection(message: coap.Empty) -> bool:
-    """Whether an empty message rejects a notification."""
-    return message.kind is Type.RST
--- a/banyanline/core/owner/owner.py
+++ b/banyanline/core/owner/owner.py
@@ -17,7 +17,6 @@
     Lookup,
     Released,
 )
-from banyanline.core.model import Service
 from banyanline.core.owner.claims import ClaimJudge
 from banyanline.core.owner.flows import OwnerFlows
 from banyanline.core.owner.owned import OwnedUpstream
@@ -188,8 +187,3 @@
                     self._former[name] = owned
                 self._requests.retire(owned, owned.gate.abandon(now), now)
         self._flows.upstreams_gone(gone)
-
-    def service_of(self, upstream: UpstreamName) -> Service | None:
-        """Return the service of an upstream owned here."""
-        owned = self._owned.get(upstream)
-        return None if owned is None else owned.service
