Steer packets on the operators' platform by a cookie in each packet

Cause: banyanline does not speak the platform that the operators run on. Change: core/steering decides by the cookie that both ends of a flow send back, so that no host needs to have seen a flow; platform/ decodes packets, the settings file and the store; net/steering runs it. net/pages.py is the HTTP part of the admin endpoint, which readiness uses too.

--- /dev/null
+++ b/banyanline/core/steering/flows.py
@@ -0,0 +1,182 @@
+"""Flows as this host has seen them: what their packets tell of the upstream.
+
+The table is a memory of this host alone and may be lost at any time: the cookie
+in each packet is enough to carry a flow on.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from banyanline.core.steering.packet import CallerPacket, FlowId
+    from banyanline.core.steering.upstreams import Upstream
+    from banyanline.core.types import Seconds
+
+SEQUENCE_MODULUS = 1 << 32
+_HALF = SEQUENCE_MODULUS // 2
+
+RESPONSE_SMOOTHING = 0.2
+"""Weight of the newest response time in the mean of an upstream."""
+
+MAX_FLOWS = 200_000
+
+
+class Progress(Enum):
+    """What a packet of an open flow tells of its upstream."""
+
+    NOTHING = auto()
+    ANSWERED = auto()
+    REPEATED = auto()
+
+
+class Flow:
+    """One flow: where it went, and how far it has come.
+
+    ``tried`` are the upstreams that got its opening packet, the last one last.
+    ``asked_at`` is when a request was sent that has had no answer yet.
+    """
+
+    __slots__ = (
+        "ack",
+        "asked_at",
+        "is_open",
+        "next_seq",
+        "opened_at",
+        "repeats",
+        "seen_at",
+        "tried",
+        "upstream",
+    )
+
+    def __init__(self, upstream: Upstream, now: Seconds) -> None:
+        self.upstream = upstream
+        self.tried: list[Upstream] = []
+        self.is_open = False
+        self.opened_at = now
+        self.seen_at = now
+        self.next_seq: int | None = None
+        self.ack = 0
+        self.asked_at: Seconds | None = None
+        self.repeats = 0
+
+
+class FlowTable:
+    """Flows by their addresses, and the work at each upstream that they amount to."""
+
+    def __init__(self) -> None:
+        self._flows: dict[FlowId, Flow] = {}
+
+    def __len__(self) -> int:
+        """Return the number of flows."""
+        return len(self._flows)
+
+    def get(self, flow_id: FlowId) -> Flow | None:
+        """Return a flow that was seen before."""
+        return self._flows.get(flow_id)
+
+    def open(self, flow_id: FlowId, upstream: Upstream, now: Seconds) -> Flow:
+        """Take in that an opening packet went to an upstream, perhaps after another one."""
+        flow = self._flows.get(flow_id)
+        if flow is None:
+            flow = self._flows[flow_id] = Flow(upstream, now)
+        else:
+            _release(flow)
+            flow.upstream = upstream
+        flow.tried.append(upstream)
+        flow.seen_at = now
+        upstream.open_flows += 1
+        upstream.pending_opens += 1
+        return flow
+
+    def adopt(self, flow_id: FlowId, upstream: Upstream, now: Seconds) -> Flow:
+        """Take in an open flow that began at another host."""
+        flow = self._flows[flow_id] = Flow(upstream, now)
+        flow.is_open = True
+        upstream.open_flows += 1
+        return flow
+
+    def close(self, flow_id: FlowId) -> None:
+        """Forget a flow and the work that it was."""
+        flow = self._flows.pop(flow_id, None)
+        if flow is not None:
+            _release(flow)
+
+    def confirm(self, flow: Flow, upstream: Upstream, now: Seconds) -> None:
+        """Take in that the flow is open at an upstream."""
+        _release(flow)
+        flow.upstream = upstream
+        flow.is_open = True
+        upstream.open_flows += 1
+        upstream.sign_at = now
+
+    def observe(self, flow: Flow, packet: CallerPacket, now: Seconds) -> Progress:
+        """Take in a packet of an open flow, and return what it tells of the upstream."""
+        flow.seen_at = now
+        answered = flow.next_seq is not None and _is_after(packet.ack, flow.ack)
+        if flow.next_seq is None or answered:
+            flow.ack = packet.ack
+        if answered:
+            self._answer(flow, now)
+        repeated = self._take_data(flow, packet, now)
+        if answered:
+            return Progress.ANSWERED
+        return Progress.REPEATED if repeated else Progress.NOTHING
+
+    def expire(self, idle_before: Seconds, pending_before: Seconds) -> None:
+        """Forget flows that have been idle, and those that never opened."""
+        old = [
+            flow_id
+            for flow_id, flow in self._flows.items()
+            if flow.seen_at < (idle_before if flow.is_open else pending_before)
+        ]
+        for flow_id in old:
+            self.close(flow_id)
+
+    def _answer(self, flow: Flow, now: Seconds) -> None:
+        upstream = flow.upstream
+        upstream.sign_at = now
+        flow.repeats = 0
+        if flow.asked_at is None:
+            return
+        took_s = now - flow.asked_at
+        flow.asked_at = None
+        upstream.in_flight -= 1
+        known_s = upstream.response_s
+        if known_s is None:
+            upstream.response_s = took_s
+        else:
+            upstream.response_s = known_s + RESPONSE_SMOOTHING * (took_s - known_s)
+
+    def _take_data(self, flow: Flow, packet: CallerPacket, now: Seconds) -> bool:
+        """Note a request that begins; return whether the packet was sent before."""
+        if flow.next_seq is None:
+            flow.next_seq = packet.seq
+        if packet.data_bytes == 0:
+            return False
+        end = (packet.seq + packet.data_bytes) % SEQUENCE_MODULUS
+        if not _is_after(end, flow.next_seq):
+            flow.repeats += 1
+            return True
+        flow.next_seq = end
+        if flow.asked_at is None:
+            flow.asked_at = now
+            flow.upstream.in_flight += 1
+        return False
+
+
+def _is_after(number: int, other: int) -> bool:
+    """Whether a sequence number comes after another, modulo 2**32 (RFC 1982)."""
+    return 0 < (number - other) % SEQUENCE_MODULUS < _HALF
+
+
+def _release(flow: Flow) -> None:
+    """Take the flow's work off its upstream."""
+    upstream = flow.upstream
+    upstream.open_flows -= 1
+    if not flow.is_open:
+        upstream.pending_opens -= 1
+    if flow.asked_at is not None:
+        upstream.in_flight -= 1
+        flow.asked_at = None
--- /dev/null
+++ b/banyanline/net/pages.py
@@ -0,0 +1,130 @@
+"""A small HTTP/1.1 server for pages: one GET on each connection.
+
+Connections, header sizes and times are bounded.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+import h11
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+    from banyanline.core.types import Endpoint
+
+MAX_CONNECTIONS = 16
+MAX_REQUEST_HEADER_BYTES = 8 * 1024
+REQUEST_TIMEOUT_S = 5.0
+READ_BYTES = 4 * 1024
+
+TEXT_HEADERS = {"Content-Type": "text/plain; charset=utf-8"}
+
+
+class PageResponse(NamedTuple):
+    """The answer to a request of a page."""
+
+    status: int
+    body: bytes
+    headers: Mapping[str, str] = TEXT_HEADERS
+
+
+class PageServer:
+    """Serves what ``respond`` returns for a target and the values of ``Accept``."""
+
+    def __init__(
+        self, endpoint: Endpoint, respond: Callable[[str, Sequence[str]], PageResponse]
+    ) -> None:
+        self._endpoint = endpoint
+        self._respond = respond
+        self._server: asyncio.Server | None = None
+        self._connections = 0
+        self._refused = 0
+
+    @property
+    def port(self) -> int:
+        """The bound TCP port, once started."""
+        assert self._server is not None
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    @property
+    def refused(self) -> int:
+        """Connections closed because too many were open."""
+        return self._refused
+
+    async def start(self) -> None:
+        """Bind the endpoint and begin to answer; raises OSError if it cannot be bound."""
+        self._server = await asyncio.start_server(
+            self._serve, self._endpoint.ip, self._endpoint.port
+        )
+
+    async def stop(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._connections >= MAX_CONNECTIONS:
+            self._refused += 1
+            writer.transport.abort()
+            return
+        self._connections += 1
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                await self._answer(reader, writer)
+        except (TimeoutError, OSError, h11.ProtocolError):
+            writer.transport.abort()
+        finally:
+            self._connections -= 1
+            writer.close()
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_REQUEST_HEADER_BYTES)
+        try:
+            request = await _read_request(connection, reader)
+        except h11.RemoteProtocolError as error:
+            if connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                response = PageResponse(error.error_status_hint, b"bad request\n")
+                await _send(connection, writer, response)
+            return
+        if request is None:
+            return
+        if request.method != b"GET":
+            response = PageResponse(405, b"only GET is served\n")
+        else:
+            accepts = [
+                value.decode("latin-1") for name, value in request.headers if name == b"accept"
+            ]
+            response = self._respond(request.target.decode("ascii"), accepts)
+        await _send(connection, writer, response)
+
+
+async def _read_request(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> h11.Request | None:
+    """Return the request's head; a body is left unread, as no page takes one."""
+    while True:
+        event = connection.next_event()
+        if isinstance(event, h11.Request):
+            return event
+        if event is not h11.NEED_DATA:
+            return None
+        connection.receive_data(await reader.read(READ_BYTES))
+
+
+async def _send(
+    connection: h11.Connection, writer: asyncio.StreamWriter, response: PageResponse
+) -> None:
+    headers = {
+        **response.headers,
+        "Content-Length": str(len(response.body)),
+        "Connection": "close",
+    }
+    head = h11.Response(status_code=response.status, headers=list(headers.items()))
+    writer.write(connection.send(head) or b"")
+    writer.write(connection.send(h11.Data(data=response.body)) or b"")
+    writer.write(connection.send(h11.EndOfMessage()) or b"")
+    await writer.drain()
--- /dev/null
+++ b/banyanline/net/steering/__init__.py
@@ -0,0 +1,1 @@
+"""The process that steers packets on the operators' platform."""
--- /dev/null
+++ b/banyanline/platform/boot.py
@@ -0,0 +1,146 @@
+"""The settings file that the platform hands to each process of a host."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+from banyanline.core.types import DataCentreName, Endpoint, HostName
+
+PATH_VARIABLE = "BANYANLINE_BOOT"
+_MAX_PORT = 65_535
+
+
+class HostSettings(NamedTuple):
+    """What a host is told of itself and of its surroundings.
+
+    ``packets``, ``readiness`` and ``control`` are addresses of this host.
+    ``internal_ports`` are free for the project's own use. ``seeds`` are control
+    addresses of a few hosts, which may be stale. Bounds are in seconds.
+    """
+
+    host: HostName
+    data_centre: DataCentreName
+    packets: Endpoint
+    readiness: Endpoint
+    control: Endpoint | None
+    store: Endpoint
+    seeds: tuple[Endpoint, ...]
+    internal_ports: range
+    stop_grace_s: float
+    heartbeat_s: float
+    max_flow_s: float
+
+
+class SettingsFault(NamedTuple):
+    """A settings file that cannot be used."""
+
+    detail: str
+
+    def __str__(self) -> str:
+        """Return the fault as one line."""
+        return self.detail
+
+
+class _Listen(msgspec.Struct):
+    datagram_address: str
+    ready: str
+    control: str | None = None
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = 6.0
+    max_flow_s: float = 60.0
+
+
+class _Store(msgspec.Struct):
+    address: str
+
+
+class _Document(msgspec.Struct):
+    """The file; fields that are not named here are ignored."""
+
+    node_name: str
+    zone: str
+    listen: _Listen
+    platform: _Store
+    seeds: list[str] = []
+    internal_port_range: tuple[int, int] = (0, 0)
+    heartbeat_ms: float = 1200.0
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> Path | None:
+    """Return where the platform has put the settings, or None if it did not say."""
+    path = os.environ.get(PATH_VARIABLE)
+    return Path(path) if path else None
+
+
+def read_settings(path: Path) -> HostSettings | SettingsFault:
+    """Read and check the settings file at ``path``."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return SettingsFault(f"{path}: {error}")
+    settings = parse_settings(text)
+    if isinstance(settings, SettingsFault):
+        return SettingsFault(f"{path}: {settings}")
+    return settings
+
+
+def parse_settings(text: str) -> HostSettings | SettingsFault:
+    """Check the text of a settings file.
+
+    >>> str(parse_settings("node_name = 7"))
+    'expected `str`, got `int` - at `$.node_name`'
+    """
+    try:
+        document = msgspec.convert(tomllib.loads(text), _Document)
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, RecursionError) as error:
+        detail = str(error)
+        return SettingsFault(detail[:1].lower() + detail[1:])
+    try:
+        return _settings(document)
+    except ValueError as error:
+        return SettingsFault(str(error))
+
+
+def parse_endpoint(name: str, text: str) -> Endpoint:
+    """Return the endpoint that field ``name`` holds; raise ValueError if it holds none."""
+    ip, _, port = text.rpartition(":")
+    parts = ip.split(".")
+    is_number = len(parts) == 4 and all(_is_number(part, 255) for part in parts)
+    if not (is_number and _is_number(port, _MAX_PORT) and int(port) > 0):
+        raise ValueError(f"{name}: {text[:64]!r} is not an IPv4 number and a port, as 10.1.0.10:80")
+    return Endpoint(ip, int(port))
+
+
+def _is_number(text: str, greatest: int) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= 5 and int(text) <= greatest
+
+
+def _settings(document: _Document) -> HostSettings:
+    listen = document.listen
+    first, last = document.internal_port_range
+    if not 0 <= first <= last <= _MAX_PORT:
+        raise ValueError(f"internal_port_range: {first} to {last} is not a range of ports")
+    if document.heartbeat_ms <= 0:
+        raise ValueError(f"heartbeat_ms: {document.heartbeat_ms} is not greater than 0")
+    control = parse_endpoint("listen.control", listen.control) if listen.control else None
+    return HostSettings(
+        host=document.node_name,
+        data_centre=document.zone,
+        packets=parse_endpoint("listen.datagram_address", listen.datagram_address),
+        readiness=parse_endpoint("listen.ready", listen.ready),
+        control=control,
+        store=parse_endpoint("platform.address", document.platform.address),
+        seeds=tuple(parse_endpoint("seeds", seed) for seed in document.seeds),
+        internal_ports=range(first, last + 1) if first else range(0),
+        stop_grace_s=document.bounds.grace_s,
+        heartbeat_s=document.heartbeat_ms / 1000.0,
+        max_flow_s=document.bounds.max_flow_s,
+    )
--- /dev/null
+++ b/banyanline/platform/entries.py
@@ -0,0 +1,211 @@
+"""Decodes what lies in the platform's store: upstreams, the configuration, evacuations."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import Literal, NamedTuple, TypeAlias
+
+import msgspec
+
+from banyanline.core.steering.model import (
+    Change,
+    ColdLimit,
+    DataCentreOut,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceShare,
+    TableChanged,
+    UpstreamChanged,
+    UpstreamEntry,
+    UpstreamRemoved,
+)
+from banyanline.core.steering.packet import NO_COOKIE
+from banyanline.platform.boot import parse_endpoint
+from banyanline.platform.packets import service_address
+
+UPSTREAM_PREFIX = "servers/"
+CONFIGURATION_KEY = "op/config"
+OUT_PREFIX = "op/evacuate/"
+"""A data centre is out of service while the key with its name stands here."""
+
+_COOKIE_MODULUS = 1 << 32
+_MAX_WIRE_ID = (1 << 64) - 1
+_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+
+_ROUTE_KINDS = {
+    "safe": RouteKind.IDEMPOTENT,
+    "unsafe": RouteKind.NON_IDEMPOTENT,
+    "download": RouteKind.DOWNLOAD,
+}
+
+
+class UnusableItem(NamedTuple):
+    """An item of the store that does not hold what its key promises."""
+
+    key: str
+    detail: str
+
+
+class Unrelated(NamedTuple):
+    """An item of the store that means nothing here."""
+
+    key: str
+
+
+Decoded: TypeAlias = Change | UnusableItem | Unrelated
+
+
+class StoreItem(msgspec.Struct, frozen=True):
+    """One item or event of the store; ``value`` is base64 text, ``created`` a revision."""
+
+    key: str
+    revision: int
+    value: str = ""
+    created: int = 0
+    deleted: bool = False
+
+
+class _Upstream(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    version: str
+    slots: int
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: float
+    sequence: int
+    born: int | None = None
+    """When this incarnation started, in Unix milliseconds."""
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    """An IPv4 number, not a name."""
+    prefix: str
+    """A port between slashes."""
+    route_type: Literal["safe", "unsafe", "download"]
+    timeout_ms: float = 0.0
+    aim_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Share] = []
+
+
+class _Service(msgspec.Struct):
+    name: str
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct):
+    idle_timeout_ms: float = 60_000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_UPSTREAM_DECODER = msgspec.json.Decoder(_Upstream)
+_CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
+
+
+def decode_item(item: StoreItem) -> Decoded:
+    """Return what an item or event of the store changes.
+
+    >>> decode_item(StoreItem("servers/i-7f3a91c2", 9, deleted=True))
+    UpstreamRemoved(name='i-7f3a91c2', revision=9)
+    """
+    key = item.key
+    if key.startswith(OUT_PREFIX):
+        return DataCentreOut(key.removeprefix(OUT_PREFIX), not item.deleted, item.revision)
+    if key.startswith(UPSTREAM_PREFIX) and item.deleted:
+        return UpstreamRemoved(key.removeprefix(UPSTREAM_PREFIX), item.revision)
+    if key != CONFIGURATION_KEY and not key.startswith(UPSTREAM_PREFIX):
+        return Unrelated(key)
+    if item.deleted:
+        return UnusableItem(key, "deleted")
+    try:
+        value = base64.b64decode(item.value, validate=True)
+        if key == CONFIGURATION_KEY:
+            return TableChanged(_table(_CONFIGURATION_DECODER.decode(value)), item.revision)
+        entry = _upstream(key.removeprefix(UPSTREAM_PREFIX), _UPSTREAM_DECODER.decode(value))
+    except (binascii.Error, msgspec.MsgspecError, ValueError, OSError, RecursionError) as error:
+        return UnusableItem(key, str(error))
+    return UpstreamChanged(entry, item.revision, item.created)
+
+
+def _upstream(name: str, document: _Upstream) -> UpstreamEntry:
+    wire_id = wire_id_of(name)
+    if document.slots < 1 or document.cold_remaining_ms < 0:
+        raise ValueError("slots or cold_remaining_ms out of range")
+    return UpstreamEntry(
+        name=name,
+        wire_id=wire_id,
+        cookie=cookie_of(wire_id),
+        service=document.service,
+        endpoint=parse_endpoint("address", document.address),
+        data_centre=document.zone,
+        slots=document.slots,
+        is_leaving=document.state == "draining",
+        cold_for_s=document.cold_remaining_ms / 1000.0,
+        incarnation=document.born,
+    )
+
+
+def wire_id_of(name: str) -> int:
+    """Return the number that goes before packets for an upstream: the hex digits of its id.
+
+    Raises ValueError if the id holds none, or too many for 8 bytes.
+
+    >>> hex(wire_id_of("i-7f3a91c2"))
+    '0x7f3a91c2'
+    """
+    digits = "".join(digit for digit in name.rpartition("-")[2] if digit in _HEX_DIGITS)
+    wire_id = int(digits, 16)
+    if not 0 < wire_id <= _MAX_WIRE_ID:
+        raise ValueError(f"{name!r} has no hex number of at most 8 bytes")
+    return wire_id
+
+
+def cookie_of(wire_id: int) -> int:
+    """Return the cookie of an upstream, which is never ``NO_COOKIE``."""
+    return (wire_id ^ wire_id >> 32) % _COOKIE_MODULUS or NO_COOKIE + 1
+
+
+def _table(document: _Configuration) -> RoutingTable:
+    routes = [_route(route) for route in document.routes]
+    return RoutingTable(
+        version=document.version,
+        routes={route.address: route for route in routes},
+        cold_limits={
+            service.name: ColdLimit(service.warmup_s, service.warmup_per_s)
+            for service in document.services
+        },
+        idle_timeout_s=document.limits.idle_timeout_ms / 1000.0,
+    )
+
+
+def _route(document: _Route) -> Route:
+    shares = tuple(ServiceShare(share.service, share.weight) for share in document.traffic_split)
+    if not shares and document.service is not None:
+        shares = (ServiceShare(document.service, 1.0),)
+    return Route(
+        name=document.name,
+        address=service_address(document.hostname, int(document.prefix.strip("/"))),
+        kind=_ROUTE_KINDS[document.route_type],
+        patience_s=document.timeout_ms / 1000.0,
+        objective_s=document.aim_ms / 1000.0,
+        priority=document.priority,
+        shares=shares,
+    )
--- /dev/null
+++ b/banyanline/platform/store.py
@@ -0,0 +1,156 @@
+"""Reads and watches the platform's store: items by prefix, and their changes from a revision on."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+from urllib.parse import urlencode
+
+import msgspec
+
+from banyanline.net.http import HttpFailed, http_get
+from banyanline.platform.entries import StoreItem
+
+if TYPE_CHECKING:
+    from banyanline.core.types import Endpoint, Seconds
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+"""A page is about 1 MB before its values become base64 text."""
+
+ANSWER_TIMEOUT_S = 1.5
+"""Time for an answer beyond the time that the store may wait."""
+
+_HTTP_OK = 200
+_HTTP_GONE = 410
+_HTTP_TOO_MANY = 429
+
+
+class StoreFailure(StrEnum):
+    """Why a call of the store brought nothing."""
+
+    UNREACHABLE = "unreachable"
+    TIMEOUT = "timeout"
+    CLOSED_EARLY = "closed_early"
+    MALFORMED = "malformed"
+    BODY_TOO_LARGE = "body_too_large"
+    TOO_MANY_CALLS = "too_many_calls"
+    BAD_STATUS = "bad_status"
+    HISTORY_GONE = "history_gone"
+
+
+class StoreFailed(NamedTuple):
+    """A call of the store that brought nothing."""
+
+    reason: StoreFailure
+    detail: str = ""
+
+
+class Snapshot(NamedTuple):
+    """All items below a prefix, which together are not older than ``as_of``."""
+
+    items: tuple[StoreItem, ...]
+    as_of: int
+
+
+class Changes(NamedTuple):
+    """What was written after the revision asked for, up to ``as_of``."""
+
+    events: tuple[StoreItem, ...]
+    as_of: int
+
+
+SnapshotResult: TypeAlias = Snapshot | StoreFailed
+ChangesResult: TypeAlias = Changes | StoreFailed
+
+
+class _Page(msgspec.Struct):
+    items: list[StoreItem]
+    truncated: bool
+    as_of: int
+
+
+class _Events(msgspec.Struct):
+    events: list[StoreItem]
+    as_of: int
+
+
+_PAGE_DECODER = msgspec.json.Decoder(_Page)
+_EVENTS_DECODER = msgspec.json.Decoder(_Events)
+
+
+class StoreClient:
+    """Calls the store at one endpoint; each fault is a value."""
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Number of calls made so far."""
+        return self._calls
+
+    async def read_all(self, prefix: str) -> SnapshotResult:
+        """Read all items below ``prefix``, page after page.
+
+        ``as_of`` is that of the first page: changes made since then are told by
+        :meth:`wait_for_changes` again, whichever page they fell into.
+        """
+        items: list[StoreItem] = []
+        as_of: int | None = None
+        after = ""
+        while True:
+            query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
+            body = await self._get("/kv-range", query, 0.0)
+            if isinstance(body, StoreFailed):
+                return body
+            page = _decode_page(body)
+            if isinstance(page, StoreFailed):
+                return page
+            items += page.items
+            as_of = page.as_of if as_of is None else as_of
+            if not page.truncated:
+                return Snapshot(tuple(items), as_of)
+            if not page.items or page.items[-1].key <= after:
+                return StoreFailed(StoreFailure.MALFORMED, "a page that does not go on")
+            after = page.items[-1].key
+
+    async def wait_for_changes(self, prefix: str, after: int, wait_s: Seconds) -> ChangesResult:
+        """Return the changes after a revision as soon as there are any, or none after ``wait_s``.
+
+        ``HISTORY_GONE`` says that they are not known any more.
+        """
+        query = {"prefix": prefix, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
+        body = await self._get("/kv-watch", query, wait_s)
+        if isinstance(body, StoreFailed):
+            return body
+        try:
+            answer = _EVENTS_DECODER.decode(body)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            return StoreFailed(StoreFailure.MALFORMED, str(error))
+        return Changes(tuple(answer.events), answer.as_of)
+
+    async def _get(self, path: str, query: dict[str, str], wait_s: Seconds) -> bytes | StoreFailed:
+        self._calls += 1
+        response = await http_get(
+            self._endpoint,
+            f"{path}?{urlencode(query)}",
+            timeout_s=wait_s + ANSWER_TIMEOUT_S,
+            max_body_bytes=MAX_BODY_BYTES,
+        )
+        if isinstance(response, HttpFailed):
+            return StoreFailed(StoreFailure(response.reason.value), response.detail)
+        if response.status == _HTTP_OK:
+            return response.body
+        if response.status == _HTTP_GONE:
+            return StoreFailed(StoreFailure.HISTORY_GONE)
+        if response.status == _HTTP_TOO_MANY:
+            return StoreFailed(StoreFailure.TOO_MANY_CALLS)
+        return StoreFailed(StoreFailure.BAD_STATUS, str(response.status))
+
+
+def _decode_page(body: bytes) -> _Page | StoreFailed:
+    try:
+        return _PAGE_DECODER.decode(body)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return StoreFailed(StoreFailure.MALFORMED, str(error))
--- a/banyanline/tests/test_admin.py
+++ b/banyanline/tests/test_admin.py
@@ -11,8 +11,8 @@
 from banyanline.core.counters import Counters, DropReason, FlowEnd
 from banyanline.core.keys import Key, KeyRing
 from banyanline.core.types import Endpoint
-from banyanline.net import admin
 from banyanline.net import explain as balancer_explain
+from banyanline.net import pages
 from banyanline.net.admin import AdminPages, AdminServer
 from banyanline.net.balancer import Balancer
 from banyanline.net.metrics import (
@@ -171,8 +171,8 @@
 
 
 async def test_connections_are_bounded_and_idle_ones_end(monkeypatch):
-    monkeypatch.setattr(admin, "MAX_CONNECTIONS", 1)
-    monkeypatch.setattr(admin, "REQUEST_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(pages, "MAX_CONNECTIONS", 1)
+    monkeypatch.setattr(pages, "REQUEST_TIMEOUT_S", 0.2)
     async with served() as server, asyncio.timeout(TIMEOUT_S):
         idle_reader, idle_writer = await asyncio.open_connection("127.0.0.1", server.port)
         idle_writer.write(b"GET /heal")
