Notice lost answers of the store before the bounds bind; keep flows in their data centre

Packets that came before the store's first answer were dropped. Flows over a cut between data centres stood still until their callers gave up. Change: a watch waits 0.6 of the contact time; connecting is given up after 0.7 s; keep-alive probes from 1 s on; early packets are held; remote upstreams weigh 6 requests a slot instead of 1.

--- a/banyanline/core/steering/outcomes.py
+++ b/banyanline/core/steering/outcomes.py
@@ -21,7 +21,6 @@
     """Why a packet is passed to nobody and answered by nobody."""
 
     MALFORMED = "malformed"
-    NOT_CONFIGURED = "not_configured"
     UNKNOWN_COOKIE = "unknown_cookie"
     STRAY_RESET = "stray_reset"
 
--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -17,7 +17,7 @@
 FLOW_WEIGHT = 0.25
 """An open flow without a request under way, measured in requests under way."""
 
-REMOTE_WEIGHT = 1.0
+REMOTE_WEIGHT = 6.0
 """What an upstream in another data centre counts more, in requests under way."""
 
 JITTER_WEIGHT = 0.05
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -208,7 +208,7 @@
         if packet.cookie == NO_COOKIE:
             return Drop(DropReason.STRAY_RESET)
         if self._table is None:
-            return Drop(DropReason.NOT_CONFIGURED)
+            return HOLD
         return Drop(DropReason.UNKNOWN_COOKIE)
 
     def _confirm(
--- a/banyanline/net/http.py
+++ b/banyanline/net/http.py
@@ -12,14 +12,19 @@
 if TYPE_CHECKING:
     from banyanline.core.types import Endpoint
 
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.7
+"""Shorter than the second after which the kernel repeats a lost opening packet."""
+
 MAX_HEADER_BYTES = 16 * 1024
 READ_BYTES = 64 * 1024
-KEEPALIVE_IDLE_S = 5
-KEEPALIVE_INTERVAL_S = 2
-KEEPALIVE_PROBES = 3
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 """A peer that vanished without a word is noticed after the idle time and these probes."""
 
+KEEPALIVE_IDLE_S = 1
+UNACKNOWLEDGED_MS = 2000
+"""How long the kernel waits for the peer to acknowledge a request (TCP_USER_TIMEOUT)."""
+
 
 class HttpFailure(StrEnum):
     """Why a request brought no answer."""
@@ -132,3 +137,4 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -24,14 +24,17 @@
 EVERYTHING = ""
 """One prefix for upstreams and the operators' words, so that one watch serves for both."""
 
-WATCH_S = 5.0
-"""How long a watch waits; a lost answer is noticed after this time."""
+WATCH_SHARE = 0.6
+"""How long a watch waits, as a share of the time after which a host is held to its bounds.
+
+A lost answer shows only when the watch should have ended.
+"""
 
 PAUSE_S = 0.8
 """Pause after an answer, so that changes that come together cost one call."""
 
 FIRST_RETRY_S = 0.1
-MAX_RETRY_S = 1.0
+MAX_RETRY_S = 0.8
 
 log = structlog.get_logger()
 
@@ -45,12 +48,14 @@
         steering: Steering,
         clock: Callable[[], Seconds],
         rng: random.Random,
+        contact_s: Seconds,
         on_change: Callable[[], None],
     ) -> None:
         self._client = client
         self._steering = steering
         self._clock = clock
         self._rng = rng
+        self._watch_s = contact_s * WATCH_SHARE
         self._on_change = on_change
         self._failed = 0
         self._heard_at: Seconds | None = None
@@ -73,7 +78,7 @@
     async def _follow(self, as_of: int) -> None:
         """Apply changes until their history is lost."""
         while True:
-            changes = await self._client.wait_for_changes(EVERYTHING, as_of, WATCH_S)
+            changes = await self._client.wait_for_changes(EVERYTHING, as_of, self._watch_s)
             if isinstance(changes, StoreFailed):
                 if changes.reason is StoreFailure.HISTORY_GONE:
                     log.warning("store_history_gone", as_of=as_of)
@@ -118,8 +123,8 @@
 
     async def _pause_after(self, failure: StoreFailed) -> None:
         self._failed += 1
-        if self._failed == 1:
-            log.warning("store_lost", reason=failure.reason.value, detail=failure.detail)
+        event = "store_lost" if self._failed == 1 else "store_still_lost"
+        log.warning(event, reason=failure.reason.value, detail=failure.detail)
         longest_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2.0 ** (self._failed - 1))
         await asyncio.sleep(longest_s * self._rng.uniform(0.5, 1.0))
 
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -55,7 +55,12 @@
         self._steering = Steering(settings.data_centre, rng)
         self._client = StoreClient(settings.store)
         self._feed = StoreFeed(
-            self._client, self._steering, self._loop.time, rng, self._release_held
+            self._client,
+            self._steering,
+            self._loop.time,
+            rng,
+            settings.contact_s,
+            self._release_held,
         )
         self._pages = PageServer(settings.readiness, self._respond)
         self._held: deque[tuple[bytes, CallerPacket, float]] = deque(maxlen=MAX_HELD_PACKETS)
--- a/banyanline/platform/boot.py
+++ b/banyanline/platform/boot.py
@@ -20,7 +20,8 @@
 
     ``packets``, ``readiness`` and ``control`` are addresses of this host.
     ``internal_ports`` are free for the project's own use. ``seeds`` are control
-    addresses of a few hosts, which may be stale. Bounds are in seconds.
+    addresses of a few hosts, which may be stale. Bounds are in seconds; a host that has
+    been well for ``contact_s`` is held to all of them.
     """
 
     host: HostName
@@ -34,6 +35,7 @@
     stop_grace_s: float
     heartbeat_s: float
     max_flow_s: float
+    contact_s: float
 
 
 class SettingsFault(NamedTuple):
@@ -55,6 +57,7 @@
 class _Bounds(msgspec.Struct):
     grace_s: float = 6.0
     max_flow_s: float = 60.0
+    contact_ms: float = 4000.0
 
 
 class _Store(msgspec.Struct):
@@ -143,4 +146,5 @@
         stop_grace_s=document.bounds.grace_s,
         heartbeat_s=document.heartbeat_ms / 1000.0,
         max_flow_s=document.bounds.max_flow_s,
+        contact_s=document.bounds.contact_ms / 1000.0,
     )
--- a/banyanline/platform/store.py
+++ b/banyanline/platform/store.py
@@ -17,7 +17,7 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """A page is about 1 MB before its values become base64 text."""
 
-ANSWER_TIMEOUT_S = 1.5
+ANSWER_TIMEOUT_S = 0.8
 """Time for an answer beyond the time that the store may wait."""
 
 _HTTP_OK = 200
