Test steering and the decoders of the platform

Cause: the path had no tests of its own; a port over 65535 in a configuration raised OverflowError in the reader. Change: tests of each rule for packets, of the packet codec, settings file and entries of any shape; the port is checked. Conclusion: the table of malformed inputs found one fault.

--- a/banyanline/platform/packets.py
+++ b/banyanline/platform/packets.py
@@ -16,6 +16,8 @@
 MAX_DATA_BYTES = 1200
 MAX_PACKET_BYTES = HEADER_BYTES + MAX_DATA_BYTES
 
+_MAX_PORT = 65_535
+
 _FLAG_FIN = 1
 _FLAG_SYN = 2
 _FLAG_RST = 16
@@ -60,11 +62,13 @@
 def service_address(ip: str, port: int) -> bytes:
     """Return an address and port as packets carry them, to look routes up by.
 
-    Raises OSError if ``ip`` is no IPv4 number.
+    Raises OSError if ``ip`` is no IPv4 number, ValueError for a port out of range.
 
     >>> service_address("198.18.0.1", 443).hex()
     '010012c6bb01'
     """
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f"{port} is no port")
     return socket.inet_aton(ip)[::-1] + port.to_bytes(2, "little")
 
 
--- /dev/null
+++ b/banyanline/tests/test_platform_boot.py
@@ -0,0 +1,92 @@
+from __future__ import annotations
+
+import pytest
+
+from banyanline.core.types import Endpoint
+from banyanline.platform.boot import (
+    PATH_VARIABLE,
+    SettingsFault,
+    parse_settings,
+    read_settings,
+    settings_path,
+)
+
+EXAMPLE = """\
+node_name = "front-split-jug-1"
+role = "balancer"
+zone = "split-jug"
+internal_port_range = [7720,7735]
+seeds = ["10.1.0.10:8166","10.2.0.40:8166"]
+heartbeat_ms = 770
+a_field_to_come = { a = 1 }
+[listen]
+datagram_address = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+control = "10.1.0.10:8166"
+[bounds]
+contact_ms = 4000
+grace_s = 6
+max_flow_s = 60
+cold_overage = 1.5
+[platform]
+address = "10.200.1.7:8169"
+"""
+
+
+def test_the_example_is_read():
+    settings = parse_settings(EXAMPLE)
+    assert settings.host == "front-split-jug-1"
+    assert settings.data_centre == "split-jug"
+    assert settings.packets == Endpoint("10.1.0.10", 8172)
+    assert settings.readiness == Endpoint("10.1.0.10", 8167)
+    assert settings.control == Endpoint("10.1.0.10", 8166)
+    assert settings.store == Endpoint("10.200.1.7", 8169)
+    assert settings.seeds == (Endpoint("10.1.0.10", 8166), Endpoint("10.2.0.40", 8166))
+    assert settings.internal_ports == range(7720, 7736)
+    assert (settings.contact_s, settings.stop_grace_s, settings.heartbeat_s) == (4.0, 6.0, 0.77)
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "expected"),
+    [
+        pytest.param('zone = "split-jug"\n', "", "zone", id="missing"),
+        pytest.param('zone = "split-jug"', "zone = 7", "zone", id="wrong type"),
+        pytest.param("10.1.0.10:8172", "host:8172", "listen.datagram_address", id="a name"),
+        pytest.param("10.1.0.10:8167", "10.1.0.10:0", "listen.ready", id="port 0"),
+        pytest.param("10.1.0.10:8167", "10.1.0.10:99999", "listen.ready", id="large port"),
+        pytest.param("10.1.0.10:8167", "10.1.0.10", "listen.ready", id="no port"),
+        pytest.param("10.200.1.7:8169", "10.200.1.777:8169", "platform.address", id="large byte"),
+        pytest.param("10.200.1.7:8169", "", "platform.address", id="empty address"),
+        pytest.param("10.2.0.40:8166", "seed", "seeds", id="seed"),
+        pytest.param("[7720,7735]", "[7735,7720]", "internal_port_range", id="ports reversed"),
+        pytest.param("[7720,7735]", "[7720]", "internal_port_range", id="one port"),
+        pytest.param("heartbeat_ms = 770", "heartbeat_ms = 0", "heartbeat_ms", id="no heartbeat"),
+        pytest.param("contact_ms = 4000", 'contact_ms = "x"', "contact_ms", id="bound"),
+        pytest.param("[platform]", "[platform", "line", id="not TOML"),
+    ],
+)
+def test_a_fault_names_its_field_in_one_line(old, new, expected):
+    fault = parse_settings(EXAMPLE.replace(old, new))
+    assert isinstance(fault, SettingsFault)
+    assert expected in str(fault)
+    assert "\n" not in str(fault)
+
+
+@pytest.mark.parametrize(
+    "content",
+    [pytest.param(None, id="no file"), pytest.param(b"\xff\xfe", id="not UTF-8")],
+)
+def test_a_file_that_cannot_be_read(tmp_path, content):
+    path = tmp_path / "settings.toml"
+    if content is not None:
+        path.write_bytes(content)
+    fault = read_settings(path)
+    assert isinstance(fault, SettingsFault)
+    assert str(path) in str(fault)
+
+
+def test_the_path_is_taken_from_the_environment(monkeypatch, tmp_path):
+    monkeypatch.delenv(PATH_VARIABLE, raising=False)
+    assert settings_path() is None
+    monkeypatch.setenv(PATH_VARIABLE, str(tmp_path / "settings.toml"))
+    assert settings_path() == tmp_path / "settings.toml"
--- /dev/null
+++ b/banyanline/tests/test_platform_packets.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+import pytest
+
+from banyanline.platform.packets import (
+    HEADER_BYTES,
+    MAX_DATA_BYTES,
+    MalformedPacket,
+    caller_ip,
+    decode_packet,
+    describe_endpoint,
+    for_upstream,
+    reset_for,
+    service_address,
+)
+
+# The examples of the platform's page on packets.
+SYN = bytes.fromhex("0200070040 64419c010012c6bb0100004433221100000000d5c3b2a100000000")
+RESET = bytes.fromhex("10000100 12c6bb0107004064419c" + "00" * 18)
+
+
+def packet(flags=8, seq=1, ack=2, echo=0xA1B2C3D4, data=b""):
+    head = bytes([flags, 7]) + SYN[2:14] + len(data).to_bytes(2, "little")
+    numbers = b"".join(number.to_bytes(4, "little") for number in (seq, ack, 0xFEEDBEEF, echo))
+    return head + numbers + data
+
+
+def test_the_example_is_read():
+    read = decode_packet(SYN)
+    assert read.opens_flow
+    assert not read.ends_flow
+    assert (read.data_bytes, read.seq, read.ack, read.cookie) == (0, 0x11223344, 0, 0)
+    assert caller_ip(read) == "100.64.0.7"
+    assert describe_endpoint(read.flow[:6]) == "100.64.0.7:40001"
+    assert read.destination == service_address("198.18.0.1", 443)
+
+
+def test_the_example_of_a_reset_is_written():
+    assert reset_for(decode_packet(SYN)) == RESET
+
+
+def test_a_reset_carries_the_number_that_the_caller_acknowledged():
+    written = decode_packet(reset_for(decode_packet(packet(ack=0xFFFFFFF0))))
+    assert written.seq == 0xFFFFFFF0
+    assert written.ends_flow
+    assert written.data_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("flags", "opens", "ends"),
+    [
+        pytest.param(2, True, False, id="SYN"),
+        pytest.param(8, False, False, id="ACK"),
+        pytest.param(9, False, True, id="FIN and ACK"),
+        pytest.param(16, False, True, id="RST"),
+        pytest.param(128 + 8, False, False, id="BOUNCED"),
+    ],
+)
+def test_flags(flags, opens, ends):
+    read = decode_packet(packet(flags))
+    assert (read.opens_flow, read.ends_flow) == (opens, ends)
+
+
+def test_only_the_cookie_is_changed_on_the_way_to_an_upstream():
+    sent = packet(data=b"GET / HTTP/1.1")
+    written = for_upstream(sent, 0x7F3A91C2, 0x01020304)
+    assert written[:8] == bytes.fromhex("000000007f3a91c2")
+    inner = written[8:]
+    assert inner[:28] == sent[:28]
+    assert inner[28:32] == bytes.fromhex("04030201")
+    assert inner[HEADER_BYTES:] == sent[HEADER_BYTES:]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"", id="empty"),
+        pytest.param(SYN[:-1], id="short header"),
+        pytest.param(SYN + b"x", id="more data than said"),
+        pytest.param(packet(data=b"abc")[:-1], id="less data than said"),
+        pytest.param(packet(data=b"x" * (MAX_DATA_BYTES + 1)), id="too much data"),
+    ],
+)
+def test_other_datagrams_are_refused(data):
+    assert isinstance(decode_packet(data), MalformedPacket)
+
+
+def test_the_largest_packet_is_read():
+    assert decode_packet(packet(data=b"x" * MAX_DATA_BYTES)).data_bytes == MAX_DATA_BYTES
--- /dev/null
+++ b/banyanline/tests/test_steering.py
@@ -0,0 +1,312 @@
+"""What must hold for each packet, whatever the platform and other hosts do."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from banyanline.core.steering.outcomes import (
+    HOLD,
+    Drop,
+    DropReason,
+    Forward,
+    Reset,
+    ResetReason,
+)
+from banyanline.core.steering.steering import OPENING_LIFETIME_S
+from banyanline.core.steering.upstreams import FORGET_AFTER_S
+from banyanline.tests.steering import (
+    ORDERS,
+    SHEETS,
+    THERE,
+    Host,
+    entry,
+    opening,
+    packet,
+    route,
+    table,
+)
+
+FLOWS = 40
+
+
+def places(host, flows=FLOWS, first=100):
+    return Counter(host.open(flow) for flow in range(first, first + flows))
+
+
+@pytest.mark.parametrize(
+    ("to", "expected"),
+    [pytest.param(ORDERS, "orders-1", id="orders"), pytest.param(SHEETS, "sheets-1", id="sheets")],
+)
+def test_a_packet_reaches_its_own_service(to, expected):
+    host = Host(entry("orders-1"), entry("sheets-1", service="sheets"))
+    assert host.place(to=to) == expected
+
+
+@pytest.mark.parametrize(
+    ("address", "reason"),
+    [
+        pytest.param(b"nobody", ResetReason.NO_ROUTE, id="no such route"),
+        pytest.param(SHEETS, ResetReason.NO_UPSTREAM, id="no upstream of the service"),
+    ],
+)
+def test_a_flow_that_cannot_be_served_is_refused_at_once(address, reason):
+    assert Host(entry()).send(opening(to=address)) == Reset(reason)
+
+
+def test_packets_wait_until_there_is_a_configuration():
+    host = Host(configured=False)
+    assert host.send(opening()) == HOLD
+    assert host.send(packet(cookie=7)) == HOLD
+
+
+class TestOpenFlows:
+    """A flow is carried on by any host, whatever changes beside it."""
+
+    def changed(self, change):
+        host = Host(entry("orders-1"), entry("orders-2"))
+        name = host.open()
+        change(host, name)
+        return host, name, host.steering.upstreams.get(name).entry.cookie
+
+    CHANGES = (
+        pytest.param(lambda host, name: host.put(entry(name, is_leaving=True)), id="leaving"),
+        pytest.param(lambda host, name: host.remove(name), id="entry lapsed"),
+        pytest.param(lambda host, name: host.take_out(), id="data centre out"),
+        pytest.param(lambda host, name: host.put(entry("orders-3")), id="another upstream"),
+        pytest.param(
+            lambda host, name: host.configure(table(2, [route(ORDERS, ("sheets",))])),
+            id="route leads elsewhere",
+        ),
+        pytest.param(lambda host, name: host.put(entry(name, incarnation=2)), id="restarted"),
+    )
+
+    @pytest.mark.parametrize("change", CHANGES)
+    def test_stay_with_their_upstream(self, change):
+        host, name, cookie = self.changed(change)
+        outcome = host.send(packet(cookie=cookie, data=10))
+        assert isinstance(outcome, Forward)
+        assert outcome.upstream.name == name
+
+    @pytest.mark.parametrize("change", CHANGES)
+    def test_stay_with_it_at_a_host_that_never_saw_them(self, change):
+        host, name, cookie = self.changed(change)
+        outcome = host.send(packet(9, cookie=cookie, data=10))
+        assert isinstance(outcome, Forward)
+        assert outcome.upstream.name == name
+
+    def test_stay_with_it_though_another_upstream_answered_later(self):
+        host = Host(entry("orders-1"), entry("orders-2"))
+        first = host.steering.upstreams.get(host.place())
+        second = host.steering.upstreams.get(host.place(copy=1))
+        assert first is not second
+        host.send(packet(cookie=first.entry.cookie))
+        outcome = host.send(packet(cookie=second.entry.cookie, data=5))
+        assert outcome == Forward(first)
+
+    def test_end_when_their_route_is_dropped(self):
+        host, _, cookie = self.changed(
+            lambda host, name: host.configure(table(2, [route(SHEETS, ("sheets",))]))
+        )
+        assert host.send(packet(cookie=cookie)) == Reset(ResetReason.ROUTE_REMOVED)
+
+    def test_go_on_when_their_route_comes_back(self):
+        host, name, cookie = self.changed(
+            lambda host, name: host.configure(table(2, [route(SHEETS, ("sheets",))]))
+        )
+        host.configure(table(3))
+        assert host.send(packet(cookie=cookie)).upstream.name == name
+
+    def test_are_never_reset_for_a_route_that_this_host_has_not_heard_of(self):
+        host = Host(entry())
+        cookie = host.steering.upstreams.get("orders-1").entry.cookie
+        assert isinstance(host.send(packet(to=b"nobody", cookie=cookie)), Forward)
+
+    def test_are_not_answered_when_the_cookie_names_nobody_known(self):
+        assert Host(entry()).send(packet(cookie=12345)) == Drop(DropReason.UNKNOWN_COOKIE)
+
+    def test_are_remembered_for_long_after_the_entry_went(self):
+        host, _, cookie = self.changed(lambda host, name: host.remove(name))
+        host.wait(FORGET_AFTER_S - 1)
+        assert isinstance(host.send(packet(9, cookie=cookie)), Forward)
+        host.wait(2)
+        assert host.send(packet(8, cookie=cookie)) == Drop(DropReason.UNKNOWN_COOKIE)
+
+
+class TestNewFlows:
+    """Where flows that open are placed."""
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            pytest.param(lambda host: host.put(entry(is_leaving=True)), id="leaving"),
+            pytest.param(lambda host: host.remove("orders-1"), id="gone"),
+            pytest.param(lambda host: host.put(entry(service="sheets")), id="of another service"),
+        ],
+    )
+    def test_avoid_what_takes_none(self, change):
+        host = Host(entry("orders-1"), entry("orders-2"))
+        change(host)
+        assert set(places(host)) == {"orders-2"}
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            pytest.param(lambda host: host.put(entry(is_leaving=True)), id="leaving"),
+            pytest.param(lambda host: host.remove("orders-1"), id="gone"),
+            pytest.param(lambda host: host.take_out(), id="data centre out"),
+        ],
+    )
+    def test_are_refused_rather_than_sent_to_the_only_one(self, change):
+        host = Host(entry())
+        change(host)
+        assert host.send(opening()) == Reset(ResetReason.NO_UPSTREAM)
+
+    def test_avoid_a_data_centre_while_it_is_out(self):
+        host = Host(entry("orders-1"), entry("orders-2", data_centre=THERE))
+        host.take_out()
+        assert set(places(host)) == {"orders-2"}
+        host.take_out(is_out=False)
+        assert "orders-1" in places(host, first=500)
+
+    def test_stay_in_the_data_centre_while_it_has_room(self):
+        host = Host(entry("orders-1"), entry("orders-2", data_centre=THERE))
+        assert set(places(host, flows=8)) == {"orders-1"}
+
+    def test_are_spread_evenly(self):
+        host = Host(*(entry(f"orders-{number}") for number in range(1, 5)))
+        assert set(places(host).values()) == {FLOWS // 4}
+
+    def test_follow_the_weights_of_a_route(self):
+        host = Host(entry("orders-1"), entry("sheets-1", service="sheets"))
+        host.configure(table(2, [route(ORDERS, ("orders", "sheets"))]))
+        counts = places(host, 400)
+        assert min(counts.values()) > 150
+
+    def test_go_to_the_route_s_other_service_if_one_has_no_upstream(self):
+        host = Host(entry("orders-1"))
+        host.configure(table(2, [route(ORDERS, ("orders", "sheets"))]))
+        assert set(places(host)) == {"orders-1"}
+
+    def test_prefer_warm_upstreams_to_cold_ones(self):
+        host = Host(entry("orders-1", cold_for_s=2.0), entry("orders-2", data_centre=THERE))
+        assert set(places(host, flows=10)) == {"orders-2"}
+        host.wait(2.1)
+        assert "orders-1" in places(host, first=500)
+
+    def test_take_a_cold_upstream_if_all_are_cold(self):
+        assert Host(entry(cold_for_s=2.0)).place() == "orders-1"
+
+    def test_never_use_one_of_two_upstreams_with_the_same_cookie(self):
+        host = Host(entry("orders-1", cookie=5), entry("orders-2", cookie=5))
+        assert set(places(host)) == {"orders-1"}
+        host.remove("orders-1")
+        assert host.send(opening(900)) == Reset(ResetReason.NO_UPSTREAM)
+        host.wait(FORGET_AFTER_S + 1)
+        assert host.place(901) == "orders-2"
+
+
+class TestSilentUpstreams:
+    """An upstream that leaves an opening packet unanswered is avoided."""
+
+    def test_a_copy_goes_to_another_upstream(self):
+        host = Host(entry("orders-1"), entry("orders-2"))
+        assert host.place() != host.place(copy=1)
+
+    def test_a_copy_goes_to_the_only_upstream_again(self):
+        host = Host(entry("orders-1"))
+        assert host.place() == host.place(copy=1)
+
+    def test_other_flows_avoid_it_until_it_gives_a_sign(self):
+        host = Host(entry("orders-1"), entry("orders-2"))
+        silent = host.place(1)
+        host.wait(0.2)
+        host.place(1, copy=1)
+        assert silent not in places(host)
+        cookie = host.steering.upstreams.get(silent).entry.cookie
+        host.wait(0.1)
+        host.send(packet(77, cookie=cookie))
+        host.send(packet(77, cookie=cookie, ack=700))
+        assert silent in places(host, first=500)
+
+    def test_it_is_tried_with_one_flow_at_a_time(self):
+        host = Host(entry("orders-1"), entry("orders-2"))
+        silent = host.place(1)
+        host.wait(0.2)
+        host.place(1, copy=1)
+        host.wait(OPENING_LIFETIME_S + 1.1)
+        host.wait(0.0)
+        chosen = [host.place(flow) for flow in range(10, 30)]
+        assert chosen.count(silent) == 1
+
+    def test_a_repeated_request_raises_doubt_and_an_answer_ends_it(self):
+        host = Host(entry("orders-1"), entry("orders-2"))
+        name = host.open(1)
+        cookie = host.steering.upstreams.get(name).entry.cookie
+        request = packet(1, cookie=cookie, data=30)
+        host.send(request)
+        host.wait(0.2)
+        host.send(request)
+        assert name not in places(host, flows=6)
+        host.wait(0.01)
+        host.send(packet(1, cookie=cookie, seq=request.seq + 30, ack=900))
+        assert name in places(host, flows=10, first=500)
+
+
+class TestConfiguration:
+    """An accepted configuration is in force at once and never reverts."""
+
+    def test_an_older_version_is_ignored(self):
+        host = Host(entry())
+        assert host.configure(table(5, [route(SHEETS, ("sheets",))]))
+        assert not host.configure(table(4))
+        assert host.steering.version == 5
+        assert host.send(opening()) == Reset(ResetReason.NO_ROUTE)
+
+    def test_a_new_route_serves_at_once(self):
+        host = Host(entry())
+        host.configure(table(2, [route(), route(b"newone")]))
+        assert isinstance(host.send(opening(to=b"newone")), Forward)
+
+    def test_an_older_revision_of_an_entry_is_ignored(self):
+        host = Host(entry())
+        host.put(entry(is_leaving=True))
+        host.revision = 1
+        assert not host.put(entry())
+        assert host.send(opening()) == Reset(ResetReason.NO_UPSTREAM)
+
+    def test_a_complete_list_removes_what_it_does_not_hold(self):
+        host = Host(entry("orders-1"), entry("orders-2"))
+        host.take_out(THERE)
+        host.steering.retain(["orders-2"], [], host.revision + 1, host.now)
+        assert set(places(host)) == {"orders-2"}
+        assert host.steering.data_centres_out == frozenset()
+
+    def test_an_older_complete_list_removes_nothing(self):
+        host = Host(entry("orders-1"), entry("orders-2"))
+        host.take_out(THERE)
+        host.steering.retain([], [], 1, host.now)
+        assert host.steering.data_centres_out == {THERE}
+        assert "orders-2" in places(host)
+
+
+def test_an_upstream_that_comes_back_takes_flows_again():
+    host = Host(entry("orders-1"))
+    host.remove("orders-1")
+    host.put(entry("orders-1"))
+    assert host.place() == "orders-1"
+
+
+def test_the_work_of_flows_that_ended_is_forgotten():
+    host = Host(entry("orders-1"), entry("orders-2"))
+    for flow in range(30):
+        name = host.open(flow)
+        cookie = host.steering.upstreams.get(name).entry.cookie
+        host.send(packet(flow, cookie=cookie, data=10))
+        host.send(packet(flow, cookie=cookie, seq=1011, ack=700, ends=True))
+    host.place(99)
+    host.wait(OPENING_LIFETIME_S + 1)
+    assert len(host.steering.flows) == 0
+    for upstream in host.steering.upstreams:
+        assert (upstream.open_flows, upstream.pending_opens, upstream.in_flight) == (0, 0, 0)
