--- a/banyanline/tests/steering.py
+++ b/banyanline/tests/steering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import Any
 
 from banyanline.core.steering.model import (
     ColdLimit,
@@ -16,9 +17,10 @@
     UpstreamEntry,
     UpstreamRemoved,
 )
-from banyanline.core.steering.outcomes import Forward
+from banyanline.core.steering.outcomes import Forward, Outcome
 from banyanline.core.steering.packet import NO_COOKIE, CallerPacket
 from banyanline.core.steering.steering import Steering
+from banyanline.core.steering.upstreams import Upstream
 from banyanline.core.types import Endpoint
 
 HERE = "split-jug"
@@ -28,9 +30,11 @@
 CALLER_SEQ = 1000
 
 
-def entry(name="orders-1", *, service="orders", data_centre=HERE, **fields):
+def entry(
+    name: str = "orders-1", *, service: str = "orders", data_centre: str = HERE, **fields: Any
+) -> UpstreamEntry:
     number = sum(name.encode()) * 7919 + len(name)
-    known = {
+    known: dict[str, Any] = {
         "wire_id": number,
         "cookie": number,
         "endpoint": Endpoint("192.0.2.1", 1 + number % 60_000),
@@ -42,33 +46,54 @@
     return UpstreamEntry(name=name, service=service, data_centre=data_centre, **(known | fields))
 
 
-def route(address=ORDERS, services=("orders",), kind=RouteKind.IDEMPOTENT):
+def route(
+    address: bytes = ORDERS,
+    services: tuple[str, ...] = ("orders",),
+    kind: RouteKind = RouteKind.IDEMPOTENT,
+) -> Route:
     shares = tuple(ServiceShare(service, 1.0) for service in services)
     return Route(address.decode(), address, kind, 1.2, 0.12, 1, shares)
 
 
-def table(version=1, routes=None, cold_rate=0.0):
-    routes = (route(), route(SHEETS, ("sheets",))) if routes is None else routes
+def table(
+    version: int = 1, routes: list[Route] | None = None, cold_rate: float = 0.0
+) -> RoutingTable:
+    routes = [route(), route(SHEETS, ("sheets",))] if routes is None else routes
     limits = {name: ColdLimit(2.0, cold_rate) for name in ("orders", "sheets")}
     return RoutingTable(version, {route.address: route for route in routes}, limits, 15.0)
 
 
-def packet(flow=1, *, to=ORDERS, seq=CALLER_SEQ + 1, ack=500, cookie=NO_COOKIE, data=0, ends=False):
+def packet(
+    flow: int = 1,
+    *,
+    to: bytes = ORDERS,
+    seq: int = CALLER_SEQ + 1,
+    ack: int = 500,
+    cookie: int = NO_COOKIE,
+    data: int = 0,
+    ends: bool = False,
+) -> CallerPacket:
     return CallerPacket(flow_id(flow, to), to, False, ends, data, seq, ack, cookie)
 
 
-def opening(flow=1, *, to=ORDERS, copy=0):
+def opening(flow: int = 1, *, to: bytes = ORDERS, copy: int = 0) -> CallerPacket:
     return CallerPacket(flow_id(flow, to), to, True, False, 0, CALLER_SEQ, copy, NO_COOKIE)
 
 
-def flow_id(flow, to=ORDERS):
+def flow_id(flow: int, to: bytes = ORDERS) -> bytes:
     return flow.to_bytes(6, "big") + to
 
 
 class Host:
     """A host's decisions with a clock and the revisions of a store."""
 
-    def __init__(self, *entries, data_centre=HERE, seed=1, configured=True):
+    def __init__(
+        self,
+        *entries: UpstreamEntry,
+        data_centre: str = HERE,
+        seed: int = 1,
+        configured: bool = True,
+    ) -> None:
         self.now = 100.0
         self.revision = 0
         self.steering = Steering(data_centre, random.Random(seed))
@@ -77,41 +102,50 @@
         for each in entries:
             self.put(each)
 
-    def put(self, upstream):
+    def put(self, upstream: UpstreamEntry) -> bool:
         self.revision += 1
         return self.steering.on_change(
             UpstreamChanged(upstream, self.revision, self.revision), self.now
         )
 
-    def remove(self, name):
+    def remove(self, name: str) -> bool:
         self.revision += 1
         return self.steering.on_change(UpstreamRemoved(name, self.revision), self.now)
 
-    def configure(self, configuration):
+    def configure(self, configuration: RoutingTable) -> bool:
         self.revision += 1
         return self.steering.on_change(TableChanged(configuration, self.revision), self.now)
 
-    def take_out(self, data_centre=HERE, *, is_out=True):
+    def take_out(self, data_centre: str = HERE, *, is_out: bool = True) -> bool:
         self.revision += 1
         return self.steering.on_change(DataCentreOut(data_centre, is_out, self.revision), self.now)
 
-    def wait(self, seconds):
+    def wait(self, seconds: float) -> None:
         self.now += seconds
         self.steering.on_tick(self.now)
 
-    def send(self, sent):
+    def send(self, sent: CallerPacket) -> Outcome:
         """Return what becomes of a packet."""
         return self.steering.on_packet(sent, self.now)
 
-    def place(self, flow=1, *, to=ORDERS, copy=0):
+    def place(self, flow: int = 1, *, to: bytes = ORDERS, copy: int = 0) -> str:
         """Return the name of the upstream that an opening packet goes to."""
         outcome = self.send(opening(flow, to=to, copy=copy))
         assert isinstance(outcome, Forward), outcome
         return outcome.upstream.name
 
-    def open(self, flow=1, *, to=ORDERS):
+    def open(self, flow: int = 1, *, to: bytes = ORDERS) -> str:
         """Open a flow whose upstream answers; return the upstream's name."""
         name = self.place(flow, to=to)
-        upstream = self.steering.upstreams.get(name)
-        self.send(packet(flow, to=to, cookie=upstream.entry.cookie))
+        self.send(packet(flow, to=to, cookie=self.cookie(name)))
         return name
+
+    def upstream(self, name: str) -> Upstream:
+        """Return what the host knows of an upstream."""
+        upstream = self.steering.upstreams.get(name)
+        assert upstream is not None
+        return upstream
+
+    def cookie(self, name: str) -> int:
+        """Return the cookie of an upstream."""
+        return self.upstream(name).entry.cookie
--- a/banyanline/tests/test_platform_boot.py
+++ b/banyanline/tests/test_platform_boot.py
@@ -5,6 +5,7 @@
 from banyanline.core.types import Endpoint
 from banyanline.platform.boot import (
     PATH_VARIABLE,
+    HostSettings,
     SettingsFault,
     parse_settings,
     read_settings,
@@ -35,6 +36,7 @@
 
 def test_the_example_is_read():
     settings = parse_settings(EXAMPLE)
+    assert isinstance(settings, HostSettings)
     assert settings.host == "front-split-jug-1"
     assert settings.data_centre == "split-jug"
     assert settings.packets == Endpoint("10.1.0.10", 8172)
--- a/banyanline/tests/test_platform_entries.py
+++ b/banyanline/tests/test_platform_entries.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from typing import Any
 
 import pytest
 
@@ -25,7 +26,7 @@
 )
 from banyanline.platform.packets import service_address
 
-UPSTREAM = {
+UPSTREAM: dict[str, Any] = {
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
     "zone": "split-sjever",
@@ -36,7 +37,7 @@
     "sequence": 4,
     "born": 1_700_000_000_000,
 }
-ROUTES = [
+ROUTES: list[dict[str, Any]] = [
     {
         "name": "r-1",
         "hostname": "198.18.0.1",
@@ -62,7 +63,7 @@
         "service": "huvo11a",
     },
 ]
-CONFIGURATION = {
+CONFIGURATION: dict[str, Any] = {
     "version": 7,
     "routes": ROUTES,
     "services": [{"name": "huvo11a", "warmup_s": 2.0, "warmup_per_s": 3.5, "tls": False}],
@@ -70,9 +71,9 @@
 }
 
 
-def item(value, key="servers/i-7f3a91c2", revision=9, created=3):
+def item(value: Any, key: str = "servers/i-7f3a91c2") -> StoreItem:
     data = value if isinstance(value, bytes) else json.dumps(value).encode()
-    return StoreItem(key, revision, base64.b64encode(data).decode(), created)
+    return StoreItem(key, 9, base64.b64encode(data).decode(), 3)
 
 
 def test_an_upstream_is_read():
@@ -90,10 +91,12 @@
 
 
 def test_a_leaving_upstream_is_read():
-    assert decode_item(item(UPSTREAM | {"state": "draining"})).entry.is_leaving
+    change = decode_item(item(UPSTREAM | {"state": "draining"}))
+    assert isinstance(change, UpstreamChanged)
+    assert change.entry.is_leaving
 
 
-def without(field):
+def without(field: str) -> dict[str, Any]:
     return {name: value for name, value in UPSTREAM.items() if name != field}
 
 
--- a/banyanline/tests/test_platform_packets.py
+++ b/banyanline/tests/test_platform_packets.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from banyanline.core.steering.packet import CallerPacket
 from banyanline.platform.packets import (
     HEADER_BYTES,
     MAX_DATA_BYTES,
@@ -19,28 +20,36 @@
 RESET = bytes.fromhex("10000100 12c6bb0107004064419c" + "00" * 18)
 
 
-def packet(flags=8, seq=1, ack=2, echo=0xA1B2C3D4, data=b""):
+def read(data: bytes) -> CallerPacket:
+    decoded = decode_packet(data)
+    assert isinstance(decoded, CallerPacket)
+    return decoded
+
+
+def packet(
+    flags: int = 8, seq: int = 1, ack: int = 2, echo: int = 0xA1B2C3D4, data: bytes = b""
+) -> bytes:
     head = bytes([flags, 7]) + SYN[2:14] + len(data).to_bytes(2, "little")
     numbers = b"".join(number.to_bytes(4, "little") for number in (seq, ack, 0xFEEDBEEF, echo))
     return head + numbers + data
 
 
 def test_the_example_is_read():
-    read = decode_packet(SYN)
-    assert read.opens_flow
-    assert not read.ends_flow
-    assert (read.data_bytes, read.seq, read.ack, read.cookie) == (0, 0x11223344, 0, 0)
-    assert caller_ip(read) == "100.64.0.7"
-    assert describe_endpoint(read.flow[:6]) == "100.64.0.7:40001"
-    assert read.destination == service_address("198.18.0.1", 443)
+    syn = read(SYN)
+    assert syn.opens_flow
+    assert not syn.ends_flow
+    assert (syn.data_bytes, syn.seq, syn.ack, syn.cookie) == (0, 0x11223344, 0, 0)
+    assert caller_ip(syn) == "100.64.0.7"
+    assert describe_endpoint(syn.flow[:6]) == "100.64.0.7:40001"
+    assert syn.destination == service_address("198.18.0.1", 443)
 
 
 def test_the_example_of_a_reset_is_written():
-    assert reset_for(decode_packet(SYN)) == RESET
+    assert reset_for(read(SYN)) == RESET
 
 
 def test_a_reset_carries_the_number_that_the_caller_acknowledged():
-    written = decode_packet(reset_for(decode_packet(packet(ack=0xFFFFFFF0))))
+    written = read(reset_for(read(packet(ack=0xFFFFFFF0))))
     assert written.seq == 0xFFFFFFF0
     assert written.ends_flow
     assert written.data_bytes == 0
@@ -57,8 +66,8 @@
     ],
 )
 def test_flags(flags, opens, ends):
-    read = decode_packet(packet(flags))
-    assert (read.opens_flow, read.ends_flow) == (opens, ends)
+    flagged = read(packet(flags))
+    assert (flagged.opens_flow, flagged.ends_flow) == (opens, ends)
 
 
 def test_only_the_cookie_is_changed_on_the_way_to_an_upstream():
@@ -86,4 +95,4 @@
 
 
 def test_the_largest_packet_is_read():
-    assert decode_packet(packet(data=b"x" * MAX_DATA_BYTES)).data_bytes == MAX_DATA_BYTES
+    assert read(packet(data=b"x" * MAX_DATA_BYTES)).data_bytes == MAX_DATA_BYTES
--- a/banyanline/tests/test_steering.py
+++ b/banyanline/tests/test_steering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 import pytest
 
@@ -31,7 +32,7 @@
 FLOWS = 40
 
 
-def places(host, flows=FLOWS, first=100):
+def places(host: Host, flows: int = FLOWS, first: int = 100) -> Counter[str]:
     return Counter(host.open(flow) for flow in range(first, first + flows))
 
 
@@ -64,11 +65,11 @@
 class TestOpenFlows:
     """A flow is carried on by any host, whatever changes beside it."""
 
-    def changed(self, change):
+    def changed(self, change: Callable[[Host, str], object]) -> tuple[Host, str, int]:
         host = Host(entry("orders-1"), entry("orders-2"))
         name = host.open()
         change(host, name)
-        return host, name, host.steering.upstreams.get(name).entry.cookie
+        return host, name, host.cookie(name)
 
     CHANGES = (
         pytest.param(lambda host, name: host.put(entry(name, is_leaving=True)), id="leaving"),
@@ -85,21 +86,17 @@
     @pytest.mark.parametrize("change", CHANGES)
     def test_stay_with_their_upstream(self, change):
         host, name, cookie = self.changed(change)
-        outcome = host.send(packet(cookie=cookie, data=10))
-        assert isinstance(outcome, Forward)
-        assert outcome.upstream.name == name
+        assert host.send(packet(cookie=cookie, data=10)) == Forward(host.upstream(name))
 
     @pytest.mark.parametrize("change", CHANGES)
     def test_stay_with_it_at_a_host_that_never_saw_them(self, change):
         host, name, cookie = self.changed(change)
-        outcome = host.send(packet(9, cookie=cookie, data=10))
-        assert isinstance(outcome, Forward)
-        assert outcome.upstream.name == name
+        assert host.send(packet(9, cookie=cookie, data=10)) == Forward(host.upstream(name))
 
     def test_stay_with_it_though_another_upstream_answered_later(self):
         host = Host(entry("orders-1"), entry("orders-2"))
-        first = host.steering.upstreams.get(host.place())
-        second = host.steering.upstreams.get(host.place(copy=1))
+        first = host.upstream(host.place())
+        second = host.upstream(host.place(copy=1))
         assert first is not second
         host.send(packet(cookie=first.entry.cookie))
         outcome = host.send(packet(cookie=second.entry.cookie, data=5))
@@ -116,11 +113,11 @@
             lambda host, name: host.configure(table(2, [route(SHEETS, ("sheets",))]))
         )
         host.configure(table(3))
-        assert host.send(packet(cookie=cookie)).upstream.name == name
+        assert host.send(packet(cookie=cookie)) == Forward(host.upstream(name))
 
     def test_are_never_reset_for_a_route_that_this_host_has_not_heard_of(self):
         host = Host(entry())
-        cookie = host.steering.upstreams.get("orders-1").entry.cookie
+        cookie = host.cookie("orders-1")
         assert isinstance(host.send(packet(to=b"nobody", cookie=cookie)), Forward)
 
     def test_are_not_answered_when_the_cookie_names_nobody_known(self):
@@ -224,7 +221,7 @@
         host.wait(0.2)
         host.place(1, copy=1)
         assert silent not in places(host)
-        cookie = host.steering.upstreams.get(silent).entry.cookie
+        cookie = host.cookie(silent)
         host.wait(0.1)
         host.send(packet(77, cookie=cookie))
         host.send(packet(77, cookie=cookie, ack=700))
@@ -243,7 +240,7 @@
     def test_a_repeated_request_raises_doubt_and_an_answer_ends_it(self):
         host = Host(entry("orders-1"), entry("orders-2"))
         name = host.open(1)
-        cookie = host.steering.upstreams.get(name).entry.cookie
+        cookie = host.cookie(name)
         request = packet(1, cookie=cookie, data=30)
         host.send(request)
         host.wait(0.2)
@@ -302,7 +299,7 @@
     host = Host(entry("orders-1"), entry("orders-2"))
     for flow in range(30):
         name = host.open(flow)
-        cookie = host.steering.upstreams.get(name).entry.cookie
+        cookie = host.cookie(name)
         host.send(packet(flow, cookie=cookie, data=10))
         host.send(packet(flow, cookie=cookie, seq=1011, ack=700, ends=True))
     host.place(99)
