Stay until routers have noticed; tell fresh hosts what others know; reload settings

Cause: a leaving host ended a fixed time after SIGTERM, sooner than the routers in a data centre with few ready hosts and later than needed elsewhere. Hosts answer /view on the control address; a host asks its seeds until the store answers, and after 4 s without an answer. The settings file is read again at SIGHUP or when it changes. bench/steering holds a stand-in store, upstreams and callers; the tests run real processes.

--- a/banyanline/cli/steering.py
+++ b/banyanline/cli/steering.py
@@ -21,7 +21,7 @@
         print(f"banyanline-balancer: {settings}", file=sys.stderr)
         return 2
     configure_logs("info", host=settings.host, output=sys.stdout)
-    asyncio.run(serve(settings))
+    asyncio.run(serve(settings, path))
     return 0
 
 
--- a/banyanline/core/steering/model.py
+++ b/banyanline/core/steering/model.py
@@ -2,20 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import StrEnum
-from typing import TYPE_CHECKING, NamedTuple, TypeAlias
+from typing import NamedTuple, TypeAlias
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from banyanline.core.steering.packet import Cookie, ServiceAddress
-    from banyanline.core.types import (
-        DataCentreName,
-        Endpoint,
-        Seconds,
-        ServiceName,
-        UpstreamName,
-    )
+from banyanline.core.steering.packet import Cookie, ServiceAddress
+from banyanline.core.types import DataCentreName, Endpoint, Seconds, ServiceName, UpstreamName
 
 Revision: TypeAlias = int
 """A number of the platform's store that grows with each change; 0 stands for none."""
@@ -123,3 +115,21 @@
 
 
 Change: TypeAlias = UpstreamChanged | UpstreamRemoved | TableChanged | DataCentreOut
+
+
+class KnownUpstream(NamedTuple):
+    """What a host knows of an upstream; ``has_entry`` is False if its entry went."""
+
+    entry: UpstreamEntry
+    revision: Revision
+    created: Revision
+    has_entry: bool
+
+
+class FleetView(NamedTuple):
+    """What one host tells another of the platform, up to ``revision``."""
+
+    revision: Revision
+    table: RoutingTable | None
+    upstreams: tuple[KnownUpstream, ...]
+    data_centres: tuple[DataCentreOut, ...]
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -12,6 +12,8 @@
 from banyanline.core.steering.flows import FlowTable, Progress
 from banyanline.core.steering.model import (
     DataCentreOut,
+    FleetView,
+    KnownUpstream,
     TableChanged,
     UpstreamChanged,
     UpstreamRemoved,
@@ -62,6 +64,7 @@
         self._removed_routes: set[ServiceAddress] = set()
         self._out: dict[DataCentreName, Revision] = {}
         self._back: dict[DataCentreName, Revision] = {}
+        self._revision: Revision = 0
 
     @property
     def is_configured(self) -> bool:
@@ -73,6 +76,11 @@
         """The version of the configuration in force, 0 for none."""
         return self._table.version if self._table else 0
 
+    @property
+    def revision(self) -> Revision:
+        """The greatest revision of the platform that this host has heard of."""
+        return self._revision
+
     @property
     def table(self) -> RoutingTable | None:
         """The configuration in force."""
@@ -101,6 +109,7 @@
 
     def on_change(self, change: Change, now: Seconds) -> bool:
         """Take in what the platform says; return whether it was news."""
+        self._revision = max(self._revision, change.revision)
         if isinstance(change, UpstreamChanged):
             known = self._upstreams.get(change.entry.name)
             before = known.revision if known else 0
@@ -120,11 +129,37 @@
         now: Seconds,
     ) -> None:
         """Take in a complete list: what is not on it was removed by revision ``as_of``."""
+        self._revision = max(self._revision, as_of)
         for name in set(self._upstreams.names_with_entry()) - set(names):
             self._upstreams.remove(name, as_of, now)
         for data_centre in set(self._out) - set(out):
             self._put_out(DataCentreOut(data_centre, False, as_of))
 
+    def view(self, now: Seconds) -> FleetView:
+        """Return what this host knows, for another host."""
+        return FleetView(
+            self.revision,
+            self._table,
+            tuple(_known(upstream, now) for upstream in self._upstreams),
+            tuple(
+                DataCentreOut(name, is_out, revision)
+                for words, is_out in ((self._out, True), (self._back, False))
+                for name, revision in words.items()
+            ),
+        )
+
+    def on_view(self, view: FleetView, now: Seconds) -> None:
+        """Take in what another host knows; older words change nothing."""
+        for known in view.upstreams:
+            self._upstreams.put(known.entry, known.revision, known.created, now)
+            if not known.has_entry:
+                self._upstreams.remove(known.entry.name, known.revision, now)
+        if view.table is not None:
+            self._put_table(view.table)
+        for word in view.data_centres:
+            self._put_out(word)
+        self._revision = max(self._revision, view.revision)
+
     def on_tick(self, now: Seconds) -> None:
         """Forget what is too old to matter; to be called about once a second."""
         idle_s = min(self._table.idle_timeout_s, MAX_IDLE_S) if self._table else MAX_IDLE_S
@@ -223,3 +258,13 @@
         progress = self._flows.observe(flow, packet, now)
         if progress is Progress.REPEATED:
             flow.upstream.doubted_at = now
+
+
+def _known(upstream: Upstream, now: Seconds) -> KnownUpstream:
+    cold_for_s = max(0.0, upstream.cold_until - now)
+    return KnownUpstream(
+        upstream.entry._replace(cold_for_s=cold_for_s),
+        upstream.revision,
+        upstream.created,
+        upstream.removed_at is None,
+    )
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -124,7 +124,7 @@
     def remove(self, name: UpstreamName, revision: Revision, now: Seconds) -> Upstream | None:
         """Take in that an upstream has no entry any more; return it if it had one."""
         upstream = self._by_name.get(name)
-        if upstream is None or revision <= upstream.revision or upstream.removed_at is not None:
+        if upstream is None or revision < upstream.revision or upstream.removed_at is not None:
             return None
         upstream.revision = revision
         upstream.removed_at = now
--- a/banyanline/net/logs.py
+++ b/banyanline/net/logs.py
@@ -115,7 +115,9 @@
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
-            structlog.processors.LogfmtRenderer(key_order=_LEADING_KEYS, drop_missing=True),
+            structlog.processors.LogfmtRenderer(
+                key_order=_LEADING_KEYS, drop_missing=True, bool_as_flag=False
+            ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(numeric),
         logger_factory=structlog.PrintLoggerFactory(output or sys.stderr),
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -7,7 +7,12 @@
 
 import structlog
 
-from banyanline.core.steering.model import DataCentreOut, UpstreamChanged
+from banyanline.core.steering.model import (
+    DataCentreOut,
+    TableChanged,
+    UpstreamChanged,
+    UpstreamRemoved,
+)
 from banyanline.platform.entries import Unrelated, UnusableItem, decode_item
 from banyanline.platform.store import Snapshot, StoreFailed, StoreFailure
 
@@ -36,6 +41,13 @@
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 
+_EVENTS = {
+    UpstreamChanged: "upstream_changed",
+    UpstreamRemoved: "upstream_removed",
+    TableChanged: "configuration_in_force",
+    DataCentreOut: "data_centre_changed",
+}
+
 log = structlog.get_logger()
 
 
@@ -65,6 +77,11 @@
         """When the store answered last, or None before the first answer."""
         return self._heard_at
 
+    def set_source(self, client: StoreClient, contact_s: Seconds) -> None:
+        """Make the calls to come with this client."""
+        self._client = client
+        self._watch_s = contact_s * WATCH_SHARE
+
     async def run(self) -> None:
         """Follow the store without end."""
         while True:
@@ -111,7 +128,7 @@
                 continue
             changes.append(decoded)
             if self._steering.on_change(decoded, now):
-                log.info("believed", change=type(decoded).__name__, **_summary(decoded))
+                log.info(_EVENTS[type(decoded)], **_summary(decoded))
         self._on_change()
         return changes
 
@@ -130,6 +147,7 @@
 
 
 def _summary(change: Change) -> dict[str, object]:
+    """Return what a log line says of a change."""
     if isinstance(change, UpstreamChanged):
         entry = change.entry
         return {
@@ -138,4 +156,12 @@
             "cold_s": entry.cold_for_s,
             "revision": change.revision,
         }
-    return {"revision": change.revision}
+    if isinstance(change, TableChanged):
+        return {"version": change.table.version, "revision": change.revision}
+    if isinstance(change, UpstreamRemoved):
+        return {"upstream": change.name, "revision": change.revision}
+    return {
+        "data_centre": change.data_centre,
+        "out": change.is_out,
+        "revision": change.revision,
+    }
--- /dev/null
+++ b/banyanline/net/steering/path.py
@@ -0,0 +1,128 @@
+"""The way of callers' packets through a host: read, decided, sent on."""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from typing import TYPE_CHECKING, NamedTuple
+
+import structlog
+
+from banyanline.core.steering.outcomes import Drop, DropReason, Forward, Reset
+from banyanline.core.types import Endpoint
+from banyanline.net.datagram import DatagramSocket
+from banyanline.platform.packets import (
+    MAX_PACKET_BYTES,
+    MalformedPacket,
+    caller_ip,
+    decode_packet,
+    describe_endpoint,
+    for_upstream,
+    reset_for,
+)
+
+if TYPE_CHECKING:
+    import asyncio
+    from enum import StrEnum
+
+    from banyanline.core.steering.packet import CallerPacket
+    from banyanline.core.steering.steering import Steering
+    from banyanline.core.types import Seconds
+    from banyanline.net.datagram import SocketAddress
+
+MAX_HELD_PACKETS = 2_000
+HELD_LIFETIME_S = 1.0
+
+log = structlog.get_logger()
+
+
+class _HeldPacket(NamedTuple):
+    data: bytes
+    packet: CallerPacket
+    came_at: Seconds
+
+
+class PacketPath:
+    """Carries out what :class:`Steering` decides of each packet.
+
+    Raises OSError if the endpoint cannot be bound.
+    """
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, endpoint: Endpoint, steering: Steering
+    ) -> None:
+        self._loop = loop
+        self._port = endpoint.port
+        self._steering = steering
+        self._held: deque[_HeldPacket] = deque(maxlen=MAX_HELD_PACKETS)
+        self._outcomes: Counter[StrEnum] = Counter()
+        self._seen_at: Seconds | None = None
+        self._socket = DatagramSocket(
+            loop, endpoint, self._on_datagram, max_bytes=MAX_PACKET_BYTES + 1
+        )
+
+    @property
+    def outcomes(self) -> Counter[StrEnum]:
+        """Packets reset or dropped so far, by reason."""
+        return self._outcomes
+
+    @property
+    def seen_at(self) -> Seconds | None:
+        """When a packet came last, or None before the first one."""
+        return self._seen_at
+
+    def close(self) -> None:
+        """Take no more packets."""
+        self._socket.close()
+
+    def release_held(self) -> None:
+        """Steer what came before there was a configuration."""
+        if not (self._held and self._steering.is_configured):
+            return
+        now = self._loop.time()
+        held, self._held = self._held, deque(maxlen=MAX_HELD_PACKETS)
+        for data, packet, came_at in held:
+            if now - came_at < HELD_LIFETIME_S:
+                self._steer(data, packet, now)
+
+    def _on_datagram(self, data: bytes, _address: SocketAddress) -> None:
+        now = self._loop.time()
+        self._seen_at = now
+        packet = decode_packet(data)
+        if isinstance(packet, MalformedPacket):
+            self._outcomes[DropReason.MALFORMED] += 1
+            log.warning("packet_malformed", detail=packet.detail)
+            return
+        self._steer(data, packet, now)
+
+    def _steer(self, data: bytes, packet: CallerPacket, now: Seconds) -> None:
+        outcome = self._steering.on_packet(packet, now)
+        if isinstance(outcome, Forward):
+            self._forward(data, packet, outcome)
+        elif isinstance(outcome, Reset):
+            self._reset(packet, outcome)
+        elif isinstance(outcome, Drop):
+            self._outcomes[outcome.reason] += 1
+            self._log("packet_dropped", packet, reason=outcome.reason.value)
+        else:
+            self._held.append(_HeldPacket(data, packet, now))
+
+    def _forward(self, data: bytes, packet: CallerPacket, outcome: Forward) -> None:
+        entry = outcome.upstream.entry
+        self._socket.send(for_upstream(data, entry.wire_id, entry.cookie), entry.endpoint)
+        if packet.opens_flow:
+            self._log("flow_placed", packet, upstream=entry.name)
+
+    def _reset(self, packet: CallerPacket, outcome: Reset) -> None:
+        self._outcomes[outcome.reason] += 1
+        self._socket.send(reset_for(packet), Endpoint(caller_ip(packet), self._port))
+        self._log("flow_reset", packet, reason=outcome.reason.value)
+
+    def _log(self, event: str, packet: CallerPacket, **fields: object) -> None:
+        log.info(
+            event,
+            flow=describe_endpoint(packet.flow[:6]),
+            to=describe_endpoint(packet.destination),
+            copy=packet.ack if packet.opens_flow else None,
+            version=self._steering.version,
+            **fields,
+        )
--- a/banyanline/platform/boot.py
+++ b/banyanline/platform/boot.py
@@ -95,6 +95,31 @@
     return settings
 
 
+class SettingsFile:
+    """The settings file of a running process, which may change with or without a signal."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._stamp = self._read_stamp()
+
+    def has_changed(self) -> bool:
+        """Whether the file was written since it was read last."""
+        stamp = self._read_stamp()
+        return stamp is not None and stamp != self._stamp
+
+    def read(self) -> HostSettings | SettingsFault:
+        """Read the file again."""
+        self._stamp = self._read_stamp()
+        return read_settings(self._path)
+
+    def _read_stamp(self) -> tuple[int, int] | None:
+        try:
+            status = self._path.stat()
+        except OSError:
+            return None
+        return status.st_mtime_ns, status.st_size
+
+
 def parse_settings(text: str) -> HostSettings | SettingsFault:
     """Check the text of a settings file.
 
--- /dev/null
+++ b/bench/steering/caller.py
@@ -0,0 +1,128 @@
+"""A caller of packet flows, which picks the host of each packet itself as a router would."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+
+from bench.sockets import Address, UdpSocket
+from bench.steering.segments import Flag, Segment, decode, encode
+
+COPIES_AFTER_S = (0.2, 0.6)
+GIVE_UP_S = 1.4
+RETRANSMIT_S = 0.2
+
+
+class FlowRefusedError(Exception):
+    """The flow was reset."""
+
+
+class PacketCaller:
+    """Opens flows from one address to one service address."""
+
+    def __init__(self, address: Address, service: Address) -> None:
+        self.ip = address[0]
+        self.service = service
+        self._ports = itertools.count(20_000)
+        self._flows: dict[int, PacketFlow] = {}
+        self._socket = UdpSocket(address, self._on_datagram)
+
+    def close(self) -> None:
+        """Stop."""
+        self._socket.close()
+
+    async def open(self, host: Address) -> PacketFlow:
+        """Open a flow through a host; raises FlowRefusedError or TimeoutError."""
+        port = next(self._ports)
+        flow = self._flows[port] = PacketFlow(self, port, self._socket)
+        await flow.open(host)
+        return flow
+
+    def _on_datagram(self, data: bytes, _source: Address) -> None:
+        segment = decode(data)
+        flow = self._flows.get(segment.dst[1])
+        if flow is not None and segment.src == self.service:
+            flow.take(segment)
+
+
+class PacketFlow:
+    """One flow of a caller, with at most one request under way."""
+
+    def __init__(self, caller: PacketCaller, port: int, socket: UdpSocket) -> None:
+        self._caller = caller
+        self._port = port
+        self._socket = socket
+        self._seq = 1_000
+        self._ack = 0
+        self._echo = 0
+        self._is_open = False
+        self._was_reset = False
+        self._body = b""
+        self._news = asyncio.Event()
+
+    @property
+    def echo(self) -> int:
+        """What the flow's packets carry to name its upstream."""
+        return self._echo
+
+    async def open(self, host: Address) -> None:
+        """Send the opening packet and its copies until the upstream answers."""
+        waits = [*COPIES_AFTER_S, GIVE_UP_S]
+        began_s = 0.0
+        for copy, until_s in enumerate(waits):
+            self._send(host, Flag.SYN, ack=copy)
+            if await self._wait(until_s - began_s):
+                return
+            began_s = until_s
+        raise TimeoutError
+
+    async def ask(self, data: bytes, *hosts: Address, timeout_s: float = 5.0) -> bytes:
+        """Send data by the first host, and again by the others in turn; return the answer."""
+        self._body = b""
+        self._news.clear()
+        turns = itertools.cycle(hosts)
+        async with asyncio.timeout(timeout_s):
+            while not self._body:
+                self._send(next(turns), Flag.ACK, data=data)
+                await self._wait(RETRANSMIT_S)
+        self._seq += len(data)
+        return self._body
+
+    def end(self, host: Address) -> None:
+        """Close the flow."""
+        self._send(host, Flag.FIN | Flag.ACK)
+
+    def take(self, segment: Segment) -> None:
+        """Take in a packet from the service."""
+        if segment.flags & Flag.RST:
+            self._was_reset = True
+        elif segment.flags & Flag.SYN and not self._is_open:
+            self._is_open = True
+            self._echo = segment.echo
+            self._seq += 1
+            self._ack = segment.seq + 1
+        elif segment.data and segment.seq == self._ack:
+            self._ack += len(segment.data)
+            self._echo = segment.echo
+            self._body = segment.data
+        self._news.set()
+
+    async def _wait(self, timeout_s: float) -> bool:
+        """Return whether there was news; raises FlowRefusedError after a reset."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._news.wait()
+        except TimeoutError:
+            return False
+        self._news.clear()
+        if self._was_reset:
+            raise FlowRefusedError
+        return True
+
+    def _send(
+        self, host: Address, flags: Flag, *, ack: int | None = None, data: bytes = b""
+    ) -> None:
+        source = (self._caller.ip, self._port)
+        number = self._ack if ack is None else ack
+        segment = Segment(flags, source, self._caller.service, self._seq, number, self._echo, data)
+        self._socket.send(encode(segment), host)
--- /dev/null
+++ b/bench/tests/test_steering_process.py
@@ -0,0 +1,226 @@
+"""A real balancer process between stand-ins of the store, upstreams and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from bench.steering.caller import FlowRefusedError, PacketCaller
+from bench.steering.fleet import OTHER_SERVICE, SERVICE, Fleet
+from bench.steering.store import Fault
+
+TIMEOUT_S = 60.0
+ROUTE = (SERVICE, "orders")
+
+
+@contextlib.asynccontextmanager
+async def fleet(folder: Path, hosts: int = 1, upstreams: int = 2) -> AsyncIterator[Fleet]:
+    """Start a fleet that serves ``SERVICE``."""
+    started = Fleet(folder, hosts, hint=120)
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            await started.start()
+            await started.configure(3, ROUTE)
+            for number in range(upstreams):
+                await started.add_upstream(f"i-{0xA0 + number:x}")
+            await started.start_hosts()
+            yield started
+    finally:
+        await started.close()
+
+
+async def until_logged(fleet: Fleet, text: str, host: int = 0) -> None:
+    while text not in fleet.hosts[host].log_text:
+        await asyncio.sleep(0.02)
+
+
+async def until_reset(fleet: Fleet, caller: PacketCaller, host: int = 0) -> None:
+    """Open flows until one is refused."""
+    while True:
+        try:
+            await caller.open(fleet.hosts[host].plan.packets)
+        except FlowRefusedError:
+            return
+        await asyncio.sleep(0.05)
+
+
+async def test_a_request_is_answered_whole_by_the_upstream_that_took_the_flow(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0].plan.packets
+        flow = await running.caller().open(host)
+        body = bytes(range(256)) * 4
+        answer = await flow.ask(body, host)
+        name, _, echoed = answer.partition(b":")
+        assert echoed == body
+        assert len(running.upstreams[name.decode()].opened) == 1
+        assert (await flow.ask(b"more", host)).startswith(name)
+        assert not any(upstream.misdirected for upstream in running.upstreams.values())
+
+
+async def test_any_host_carries_a_flow_on(tmp_path):
+    async with fleet(tmp_path, hosts=2) as running:
+        first, second = (host.plan.packets for host in running.hosts)
+        flow = await running.caller().open(first)
+        name = (await flow.ask(b"a", first)).partition(b":")[0]
+        assert await flow.ask(b"b", second) == name + b":b"
+        await running.hosts[0].kill()
+        assert await flow.ask(b"c", first, second) == name + b":c"
+
+
+async def test_flows_without_a_route_are_refused_at_once(tmp_path):
+    async with fleet(tmp_path) as running:
+        stranger = PacketCaller((running.plan.caller(50), 8172), OTHER_SERVICE)
+        began_at = asyncio.get_running_loop().time()
+        with pytest.raises(FlowRefusedError):
+            await stranger.open(running.hosts[0].plan.packets)
+        assert asyncio.get_running_loop().time() - began_at < 0.15
+        stranger.close()
+
+
+async def test_a_silent_upstream_costs_a_caller_one_copy(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0].plan.packets
+        caller = running.caller()
+        running.upstreams["i-a0"].silent = True
+        for _ in range(6):
+            flow = await caller.open(host)
+            assert (await flow.ask(b"x", host)).startswith(b"i-a1:")
+            flow.end(host)
+
+
+async def test_changes_of_the_platform_take_effect(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0].plan.packets
+        caller = running.caller()
+        flow = await caller.open(host)
+        name = (await flow.ask(b"x", host)).partition(b":")[0].decode()
+        await running.register(name, state="draining")
+        await running.store.put("servers/i-strange", b"\xff\x00 not an entry")
+        await until_logged(running, "leaving=true")
+        for _ in range(4):
+            placed = await caller.open(host)
+            assert not (await placed.ask(b"y", host)).startswith(name.encode())
+        assert (await flow.ask(b"z", host)).startswith(name.encode())
+        await running.store.put("op/evacuate/north", {})
+        await until_reset(running, caller)
+        assert (await flow.ask(b"still", host)).startswith(name.encode())
+        await running.store.delete("op/evacuate/north")
+        await until_logged(running, "out=false")
+        await caller.open(host)
+        await running.configure(4, (OTHER_SERVICE, "orders"))
+        await until_reset(running, caller)
+        with pytest.raises(FlowRefusedError):
+            await flow.ask(b"dropped", host)
+
+
+@pytest.mark.parametrize("fault", [Fault.BUSY, Fault.RESET, Fault.RUBBISH, Fault.LOSE_ANSWERS])
+async def test_a_host_serves_on_while_the_store_fails_and_follows_it_afterwards(tmp_path, fault):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0].plan.packets
+        caller = running.caller()
+        running.store.fault = fault
+        await running.register("i-a0", state="draining")
+        await until_logged(running, "event=store_lost")
+        flow = await caller.open(host)
+        await flow.ask(b"x", host)
+        running.store.fault = Fault.NONE
+        await until_logged(running, "event=store_regained")
+        await until_logged(running, "leaving=true")
+        flow = await caller.open(host)
+        assert (await flow.ask(b"y", host)).startswith(b"i-a1:")
+
+
+async def test_a_history_that_is_gone_is_replaced_by_a_complete_read(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0].plan.packets
+        running.store.fault = Fault.BUSY
+        await until_logged(running, "event=store_lost")
+        await running.store.delete("servers/i-a0")
+        running.store.forget_history()
+        running.store.fault = Fault.NONE
+        await until_logged(running, "event=store_history_gone")
+        await until_logged(running, "items=2")
+        flow = await running.caller().open(host)
+        assert (await flow.ask(b"y", host)).startswith(b"i-a1:")
+
+
+async def test_a_fresh_host_learns_from_a_seed_while_the_store_is_down(tmp_path):
+    async with fleet(tmp_path, hosts=2) as running:
+        second = running.hosts[1]
+        flow = await running.caller().open(second.plan.packets)
+        name = (await flow.ask(b"x", second.plan.packets)).partition(b":")[0]
+        await second.kill()
+        running.store.fault = Fault.SILENT
+        second.start()
+        await second.become(200)
+        assert await flow.ask(b"y", second.plan.packets) == name + b":y"
+
+
+async def test_a_planned_stop_cuts_nothing(tmp_path):
+    async with fleet(tmp_path, hosts=2) as running:
+        leaving, staying = running.hosts
+        caller = running.caller()
+        flows = [await caller.open(leaving.plan.packets) for _ in range(5)]
+        leaving.signal(signal.SIGTERM)
+        await leaving.become(503)
+        leaving.signal(signal.SIGTERM)
+        for flow in flows:
+            assert await flow.ask(b"x", leaving.plan.packets)
+        await leaving.become(503)
+        assert await leaving.wait() == 0
+        for flow in flows:
+            assert await flow.ask(b"y", staying.plan.packets)
+
+
+@pytest.mark.parametrize("with_signal", [True, False], ids=["SIGHUP", "no signal"])
+async def test_settings_with_a_fault_leave_the_old_ones_in_force(tmp_path, with_signal):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0]
+        good = host.settings.read_text()
+        host.settings.write_text(good.replace("contact_ms = 4000", 'contact_ms = "x"'))
+        if with_signal:
+            host.signal(signal.SIGHUP)
+        await until_logged(running, "event=settings_refused")
+        assert "contact_ms" in host.log_text
+        host.settings.write_text(good.replace("contact_ms = 4000", "contact_ms = 5000"))
+        if with_signal:
+            host.signal(signal.SIGHUP)
+        await until_logged(running, "event=settings_reloaded")
+        assert await host.status() == 200
+        await running.caller().open(host.plan.packets)
+
+
+async def test_datagrams_of_any_content_do_no_harm(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0].plan.packets
+        caller = running.caller()
+        for size in (0, 1, 31, 32, 33, 200, 1232, 1233, 9000):
+            caller._socket.send(bytes([255]) * size, host)
+        flow = await caller.open(host)
+        assert await flow.ask(b"x", host)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        pytest.param("", id="empty"),
+        pytest.param("node_name = 7", id="wrong type"),
+        pytest.param("][", id="not TOML"),
+    ],
+)
+async def test_a_start_with_unusable_settings_says_why(tmp_path, text):
+    running = Fleet(tmp_path, hint=120)
+    try:
+        host = running.hosts[0]
+        host.settings.write_text(text)
+        host.start()
+        assert await host.wait() == 2
+        assert host.log_text.count("\n") == 1
+        assert str(host.settings) in host.log_text
+    finally:
+        await running.close()
