Reset idempotent flows of upstreams that are lost

Change: core/steering/silence.py tells a suspect upstream (avoided by new flows) from a lost one (two flows unanswered, one of them open, and no sign for 0.4 s; or its entry removed for 2.5 s and no sign since). Flows of a lost one whose requests may be repeated are reset at their next packet. The conclusion lapses after 1.5 s without new repeats.

--- a/banyanline/core/steering/flows.py
+++ b/banyanline/core/steering/flows.py
@@ -35,7 +35,8 @@
     """One flow: where it went, and how far it has come.
 
     ``tried`` are the upstreams that got its opening packet, the last one last.
-    ``asked_at`` is when a request was sent that has had no answer yet.
+    ``asked_at`` is when a request was sent that has had no answer yet, and
+    ``sent_at`` when the last new packet was sent that its upstream has to answer.
     """
 
     __slots__ = (
@@ -43,9 +44,9 @@
         "asked_at",
         "is_open",
         "next_seq",
-        "opened_at",
         "repeats",
         "seen_at",
+        "sent_at",
         "tried",
         "upstream",
     )
@@ -54,7 +55,7 @@
         self.upstream = upstream
         self.tried: list[Upstream] = []
         self.is_open = False
-        self.opened_at = now
+        self.sent_at = now
         self.seen_at = now
         self.next_seq: int | None = None
         self.ack = 0
@@ -85,6 +86,7 @@
             _release(flow)
             flow.upstream = upstream
         flow.tried.append(upstream)
+        flow.sent_at = now
         flow.seen_at = now
         upstream.open_flows += 1
         upstream.pending_opens += 1
@@ -109,7 +111,7 @@
         flow.upstream = upstream
         flow.is_open = True
         upstream.open_flows += 1
-        upstream.sign_at = now
+        upstream.silence.on_sign(now)
 
     def observe(self, flow: Flow, packet: CallerPacket, now: Seconds) -> Progress:
         """Take in a packet of an open flow, and return what it tells of the upstream."""
@@ -136,7 +138,7 @@
 
     def _answer(self, flow: Flow, now: Seconds) -> None:
         upstream = flow.upstream
-        upstream.sign_at = now
+        upstream.silence.on_sign(now)
         flow.repeats = 0
         if flow.asked_at is None:
             return
@@ -160,6 +162,8 @@
             flow.repeats += 1
             return True
         flow.next_seq = end
+        flow.repeats = 0
+        flow.sent_at = now
         if flow.asked_at is None:
             flow.asked_at = now
             flow.upstream.in_flight += 1
--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -11,9 +11,6 @@
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import DataCentreName, Seconds
 
-SUSPICION_S = 4.0
-"""How long an upstream that did not answer is avoided."""
-
 FLOW_WEIGHT = 0.25
 """An open flow without a request under way, measured in requests under way."""
 
@@ -32,16 +29,6 @@
     jitter: float = JITTER_WEIGHT
 
 
-def is_suspect(upstream: Upstream, now: Seconds) -> bool:
-    """Whether an upstream has left a packet unanswered and given no sign since.
-
-    After ``SUSPICION_S`` it gets one flow at a time until it answers one.
-    """
-    if upstream.doubted_at <= upstream.sign_at:
-        return False
-    return now - upstream.doubted_at < SUSPICION_S or upstream.pending_opens > 0
-
-
 class Placement:
     """Chooses the upstream with the least expected wait, of those that seem to be well.
 
@@ -68,7 +55,8 @@
         return min(fresh or upstreams, key=lambda upstream: self._rank(upstream, now))
 
     def _rank(self, upstream: Upstream, now: Seconds) -> tuple[bool, bool, float]:
-        return (is_suspect(upstream, now), upstream.is_cold(now), self._load(upstream))
+        is_suspect = upstream.silence.is_suspect(now, is_tried=upstream.pending_opens > 0)
+        return (is_suspect, upstream.is_cold(now), self._load(upstream))
 
     def _load(self, upstream: Upstream) -> float:
         policy = self._policy
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -14,6 +14,7 @@
     DataCentreOut,
     FleetView,
     KnownUpstream,
+    RouteKind,
     TableChanged,
     UpstreamChanged,
     UpstreamRemoved,
@@ -29,6 +30,7 @@
 )
 from banyanline.core.steering.packet import NO_COOKIE
 from banyanline.core.steering.placement import Placement
+from banyanline.core.steering.silence import is_gone
 from banyanline.core.steering.upstreams import UpstreamTable, in_data_centres
 
 if TYPE_CHECKING:
@@ -194,8 +196,8 @@
         flow = self._flows.get(packet.flow)
         if flow is not None and flow.is_open:
             return Forward(flow.upstream)
-        if flow is not None and flow.upstream.doubted_at < now:
-            flow.upstream.doubted_at = now
+        if flow is not None:
+            flow.upstream.silence.on_repeat(flow.sent_at, 1, now, is_open=False)
         upstream = self._choose(route, flow.tried if flow else (), now)
         if upstream is None:
             return Reset(ResetReason.NO_UPSTREAM)
@@ -237,8 +239,18 @@
         self._observe(flow, packet, now)
         if packet.ends_flow:
             self._flows.close(packet.flow)
+        elif self._is_hopeless(flow.upstream, packet, now):
+            self._flows.close(packet.flow)
+            return Reset(ResetReason.UPSTREAM_LOST)
         return Forward(flow.upstream)
 
+    def _is_hopeless(self, upstream: Upstream, packet: CallerPacket, now: Seconds) -> bool:
+        """Whether the caller should try again elsewhere rather than wait."""
+        if not (upstream.silence.is_lost(now) or is_gone(upstream, now)):
+            return False
+        route = self._table.routes.get(packet.destination) if self._table else None
+        return route is not None and route.kind is not RouteKind.NON_IDEMPOTENT
+
     def _without_upstream(self, packet: CallerPacket) -> Outcome:
         if packet.cookie == NO_COOKIE:
             return Drop(DropReason.STRAY_RESET)
@@ -257,7 +269,7 @@
     def _observe(self, flow: Flow, packet: CallerPacket, now: Seconds) -> None:
         progress = self._flows.observe(flow, packet, now)
         if progress is Progress.REPEATED:
-            flow.upstream.doubted_at = now
+            flow.upstream.silence.on_repeat(flow.sent_at, flow.repeats, now, is_open=True)
 
 
 def _known(upstream: Upstream, now: Seconds) -> KnownUpstream:
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from banyanline.core.steering.model import UpstreamEntry
+from banyanline.core.steering.silence import Silence
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from banyanline.core.steering.model import Revision
+    from banyanline.core.steering.model import Revision, UpstreamEntry
     from banyanline.core.steering.packet import Cookie
     from banyanline.core.types import DataCentreName, Seconds, ServiceName, UpstreamName
 
@@ -28,7 +28,6 @@
     __slots__ = (
         "cold_until",
         "created",
-        "doubted_at",
         "entry",
         "in_flight",
         "open_flows",
@@ -36,7 +35,7 @@
         "removed_at",
         "response_s",
         "revision",
-        "sign_at",
+        "silence",
     )
 
     def __init__(self, entry: UpstreamEntry, created: Revision) -> None:
@@ -49,8 +48,7 @@
         self.pending_opens = 0
         self.in_flight = 0
         self.response_s: Seconds | None = None
-        self.sign_at: Seconds = NEVER
-        self.doubted_at: Seconds = NEVER
+        self.silence = Silence()
 
     @property
     def name(self) -> UpstreamName:
@@ -113,7 +111,8 @@
         elif revision <= upstream.revision:
             return upstream
         elif upstream.entry.incarnation != entry.incarnation:
-            _forget_signs(upstream)
+            upstream.response_s = None
+            upstream.silence.clear()
         upstream.entry = entry
         upstream.revision = revision
         upstream.removed_at = None
@@ -156,12 +155,6 @@
                 self._by_service.setdefault(upstream.entry.service, []).append(upstream)
 
 
-def _forget_signs(upstream: Upstream) -> None:
-    upstream.response_s = None
-    upstream.sign_at = NEVER
-    upstream.doubted_at = NEVER
-
-
 def in_data_centres(
     upstreams: Iterable[Upstream], excluded: frozenset[DataCentreName]
 ) -> list[Upstream]:
