Bind the socket for packets before the rest of the program is loaded

Cause: packets that come between the start of a process and the end of its imports (0.15 s) were lost, and their callers repeat them only after 200 to 800 ms. Change: platform/early.py binds the socket with what the standard library offers.

--- a/banyanline/net/datagram.py
+++ b/banyanline/net/datagram.py
@@ -58,7 +58,7 @@
     With ``connect_to`` the socket is connected: it takes datagrams of that peer
     only, :meth:`send` needs no address, and ICMP errors are counted and told to
     ``on_unreachable``. An ``endpoint`` of None lets the kernel choose the local
-    address.
+    address. A non-blocking socket that is ``bound`` already is used as it is.
 
     Raises OSError if the endpoint cannot be bound.
     """
@@ -88,6 +88,7 @@
         drain_limit: int = DRAIN_LIMIT,
         max_bytes: int = MAX_DATAGRAM_BYTES,
         receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
+        bound: socket.socket | None = None,
     ) -> None:
         self._loop = loop
         self._on_datagram = on_datagram
@@ -99,7 +100,7 @@
         self._send_drops = 0
         self._unreachable = 0
         self._closed = False
-        self._socket = _open_socket(endpoint, connect_to, receive_buffer_bytes)
+        self._socket = bound or _open_socket(endpoint, connect_to, receive_buffer_bytes)
         loop.add_reader(self._socket.fileno(), self._drain)
 
     @property
--- a/banyanline/net/steering/path.py
+++ b/banyanline/net/steering/path.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    import socket
     from enum import StrEnum
 
     from banyanline.core.steering.packet import CallerPacket
@@ -44,11 +45,16 @@
 class PacketPath:
     """Carries out what :class:`Steering` decides of each packet.
 
+    ``bound`` is a socket that was bound to the endpoint before, if there is one.
     Raises OSError if the endpoint cannot be bound.
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, endpoint: Endpoint, steering: Steering
+        self,
+        loop: asyncio.AbstractEventLoop,
+        endpoint: Endpoint,
+        steering: Steering,
+        bound: socket.socket | None = None,
     ) -> None:
         self._loop = loop
         self._port = endpoint.port
@@ -57,7 +63,7 @@
         self._outcomes: Counter[StrEnum] = Counter()
         self._seen_at: Seconds | None = None
         self._socket = DatagramSocket(
-            loop, endpoint, self._on_datagram, max_bytes=MAX_PACKET_BYTES + 1
+            loop, endpoint, self._on_datagram, max_bytes=MAX_PACKET_BYTES + 1, bound=bound
         )
 
     @property
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -20,6 +20,7 @@
 from banyanline.platform.store import StoreClient
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable, Sequence
     from pathlib import Path
 
@@ -34,13 +35,19 @@
 class SteeringProcess:
     """Wires the decisions of :class:`Steering` to sockets and timers."""
 
-    def __init__(self, settings: HostSettings, path: Path, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: HostSettings,
+        path: Path,
+        rng: random.Random,
+        packets: socket.socket | None = None,
+    ) -> None:
         loop = asyncio.get_running_loop()
         self._settings = settings
         self._settings_file = SettingsFile(path)
         self._clock: Callable[[], float] = loop.time
         self._steering = Steering(settings.data_centre, rng)
-        self._path = PacketPath(loop, settings.packets, self._steering)
+        self._path = PacketPath(loop, settings.packets, self._steering, packets)
         self._feed = StoreFeed(
             StoreClient(settings.store),
             self._steering,
@@ -136,9 +143,9 @@
         return view_page(self._steering, target, self._clock())
 
 
-async def serve(settings: HostSettings, path: Path) -> None:
-    """Run a balancer until it is told to stop."""
-    process = SteeringProcess(settings, path, random.Random())
+async def serve(settings: HostSettings, path: Path, packets: socket.socket | None = None) -> None:
+    """Run a balancer until it is told to stop, on a socket that may be bound already."""
+    process = SteeringProcess(settings, path, random.Random(), packets)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/banyanline/platform/boot.py
+++ b/banyanline/platform/boot.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from banyanline.core.types import DataCentreName, Endpoint, HostName
+from banyanline.platform.early import PATH_VARIABLE
 
-PATH_VARIABLE = "BANYANLINE_BOOT"
 _MAX_PORT = 65_535
 
 
--- /dev/null
+++ b/banyanline/platform/early.py
@@ -0,0 +1,40 @@
+"""Binds the socket for callers' packets before the rest of the program is loaded.
+
+Packets that come in the meantime wait in the kernel. After a loss of power on many
+hosts they are those of callers that have waited longest.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+import tomllib
+
+PATH_VARIABLE = "BANYANLINE_BOOT"
+RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
+
+
+def bind_packet_socket() -> socket.socket | None:
+    """Return the bound socket, or None if the settings do not lead to one.
+
+    What is wrong with them is told when they are read in full.
+    """
+    try:
+        with open(os.environ[PATH_VARIABLE], "rb") as file:
+            address = tomllib.load(file)["listen"]["datagram_address"]
+        ip, _, port = address.rpartition(":")
+        return _bind(ip, int(port))
+    except (KeyError, TypeError, AttributeError, ValueError, OSError, OverflowError):
+        return None
+
+
+def _bind(ip: str, port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        sock.bind((ip, port))
+    except BaseException:
+        sock.close()
+        raise
+    return sock
--- a/banyanline/tests/test_platform_boot.py
+++ b/banyanline/tests/test_platform_boot.py
@@ -4,13 +4,13 @@
 
 from banyanline.core.types import Endpoint
 from banyanline.platform.boot import (
-    PATH_VARIABLE,
     HostSettings,
     SettingsFault,
     parse_settings,
     read_settings,
     settings_path,
 )
+from banyanline.platform.early import PATH_VARIABLE, bind_packet_socket
 
 EXAMPLE = """\
 node_name = "front-split-jug-1"
@@ -92,3 +92,33 @@
     assert settings_path() is None
     monkeypatch.setenv(PATH_VARIABLE, str(tmp_path / "settings.toml"))
     assert settings_path() == tmp_path / "settings.toml"
+
+
+def test_the_packet_socket_is_bound_early(monkeypatch, tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(EXAMPLE.replace("10.1.0.10:8172", "127.0.0.1:0"))
+    monkeypatch.setenv(PATH_VARIABLE, str(path))
+    sock = bind_packet_socket()
+    assert sock is not None
+    assert sock.getsockname()[0] == "127.0.0.1"
+    sock.close()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        pytest.param(None, id="no file"),
+        pytest.param("][", id="not TOML"),
+        pytest.param("listen = 7", id="no table"),
+        pytest.param("[listen]\ndatagram_address = 7", id="a number"),
+        pytest.param('[listen]\ndatagram_address = "127.0.0.1"', id="no port"),
+        pytest.param('[listen]\ndatagram_address = "127.0.0.1:99999"', id="large port"),
+        pytest.param('[listen]\ndatagram_address = "192.0.2.1:80"', id="not an own address"),
+    ],
+)
+def test_without_a_usable_address_nothing_is_bound_early(monkeypatch, tmp_path, text):
+    path = tmp_path / "settings.toml"
+    if text is not None:
+        path.write_text(text)
+    monkeypatch.setenv(PATH_VARIABLE, str(path))
+    assert bind_packet_socket() is None
