Take an upstream for lost only when two flows wait for it

Change: the rule for a single flow is gone; flows are told apart in a set, so that a flow that goes on repeating after a sign counts again. Resets log the evidence.

--- a/banyanline/core/steering/flows.py
+++ b/banyanline/core/steering/flows.py
@@ -44,7 +44,6 @@
         "asked_at",
         "is_open",
         "next_seq",
-        "repeats",
         "seen_at",
         "sent_at",
         "tried",
@@ -60,7 +59,6 @@
         self.next_seq: int | None = None
         self.ack = 0
         self.asked_at: Seconds | None = None
-        self.repeats = 0
 
 
 class FlowTable:
@@ -139,7 +137,6 @@
     def _answer(self, flow: Flow, now: Seconds) -> None:
         upstream = flow.upstream
         upstream.silence.on_sign(now)
-        flow.repeats = 0
         if flow.asked_at is None:
             return
         took_s = now - flow.asked_at
@@ -159,10 +156,8 @@
             return False
         end = (packet.seq + packet.data_bytes) % SEQUENCE_MODULUS
         if not _is_after(end, flow.next_seq):
-            flow.repeats += 1
             return True
         flow.next_seq = end
-        flow.repeats = 0
         flow.sent_at = now
         if flow.asked_at is None:
             flow.asked_at = now
--- a/banyanline/core/steering/outcomes.py
+++ b/banyanline/core/steering/outcomes.py
@@ -33,9 +33,13 @@
 
 
 class Reset(NamedTuple):
-    """The caller gets a reset; the flow has not been opened or cannot go on."""
+    """The caller gets a reset; the flow has not been opened or cannot go on.
+
+    ``upstream`` is the one that the flow was open at, if that is why.
+    """
 
     reason: ResetReason
+    upstream: Upstream | None = None
 
 
 class Drop(NamedTuple):
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -197,7 +197,7 @@
         if flow is not None and flow.is_open:
             return Forward(flow.upstream)
         if flow is not None:
-            flow.upstream.silence.on_repeat(flow.sent_at, 1, now, is_open=False)
+            flow.upstream.silence.on_repeat(flow, flow.sent_at, now, is_open=False)
         upstream = self._choose(route, flow.tried if flow else (), now)
         if upstream is None:
             return Reset(ResetReason.NO_UPSTREAM)
@@ -241,7 +241,7 @@
             self._flows.close(packet.flow)
         elif self._is_hopeless(flow.upstream, packet, now):
             self._flows.close(packet.flow)
-            return Reset(ResetReason.UPSTREAM_LOST)
+            return Reset(ResetReason.UPSTREAM_LOST, flow.upstream)
         return Forward(flow.upstream)
 
     def _is_hopeless(self, upstream: Upstream, packet: CallerPacket, now: Seconds) -> bool:
@@ -269,7 +269,7 @@
     def _observe(self, flow: Flow, packet: CallerPacket, now: Seconds) -> None:
         progress = self._flows.observe(flow, packet, now)
         if progress is Progress.REPEATED:
-            flow.upstream.silence.on_repeat(flow.sent_at, flow.repeats, now, is_open=True)
+            flow.upstream.silence.on_repeat(flow, flow.sent_at, now, is_open=True)
 
 
 def _known(upstream: Upstream, now: Seconds) -> KnownUpstream:
--- a/banyanline/net/steering/path.py
+++ b/banyanline/net/steering/path.py
@@ -121,7 +121,19 @@
     def _reset(self, packet: CallerPacket, outcome: Reset) -> None:
         self._outcomes[outcome.reason] += 1
         self._socket.send(reset_for(packet), Endpoint(caller_ip(packet), self._port))
-        self._log("flow_reset", packet, reason=outcome.reason.value)
+        self._log("flow_reset", packet, reason=outcome.reason.value, **self._evidence(outcome))
+
+    def _evidence(self, outcome: Reset) -> dict[str, object]:
+        """Return what a log line says of the upstream that a reset flow was open at."""
+        upstream = outcome.upstream
+        if upstream is None:
+            return {}
+        report = upstream.silence.report(self._loop.time())
+        return {
+            "upstream": upstream.name,
+            "removed": upstream.removed_at is not None,
+            **report._asdict(),
+        }
 
     def _log(self, event: str, packet: CallerPacket, **fields: object) -> None:
         log.info(
