Serve metrics on the platform; let logs block nothing

Cause: a reader that stops reading standard output stopped the process; a host could not be asked what it had done.

--- a/banyanline/cli/steering.py
+++ b/banyanline/cli/steering.py
@@ -24,6 +24,7 @@
     import asyncio
 
     from banyanline.net.logs import configure_logs
+    from banyanline.net.output import NonBlockingOutput
     from banyanline.net.steering.process import serve
     from banyanline.platform.boot import SettingsFault, read_settings, settings_path
 
@@ -33,8 +34,9 @@
     settings = read_settings(path)
     if isinstance(settings, SettingsFault):
         return _refuse(str(settings))
-    configure_logs("info", host=settings.host, output=sys.stdout)
-    asyncio.run(serve(settings, path, packets))
+    output = NonBlockingOutput(sys.stdout.fileno())
+    configure_logs("info", host=settings.host, output=output)
+    asyncio.run(serve(settings, path, output, packets))
     return 0
 
 
--- a/banyanline/core/steering/flows.py
+++ b/banyanline/core/steering/flows.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from banyanline.core.steering.counters import SteeringCounters
     from banyanline.core.steering.packet import CallerPacket, FlowId
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import Seconds
@@ -64,8 +65,9 @@
 class FlowTable:
     """Flows by their addresses, and the work at each upstream that they amount to."""
 
-    def __init__(self) -> None:
+    def __init__(self, counters: SteeringCounters) -> None:
         self._flows: dict[FlowId, Flow] = {}
+        self._counters = counters
 
     def __len__(self) -> int:
         """Return the number of flows."""
@@ -142,6 +144,7 @@
         took_s = now - flow.asked_at
         flow.asked_at = None
         upstream.in_flight -= 1
+        self._counters.responses[upstream.entry.service].observe(took_s)
         known_s = upstream.response_s
         if known_s is None:
             upstream.response_s = took_s
--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from banyanline.core.steering.upstreams import is_suspect
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Collection, Sequence
@@ -55,8 +57,7 @@
         return min(fresh or upstreams, key=lambda upstream: self._rank(upstream, now))
 
     def _rank(self, upstream: Upstream, now: Seconds) -> tuple[bool, bool, float]:
-        is_suspect = upstream.silence.is_suspect(now, is_tried=upstream.pending_opens > 0)
-        return (is_suspect, upstream.is_cold(now), self._load(upstream))
+        return (is_suspect(upstream, now), upstream.is_cold(now), self._load(upstream))
 
     def _load(self, upstream: Upstream) -> float:
         policy = self._policy
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING
 
+from banyanline.core.steering.counters import SteeringCounters
 from banyanline.core.steering.flows import FlowTable, Progress
 from banyanline.core.steering.model import (
     DataCentreOut,
@@ -31,7 +32,12 @@
 from banyanline.core.steering.packet import NO_COOKIE
 from banyanline.core.steering.placement import Placement
 from banyanline.core.steering.silence import is_gone
-from banyanline.core.steering.upstreams import UpstreamTable, in_data_centres
+from banyanline.core.steering.upstreams import (
+    UpstreamStanding,
+    UpstreamTable,
+    in_data_centres,
+    is_suspect,
+)
 
 if TYPE_CHECKING:
     import random
@@ -61,7 +67,8 @@
         self._rng = rng
         self._placement = placement or Placement(data_centre, rng)
         self._upstreams = UpstreamTable()
-        self._flows = FlowTable()
+        self._counters = SteeringCounters()
+        self._flows = FlowTable(self._counters)
         self._table: RoutingTable | None = None
         self._removed_routes: set[ServiceAddress] = set()
         self._out: dict[DataCentreName, Revision] = {}
@@ -98,6 +105,11 @@
         """The flows that this host has seen."""
         return self._flows
 
+    @property
+    def counters(self) -> SteeringCounters:
+        """What this host has done with packets."""
+        return self._counters
+
     @property
     def data_centres_out(self) -> frozenset[DataCentreName]:
         """The data centres that operators have taken out of service."""
@@ -105,9 +117,24 @@
 
     def on_packet(self, packet: CallerPacket, now: Seconds) -> Outcome:
         """Decide what becomes of a caller's packet."""
-        if packet.opens_flow:
-            return self._on_opening(packet, now)
-        return self._on_later(packet, now)
+        decide = self._on_opening if packet.opens_flow else self._on_later
+        outcome = decide(packet, now)
+        self._count(outcome, packet)
+        return outcome
+
+    def _count(self, outcome: Outcome, packet: CallerPacket) -> None:
+        counters = self._counters
+        if isinstance(outcome, Forward):
+            counters.forwarded += 1
+            if packet.opens_flow:
+                placed = counters.copies if packet.ack else counters.placed
+                placed[outcome.upstream.entry.service] += 1
+        elif isinstance(outcome, Reset):
+            counters.resets[outcome.reason] += 1
+        elif isinstance(outcome, Drop):
+            counters.drops[outcome.reason] += 1
+        else:
+            counters.held += 1
 
     def on_change(self, change: Change, now: Seconds) -> bool:
         """Take in what the platform says; return whether it was news."""
@@ -137,6 +164,20 @@
         for data_centre in set(self._out) - set(out):
             self._put_out(DataCentreOut(data_centre, False, as_of))
 
+    def standing(self, upstream: Upstream, now: Seconds) -> UpstreamStanding:
+        """Return how this host regards an upstream."""
+        if upstream.removed_at is not None:
+            return UpstreamStanding.REMOVED
+        if upstream.entry.is_leaving:
+            return UpstreamStanding.LEAVING
+        if upstream.entry.data_centre in self._out:
+            return UpstreamStanding.OUT
+        if upstream.silence.is_lost(now):
+            return UpstreamStanding.LOST
+        if is_suspect(upstream, now):
+            return UpstreamStanding.SUSPECT
+        return UpstreamStanding.COLD if upstream.is_cold(now) else UpstreamStanding.WELL
+
     def view(self, now: Seconds) -> FleetView:
         """Return what this host knows, for another host."""
         return FleetView(
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from banyanline.core.steering.silence import Silence
@@ -19,6 +20,18 @@
 NEVER = float("-inf")
 
 
+class UpstreamStanding(StrEnum):
+    """How a host regards an upstream, the worst first."""
+
+    REMOVED = "removed"
+    LEAVING = "leaving"
+    OUT = "data_centre_out"
+    LOST = "lost"
+    SUSPECT = "suspect"
+    COLD = "cold"
+    WELL = "well"
+
+
 class Upstream:
     """One upstream: its entry, the work that this host sends it, and signs of its life.
 
@@ -65,6 +78,11 @@
         return now < self.cold_until
 
 
+def is_suspect(upstream: Upstream, now: Seconds) -> bool:
+    """Whether new flows should avoid the upstream while there are others."""
+    return upstream.silence.is_suspect(now, is_tried=upstream.pending_opens > 0)
+
+
 class UpstreamTable:
     """All upstreams by name, service and cookie.
 
--- a/banyanline/net/logs.py
+++ b/banyanline/net/logs.py
@@ -6,7 +6,7 @@
 import sys
 import time
 import traceback
-from typing import TYPE_CHECKING, Any, TextIO
+from typing import TYPE_CHECKING, Any, TextIO, cast
 
 import structlog
 
@@ -14,6 +14,8 @@
     import asyncio
     from collections.abc import Callable
 
+    from banyanline.net.output import NonBlockingOutput
+
 LEVELS = ("debug", "info", "warning", "error")
 LINES_PER_S = 20.0
 MAX_EVENTS = 256
@@ -95,7 +97,7 @@
     *,
     host: str = "",
     lines_per_s: float = LINES_PER_S,
-    output: TextIO | None = None,
+    output: TextIO | NonBlockingOutput | None = None,
     clock: Callable[[], float] = time.monotonic,
 ) -> None:
     """Send structlog's events at ``level`` and above to ``output`` (stderr) as logfmt lines.
@@ -120,7 +122,7 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(numeric),
-        logger_factory=structlog.PrintLoggerFactory(output or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(cast("TextIO", output or sys.stderr)),
         cache_logger_on_first_use=False,
     )
 
--- a/banyanline/net/metrics.py
+++ b/banyanline/net/metrics.py
@@ -197,25 +197,25 @@
         return aioprometheus.Counter(f"{PREFIX}_{name}", doc, registry=self._registry)
 
     def _copy_core_counts(self, counters: Counters) -> None:
-        _copy_by_service(self._refusals, counters.refusals)
-        _copy_by_service(self._unknown, counters.unknown_outcomes)
-        _copy_by_service(self._retries, counters.retries)
-        _copy(self._drops, "reason", counters.drops)
-        _copy(self._answers, "service", counters.answers)
-        _copy(self._duplicates, "kind", counters.duplicates)
-        _copy(self._claims, "course", counters.claims)
-        _copy(self._recovered, "kind", counters.recovered)
-        _copy_by_service(self._flow_ends, counters.flow_ends)
-        _copy(self._given_up, "service", counters.flows_given_up)
+        copy_counts_by_service(self._refusals, counters.refusals)
+        copy_counts_by_service(self._unknown, counters.unknown_outcomes)
+        copy_counts_by_service(self._retries, counters.retries)
+        copy_counts(self._drops, "reason", counters.drops)
+        copy_counts(self._answers, "service", counters.answers)
+        copy_counts(self._duplicates, "kind", counters.duplicates)
+        copy_counts(self._claims, "course", counters.claims)
+        copy_counts(self._recovered, "kind", counters.recovered)
+        copy_counts_by_service(self._flow_ends, counters.flow_ends)
+        copy_counts(self._given_up, "service", counters.flows_given_up)
         for service, histogram in counters.latency.items():
-            self._latency.set_value({"service": service}, _bucket_counts(histogram))
+            self._latency.set_value({"service": service}, bucket_counts(histogram))
 
     def _copy_io_counts(self, counts: IoCounts) -> None:
-        _copy(self._rejections, "reason", counts.peer_rejections)
-        _copy(self._config, "reason", counts.config_refusals)
-        _copy(self._control, "reason", counts.control_failures)
-        _copy(self._control_bytes, "kind", counts.control_bytes)
-        _copy(self._platform, "reason", self._sources.platform_failures())
+        copy_counts(self._rejections, "reason", counts.peer_rejections)
+        copy_counts(self._config, "reason", counts.config_refusals)
+        copy_counts(self._control, "reason", counts.control_failures)
+        copy_counts(self._control_bytes, "kind", counts.control_bytes)
+        copy_counts(self._platform, "reason", self._sources.platform_failures())
         self._stalls.set({}, counts.stalls)
         self._stalled_s.set({}, counts.stalled_s)
         self._platform_calls.set({}, self._sources.platform_calls())
@@ -224,17 +224,19 @@
                 self._datagrams.set({"socket": kind, "fate": fate}, count)
 
 
-def _copy(collector: Any, label: str, counts: Mapping[Any, int]) -> None:
+def copy_counts(collector: Any, label: str, counts: Mapping[Any, int]) -> None:
+    """Copy counts into a labelled metric."""
     for value, count in counts.items():
         collector.set({label: str(value)}, count)
 
 
-def _copy_by_service(collector: Any, counts: Mapping[tuple[StrEnum, str], int]) -> None:
+def copy_counts_by_service(collector: Any, counts: Mapping[tuple[StrEnum, str], int]) -> None:
+    """Copy counts by reason and service into a metric with these two labels."""
     for (reason, service), count in counts.items():
         collector.set({"reason": reason.value, "service": service}, count)
 
 
-def _bucket_counts(histogram: LatencyHistogram) -> BucketCounts:
+def bucket_counts(histogram: LatencyHistogram) -> BucketCounts:
     """Return the histogram with cumulative buckets, as the text format wants them."""
     cumulative = BucketCounts(*LATENCY_BOUNDS_S)
     total = 0
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -72,6 +72,11 @@
         self._failed = 0
         self._heard_at: Seconds | None = None
 
+    @property
+    def client(self) -> StoreClient:
+        """The client that makes the calls."""
+        return self._client
+
     @property
     def heard_at(self) -> Seconds | None:
         """When the store answered last, or None before the first answer."""
--- /dev/null
+++ b/banyanline/net/steering/metrics.py
@@ -0,0 +1,109 @@
+"""The metrics of a balancer on the operators' platform.
+
+This module is loaded at the first scrape: a process that nobody scrapes does not
+pay for the library.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import aioprometheus
+
+from banyanline.core.counters import LATENCY_BOUNDS_S
+from banyanline.core.steering.upstreams import UpstreamStanding
+from banyanline.net.metrics import PREFIX, bucket_counts, copy_counts
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+    from banyanline.core.steering.steering import Steering
+    from banyanline.core.types import Seconds
+    from banyanline.platform.store import StoreFailure
+
+
+class SteeringSources(NamedTuple):
+    """Where a scrape takes its values from; the callables are asked at each scrape."""
+
+    steering: Steering
+    clock: Callable[[], Seconds]
+    store_calls: Callable[[], int]
+    store_failures: Callable[[], Mapping[StoreFailure, int]]
+    store_age_s: Callable[[], Seconds]
+    log_lines_left_out: Callable[[], int]
+
+
+class SteeringMetrics:
+    """The registry of one host."""
+
+    def __init__(self, sources: SteeringSources) -> None:
+        self._sources = sources
+        self._registry = aioprometheus.Registry()
+        self._packets = self._counter("packets_total", "Callers' packets by what became of them.")
+        self._placed = self._counter("flows_placed_total", "Opening packets sent to upstreams.")
+        self._copies = self._counter("opening_copies_total", "Repeated opening packets sent on.")
+        self._resets = self._counter("resets_total", "Flows that callers were told to give up.")
+        self._drops = self._counter("drops_total", "Packets dropped without an answer.")
+        self._store_calls = self._counter("store_calls_total", "Calls of the platform's store.")
+        self._store_failures = self._counter(
+            "store_failures_total", "Calls of the platform's store that brought nothing."
+        )
+        self._lines = self._counter(
+            "log_lines_left_out_total", "Log lines that the reader of the log did not take."
+        )
+        self._store_age = self._gauge(
+            "store_age_seconds", "Time since the platform's store answered, in seconds."
+        )
+        self._version = self._gauge("configuration_version", "Version in force, 0 for none.")
+        self._flows = self._gauge("flows", "Flows that this host remembers.")
+        self._upstreams = self._gauge("upstreams", "Upstreams by service and state.")
+        self._in_flight = self._gauge("requests_in_flight", "Requests without an answer so far.")
+        self._latency = aioprometheus.Histogram(
+            f"{PREFIX}_response_seconds",
+            "Time from a request to the first acknowledgement of its answer, in seconds.",
+            registry=self._registry,
+            buckets=LATENCY_BOUNDS_S,
+        )
+
+    def render(self, accepts: Sequence[str] = ()) -> tuple[bytes, Mapping[str, str]]:
+        """Return the body and headers of a scrape for the ``Accept`` values given."""
+        sources = self._sources
+        self._copy_counters()
+        self._copy_state()
+        self._store_calls.set({}, sources.store_calls())
+        copy_counts(self._store_failures, "reason", sources.store_failures())
+        self._store_age.set({}, sources.store_age_s())
+        self._lines.set({}, sources.log_lines_left_out())
+        content, headers = aioprometheus.render(self._registry, list(accepts))
+        return content, headers
+
+    def _counter(self, name: str, doc: str) -> Any:
+        return aioprometheus.Counter(f"{PREFIX}_{name}", doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Any:
+        return aioprometheus.Gauge(f"{PREFIX}_{name}", doc, registry=self._registry)
+
+    def _copy_counters(self) -> None:
+        counters = self._sources.steering.counters
+        self._packets.set({"outcome": "forwarded"}, counters.forwarded)
+        self._packets.set({"outcome": "held"}, counters.held)
+        copy_counts(self._placed, "service", counters.placed)
+        copy_counts(self._copies, "service", counters.copies)
+        copy_counts(self._resets, "reason", counters.resets)
+        copy_counts(self._drops, "reason", counters.drops)
+        for service, histogram in counters.responses.items():
+            self._latency.set_value({"service": service}, bucket_counts(histogram))
+
+    def _copy_state(self) -> None:
+        steering = self._sources.steering
+        self._version.set({}, steering.version)
+        self._flows.set({}, len(steering.flows))
+        states: Counter[tuple[str, UpstreamStanding]] = Counter()
+        for upstream in steering.upstreams:
+            states[upstream.entry.service, steering.standing(upstream, self._sources.clock())] += 1
+        for service in {upstream.entry.service for upstream in steering.upstreams}:
+            for standing in UpstreamStanding:
+                labels = {"service": service, "state": standing.value}
+                self._upstreams.set(labels, states[service, standing])
+        self._in_flight.set({}, sum(upstream.in_flight for upstream in steering.upstreams))
--- a/banyanline/net/steering/path.py
+++ b/banyanline/net/steering/path.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
@@ -23,7 +23,6 @@
 if TYPE_CHECKING:
     import asyncio
     import socket
-    from enum import StrEnum
 
     from banyanline.core.steering.packet import CallerPacket
     from banyanline.core.steering.steering import Steering
@@ -60,17 +59,11 @@
         self._port = endpoint.port
         self._steering = steering
         self._held: deque[_HeldPacket] = deque(maxlen=MAX_HELD_PACKETS)
-        self._outcomes: Counter[StrEnum] = Counter()
         self._seen_at: Seconds | None = None
         self._socket = DatagramSocket(
             loop, endpoint, self._on_datagram, max_bytes=MAX_PACKET_BYTES + 1, bound=bound
         )
 
-    @property
-    def outcomes(self) -> Counter[StrEnum]:
-        """Packets reset or dropped so far, by reason."""
-        return self._outcomes
-
     @property
     def seen_at(self) -> Seconds | None:
         """When a packet came last, or None before the first one."""
@@ -95,7 +88,7 @@
         self._seen_at = now
         packet = decode_packet(data)
         if isinstance(packet, MalformedPacket):
-            self._outcomes[DropReason.MALFORMED] += 1
+            self._steering.counters.drops[DropReason.MALFORMED] += 1
             log.warning("packet_malformed", detail=packet.detail)
             return
         self._steer(data, packet, now)
@@ -107,7 +100,6 @@
         elif isinstance(outcome, Reset):
             self._reset(packet, outcome)
         elif isinstance(outcome, Drop):
-            self._outcomes[outcome.reason] += 1
             self._log("packet_dropped", packet, reason=outcome.reason.value)
         else:
             self._held.append(_HeldPacket(data, packet, now))
@@ -119,7 +111,6 @@
             self._log("flow_placed", packet, upstream=entry.name)
 
     def _reset(self, packet: CallerPacket, outcome: Reset) -> None:
-        self._outcomes[outcome.reason] += 1
         self._socket.send(reset_for(packet), Endpoint(caller_ip(packet), self._port))
         self._log("flow_reset", packet, reason=outcome.reason.value, **self._evidence(outcome))
 
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -11,12 +11,13 @@
 
 from banyanline.core.steering.departure import Departure
 from banyanline.core.steering.steering import Steering
+from banyanline.core.types import Endpoint
 from banyanline.net.pages import PageResponse, PageServer
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.path import PacketPath
 from banyanline.net.steering.peers import PeerReader, view_page
 from banyanline.platform.boot import SettingsFault, SettingsFile
-from banyanline.platform.readiness import READY_TARGET
+from banyanline.platform.served import METRICS_PORT, METRICS_TARGET, READY_TARGET
 from banyanline.platform.store import StoreClient
 
 if TYPE_CHECKING:
@@ -24,6 +25,8 @@
     from collections.abc import Callable, Sequence
     from pathlib import Path
 
+    from banyanline.net.output import NonBlockingOutput
+    from banyanline.net.steering.metrics import SteeringMetrics
     from banyanline.platform.boot import HostSettings
 
 TICK_S = 1.0
@@ -40,6 +43,7 @@
         settings: HostSettings,
         path: Path,
         rng: random.Random,
+        output: NonBlockingOutput,
         packets: socket.socket | None = None,
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -69,6 +73,10 @@
         self._servers = [PageServer(settings.readiness, self._respond_ready)]
         if settings.control is not None:
             self._servers.append(PageServer(settings.control, self._respond_control))
+        self._output = output
+        self._metrics: SteeringMetrics | None = None
+        metrics = Endpoint(settings.packets.ip, METRICS_PORT)
+        self._metrics_server = PageServer(metrics, self._respond_metrics)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -85,6 +93,10 @@
         ]
         for server in self._servers:
             await server.start()
+        try:
+            await self._metrics_server.start()
+        except OSError as error:
+            log.warning("metrics_not_served", port=METRICS_PORT, detail=str(error))
 
     def reload(self) -> None:
         """Read the settings again; a file with a fault leaves the old ones in force."""
@@ -139,13 +151,43 @@
             self._departure.on_check(self._clock())
         return PageResponse(503, b"not ready\n")
 
+    def _respond_metrics(self, target: str, accepts: Sequence[str]) -> PageResponse:
+        if target != METRICS_TARGET:
+            return PageResponse(404, b"no such page\n")
+        if self._metrics is None:
+            self._metrics = self._load_metrics()
+        body, headers = self._metrics.render(accepts)
+        return PageResponse(200, body, headers)
+
+    def _load_metrics(self) -> SteeringMetrics:
+        from banyanline.net.steering.metrics import SteeringMetrics, SteeringSources
+
+        sources = SteeringSources(
+            self._steering,
+            self._clock,
+            lambda: self._feed.client.calls,
+            lambda: self._feed.client.failures,
+            self._store_age_s,
+            lambda: self._output.left_out,
+        )
+        return SteeringMetrics(sources)
+
+    def _store_age_s(self) -> float:
+        heard_at = self._feed.heard_at
+        return float("inf") if heard_at is None else self._clock() - heard_at
+
     def _respond_control(self, target: str, _accepts: Sequence[str]) -> PageResponse:
         return view_page(self._steering, target, self._clock())
 
 
-async def serve(settings: HostSettings, path: Path, packets: socket.socket | None = None) -> None:
+async def serve(
+    settings: HostSettings,
+    path: Path,
+    output: NonBlockingOutput,
+    packets: socket.socket | None = None,
+) -> None:
     """Run a balancer until it is told to stop, on a socket that may be bound already."""
-    process = SteeringProcess(settings, path, random.Random(), packets)
+    process = SteeringProcess(settings, path, random.Random(), output, packets)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/banyanline/platform/store.py
+++ b/banyanline/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 from urllib.parse import urlencode
@@ -84,12 +85,18 @@
     def __init__(self, endpoint: Endpoint) -> None:
         self._endpoint = endpoint
         self._calls = 0
+        self._failures: Counter[StoreFailure] = Counter()
 
     @property
     def calls(self) -> int:
         """Number of calls made so far."""
         return self._calls
 
+    @property
+    def failures(self) -> Counter[StoreFailure]:
+        """Number of calls that brought nothing, by reason."""
+        return self._failures
+
     async def read_all(self, prefix: str) -> SnapshotResult:
         """Read all items below ``prefix``, page after page.
 
@@ -132,6 +139,12 @@
 
     async def _get(self, path: str, query: dict[str, str], wait_s: Seconds) -> bytes | StoreFailed:
         self._calls += 1
+        result = await self._call(path, query, wait_s)
+        if isinstance(result, StoreFailed):
+            self._failures[result.reason] += 1
+        return result
+
+    async def _call(self, path: str, query: dict[str, str], wait_s: Seconds) -> bytes | StoreFailed:
         response = await http_get(
             self._endpoint,
             f"{path}?{urlencode(query)}",
--- a/bench/steering/fleet.py
+++ b/bench/steering/fleet.py
@@ -12,6 +12,7 @@
 
 from banyanline.core.types import Endpoint
 from banyanline.net.http import HttpResponse, http_get
+from banyanline.platform.served import METRICS_PORT, METRICS_TARGET
 from bench.addresses import AddressPlan
 from bench.steering.caller import PacketCaller
 from bench.steering.store import StandInStore
@@ -77,13 +78,13 @@
         """What the process has written so far."""
         return self.output.read_text()
 
-    def start(self) -> None:
-        """Start the process; its output is appended to the log."""
-        with self.output.open("ab") as output:
+    def start(self, output: int | None = None) -> None:
+        """Start the process; its output is appended to the log, or goes to a descriptor."""
+        with self.output.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "banyanline.cli.steering"],
                 env=os.environ | {"BANYANLINE_BOOT": str(self.settings)},
-                stdout=output,
+                stdout=log if output is None else output,
                 stderr=subprocess.STDOUT,
             )
 
@@ -112,6 +113,17 @@
         )
         return result.status if isinstance(result, HttpResponse) else None
 
+    async def metrics(self) -> str:
+        """Return the text of the metrics page."""
+        result = await http_get(
+            Endpoint(self.plan.ip, METRICS_PORT),
+            METRICS_TARGET,
+            timeout_s=5.0,
+            max_body_bytes=1 << 20,
+        )
+        assert isinstance(result, HttpResponse), result
+        return result.body.decode()
+
     async def become(self, status: int | None, timeout_s: float = START_TIMEOUT_S) -> None:
         """Wait until the readiness page has this status; raises TimeoutError."""
         async with asyncio.timeout(timeout_s):
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -224,3 +225,39 @@
         assert str(host.settings) in host.log_text
     finally:
         await running.close()
+
+
+async def test_metrics_count_what_was_done(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0].plan.packets
+        caller = running.caller()
+        flow = await caller.open(host)
+        for number in range(3):
+            await flow.ask(b"request %d" % number, host)
+        stranger = PacketCaller((running.plan.caller(50), 8172), OTHER_SERVICE)
+        with pytest.raises(FlowRefusedError):
+            await stranger.open(host)
+        stranger.close()
+        page = await running.hosts[0].metrics()
+        assert 'banyanline_flows_placed_total{service="orders"} 1' in page
+        assert 'banyanline_resets_total{reason="no_route"} 1' in page
+        assert 'banyanline_response_seconds_count{service="orders"} 2' in page
+        assert 'banyanline_upstreams{service="orders",state="well"} 2' in page
+        assert "banyanline_configuration_version 3" in page
+
+
+async def test_a_reader_that_leaves_the_log_unread_stops_nothing(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0]
+        await host.kill()
+        reader, writer = os.pipe()
+        host.start(output=writer)
+        os.close(writer)
+        await host.become(200)
+        caller = running.caller()
+        for _ in range(700):
+            caller._socket.send(b"malformed", host.plan.packets)
+        flow = await caller.open(host.plan.packets)
+        assert await flow.ask(b"x", host.plan.packets)
+        os.close(reader)
+        assert await flow.ask(b"y", host.plan.packets)
