--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -7,12 +7,8 @@
 
 import structlog
 
-from banyanline.core.steering.model import (
-    DataCentreOut,
-    TableChanged,
-    UpstreamChanged,
-    UpstreamRemoved,
-)
+from banyanline.core.steering.model import DataCentreOut, UpstreamChanged
+from banyanline.net.steering.beliefs import log_change
 from banyanline.platform.entries import Unrelated, UnusableItem, decode_item
 from banyanline.platform.store import Snapshot, StoreFailed, StoreFailure
 
@@ -41,13 +37,6 @@
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 
-_EVENTS = {
-    UpstreamChanged: "upstream_changed",
-    UpstreamRemoved: "upstream_removed",
-    TableChanged: "configuration_in_force",
-    DataCentreOut: "data_centre_changed",
-}
-
 log = structlog.get_logger()
 
 
@@ -133,7 +122,7 @@
                 continue
             changes.append(decoded)
             if self._steering.on_change(decoded, now):
-                log.info(_EVENTS[type(decoded)], **_summary(decoded))
+                log_change(decoded)
         self._on_change()
         return changes
 
@@ -145,28 +134,10 @@
 
     async def _pause_after(self, failure: StoreFailed) -> None:
         self._failed += 1
-        event = "store_lost" if self._failed == 1 else "store_still_lost"
-        log.warning(event, reason=failure.reason.value, detail=failure.detail)
+        fields = {"reason": failure.reason.value, "detail": failure.detail}
+        if self._failed == 1:
+            log.warning("store_lost", **fields)
+        else:
+            log.info("store_still_lost", failed_calls=self._failed, **fields)
         longest_s = min(MAX_RETRY_S, FIRST_RETRY_S * 2.0 ** (self._failed - 1))
         await asyncio.sleep(longest_s * self._rng.uniform(0.5, 1.0))
-
-
-def _summary(change: Change) -> dict[str, object]:
-    """Return what a log line says of a change."""
-    if isinstance(change, UpstreamChanged):
-        entry = change.entry
-        return {
-            "upstream": entry.name,
-            "leaving": entry.is_leaving,
-            "cold_s": entry.cold_for_s,
-            "revision": change.revision,
-        }
-    if isinstance(change, TableChanged):
-        return {"version": change.table.version, "revision": change.revision}
-    if isinstance(change, UpstreamRemoved):
-        return {"upstream": change.name, "revision": change.revision}
-    return {
-        "data_centre": change.data_centre,
-        "out": change.is_out,
-        "revision": change.revision,
-    }
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -13,6 +13,7 @@
 from banyanline.core.steering.steering import Steering
 from banyanline.core.types import Endpoint
 from banyanline.net.pages import PageResponse, PageServer
+from banyanline.net.steering.beliefs import StandingLog
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.path import PacketPath
 from banyanline.net.steering.peers import PeerReader, view_page
@@ -69,6 +70,7 @@
             self._path.release_held,
         )
         self._peers.set_seeds(settings.seeds)
+        self._standings = StandingLog(self._steering)
         self._departure: Departure | None = None
         self._servers = [PageServer(settings.readiness, self._respond_ready)]
         if settings.control is not None:
@@ -117,7 +119,9 @@
         for task in self._tasks:
             task.cancel()
         self._path.close()
-        log.info("stopped", after_s=round(self._clock() - began_at, 3), checks=departure.checks)
+        log.info(
+            "host_stopped", after_s=round(self._clock() - began_at, 3), checks=departure.checks
+        )
 
     def _apply(self, settings: HostSettings) -> None:
         """Take over what may change while the process runs; the rest needs a restart."""
@@ -138,7 +142,9 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            self._steering.on_tick(self._clock())
+            now = self._clock()
+            self._steering.on_tick(now)
+            self._standings.update(now)
             if self._settings_file.has_changed():
                 self.reload()
 
@@ -194,7 +200,12 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, process.reload)
     await process.start()
-    log.info("started", host=settings.host, data_centre=settings.data_centre)
+    log.info(
+        "host_started",
+        data_centre=settings.data_centre,
+        packets=str(settings.packets),
+        store=str(settings.store),
+    )
     await stop.wait()
-    log.info("stopping")
+    log.info("host_leaving", grace_s=settings.stop_grace_s)
     await process.stop()
--- a/banyanline/tests/test_docs.py
+++ b/banyanline/tests/test_docs.py
@@ -1,12 +1,18 @@
 from __future__ import annotations
 
+import random
 import re
+from enum import StrEnum
 from pathlib import Path
 
 import pytest
 
 from banyanline.core.counters import Counters
+from banyanline.core.steering.outcomes import DropReason, ResetReason
+from banyanline.core.steering.steering import Steering
+from banyanline.core.steering.upstreams import UpstreamStanding
 from banyanline.net.metrics import GAUGE_DOCS, PREFIX, Gauges, IoCounts, Metrics, Sources
+from banyanline.net.steering.metrics import SteeringMetrics, SteeringSources
 
 ROOT = Path(__file__).resolve().parents[2]
 PAGES = sorted([ROOT / "README.md", *(ROOT / "docs").rglob("*.md")])
@@ -59,3 +65,27 @@
     page = (ROOT / "docs/operators/logs.md").read_text(encoding="utf-8")
     listed = set(re.findall(r"^\| `([a-z_]+)` \|", page, re.MULTILINE))
     assert listed == logged_events()
+
+
+def test_the_page_of_the_platform_names_its_metrics() -> None:
+    steering = Steering("here", random.Random(1))
+    sources = SteeringSources(steering, lambda: 0.0, lambda: 0, dict, lambda: 0.0, lambda: 0)
+    body, _ = SteeringMetrics(sources).render()
+    page = (ROOT / "docs/operators/platform.md").read_text(encoding="utf-8")
+    table = page.split("\n## Metrics\n")[1]
+    assert set(METRIC_ROW.findall(table)) == {
+        f"`{name}`" for name in RENDERED.findall(body.decode())
+    }
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        pytest.param(ResetReason, id="resets"),
+        pytest.param(DropReason, id="drops"),
+        pytest.param(UpstreamStanding, id="standings"),
+    ],
+)
+def test_the_page_of_the_platform_explains_each_word(words: type[StrEnum]) -> None:
+    page = (ROOT / "docs/operators/platform.md").read_text(encoding="utf-8")
+    assert [word for word in words if f"`{word}`" not in page] == []
