--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -88,6 +88,13 @@
 
     async def start(self) -> None:
         """Begin to read the platform and to answer; raises OSError for a socket in use."""
+        settings = self._settings
+        log.info(
+            "host_started",
+            data_centre=settings.data_centre,
+            packets=str(settings.packets),
+            store=str(settings.store),
+        )
         self._tasks = [
             asyncio.create_task(self._feed.run()),
             asyncio.create_task(self._peers.run()),
@@ -200,12 +207,6 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, process.reload)
     await process.start()
-    log.info(
-        "host_started",
-        data_centre=settings.data_centre,
-        packets=str(settings.packets),
-        store=str(settings.store),
-    )
     await stop.wait()
     log.info("host_leaving", grace_s=settings.stop_grace_s)
     await process.stop()
--- a/bench/steering/caller.py
+++ b/bench/steering/caller.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
+from typing import TypeAlias
 
 from bench.sockets import Address, UdpSocket
 from bench.steering.segments import Flag, Segment, decode, encode
@@ -11,12 +13,23 @@
 COPIES_AFTER_S = (0.2, 0.6)
 GIVE_UP_S = 1.4
 RETRANSMIT_S = 0.2
+MAX_RETRANSMIT_S = 1.6
+
+PickHost: TypeAlias = Callable[[], Address]
+"""Says which host gets the next packet."""
 
 
 class FlowRefusedError(Exception):
     """The flow was reset."""
 
 
+def _picker(host: Address | PickHost) -> PickHost:
+    if callable(host):
+        return host
+    fixed = host
+    return lambda: fixed
+
+
 class PacketCaller:
     """Opens flows from one address to one service address."""
 
@@ -31,11 +44,11 @@
         """Stop."""
         self._socket.close()
 
-    async def open(self, host: Address) -> PacketFlow:
+    async def open(self, host: Address | PickHost) -> PacketFlow:
         """Open a flow through a host; raises FlowRefusedError or TimeoutError."""
         port = next(self._ports)
         flow = self._flows[port] = PacketFlow(self, port, self._socket)
-        await flow.open(host)
+        await flow.open(_picker(host))
         return flow
 
     def _on_datagram(self, data: bytes, _source: Address) -> None:
@@ -65,26 +78,31 @@
         """What the flow's packets carry to name its upstream."""
         return self._echo
 
-    async def open(self, host: Address) -> None:
+    async def open(self, pick: PickHost) -> None:
         """Send the opening packet and its copies until the upstream answers."""
         waits = [*COPIES_AFTER_S, GIVE_UP_S]
         began_s = 0.0
         for copy, until_s in enumerate(waits):
-            self._send(host, Flag.SYN, ack=copy)
+            self._send(pick(), Flag.SYN, ack=copy)
             if await self._wait(until_s - began_s):
                 return
             began_s = until_s
         raise TimeoutError
 
-    async def ask(self, data: bytes, *hosts: Address, timeout_s: float = 5.0) -> bytes:
-        """Send data by the first host, and again by the others in turn; return the answer."""
+    async def ask(self, data: bytes, *hosts: Address | PickHost, timeout_s: float = 5.0) -> bytes:
+        """Send data by the first host, and again by the others in turn; return the answer.
+
+        Raises FlowRefusedError or TimeoutError.
+        """
         self._body = b""
         self._news.clear()
-        turns = itertools.cycle(hosts)
+        turns = itertools.cycle([_picker(host) for host in hosts])
+        interval_s = RETRANSMIT_S
         async with asyncio.timeout(timeout_s):
             while not self._body:
-                self._send(next(turns), Flag.ACK, data=data)
-                await self._wait(RETRANSMIT_S)
+                self._send(next(turns)(), Flag.ACK, data=data)
+                await self._wait(interval_s)
+                interval_s = min(2 * interval_s, MAX_RETRANSMIT_S)
         self._seq += len(data)
         return self._body
 
--- a/bench/steering/fleet.py
+++ b/bench/steering/fleet.py
@@ -12,9 +12,10 @@
 
 from banyanline.core.types import Endpoint
 from banyanline.net.http import HttpResponse, http_get
-from banyanline.platform.served import METRICS_PORT, METRICS_TARGET
+from banyanline.platform.served import METRICS_PORT, METRICS_TARGET, READY_TARGET
 from bench.addresses import AddressPlan
 from bench.steering.caller import PacketCaller
+from bench.steering.proxy import FaultyLink
 from bench.steering.store import StandInStore
 from bench.steering.upstream import PacketUpstream
 
@@ -73,6 +74,11 @@
         assert self._process is not None
         return self._process.pid
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self._process is not None and self._process.poll() is None
+
     @property
     def log_text(self) -> str:
         """What the process has written so far."""
@@ -106,10 +112,13 @@
             await asyncio.sleep(POLL_S)
         return self._process.returncode
 
-    async def status(self) -> int | None:
+    async def status(self, timeout_s: float = 1.0) -> int | None:
         """Return the status of the readiness page, or None without an answer."""
         result = await http_get(
-            Endpoint(self.plan.ip, READY_PORT), "/readiness", timeout_s=1.0, max_body_bytes=1000
+            Endpoint(self.plan.ip, READY_PORT),
+            READY_TARGET,
+            timeout_s=timeout_s,
+            max_body_bytes=1000,
         )
         return result.status if isinstance(result, HttpResponse) else None
 
@@ -134,7 +143,9 @@
 class Fleet:
     """A store, upstreams, callers and hosts, to be closed at the end."""
 
-    def __init__(self, folder: Path, hosts: int = 1, hint: int = 0) -> None:
+    def __init__(
+        self, folder: Path, hosts: int = 1, hint: int = 0, *, through_proxies: bool = False
+    ) -> None:
         self.plan = AddressPlan.acquire(hint=hint)
         self.store = StandInStore()
         self.upstreams: dict[str, PacketUpstream] = {}
@@ -143,18 +154,29 @@
             for idx in range(hosts)
         ]
         self._callers: list[PacketCaller] = []
-        self._store_address = ("", 0)
+        self._through_proxies = through_proxies
+        self.links: list[FaultyLink] = []
+        self._store_addresses: list[tuple[str, int]] = []
 
     async def start(self) -> None:
         """Start the store; hosts are started one by one."""
-        self._store_address = await self.store.start(self.plan.platform(0))
-        for host in self.hosts:
+        address = await self.store.start(self.plan.platform(0))
+        for idx, host in enumerate(self.hosts):
+            self._store_addresses.append(await self._way_to_store(idx, address))
             self.write_settings(host)
 
+    async def _way_to_store(self, idx: int, store: tuple[str, int]) -> tuple[str, int]:
+        """Return where a host reaches the store, through a proxy of its own if there is one."""
+        if not self._through_proxies:
+            return store
+        link = FaultyLink(store)
+        self.links.append(link)
+        return await link.start(self.plan.platform(1 + idx))
+
     def write_settings(self, host: BalancerProcess, *, grace_s: float = 4.0) -> None:
         """Write the settings file of a host."""
         seeds = ",".join(f'"{each.plan.ip}:{CONTROL_PORT}"' for each in self.hosts)
-        ip, port = self._store_address
+        ip, port = self._store_addresses[self.hosts.index(host)]
         text = _SETTINGS.format(
             name=host.plan.name,
             zone=host.plan.zone,
@@ -231,5 +253,7 @@
             caller.close()
         for upstream in self.upstreams.values():
             upstream.close()
+        for link in self.links:
+            await link.close()
         await self.store.close()
         self.plan.release()
--- a/bench/steering/upstream.py
+++ b/bench/steering/upstream.py
@@ -12,10 +12,12 @@
 
 
 class _Connection(NamedTuple):
-    """Where an open flow stands at the upstream."""
+    """Where an open flow stands at the upstream; ``answer`` is the last one, for repeats."""
 
     first_seq: int
     sent: int = 1
+    expected_seq: int | None = None
+    answer: bytes = b""
 
 
 class PacketUpstream:
@@ -41,6 +43,10 @@
         """Where the upstream takes packets."""
         return self._socket.address
 
+    def restart(self) -> None:
+        """Forget all flows, as after a crash and a start under the same id."""
+        self._connections.clear()
+
     def close(self) -> None:
         """Stop, as in a crash."""
         self._socket.close()
@@ -64,10 +70,22 @@
             del self._connections[segment.src]
             self._reply(segment, Flag.FIN | Flag.ACK, segment.ack)
         elif segment.data:
-            self.received.append(segment.data)
-            body = self.name.encode() + b":" + segment.data
-            self._reply(segment, Flag.ACK, known.first_seq + known.sent, body)
-            self._connections[segment.src] = known._replace(sent=known.sent + len(body))
+            self._run(segment, known)
+
+    def _run(self, segment: Segment, known: _Connection) -> None:
+        """Answer new data, and repeat the last answer to data that was seen before."""
+        if known.expected_seq is not None and segment.seq < known.expected_seq:
+            seq = known.first_seq + known.sent - len(known.answer)
+            self._reply(segment, Flag.ACK, seq, known.answer)
+            return
+        self.received.append(segment.data)
+        body = self.name.encode() + b":" + segment.data
+        self._reply(segment, Flag.ACK, known.first_seq + known.sent, body)
+        self._connections[segment.src] = known._replace(
+            sent=known.sent + len(body),
+            expected_seq=segment.seq + len(segment.data),
+            answer=body,
+        )
 
     def _open(self, segment: Segment) -> None:
         known = self._connections.setdefault(segment.src, _Connection(next(_SEQUENCES)))
