--- a/banyanline/cli/steering.py
+++ b/banyanline/cli/steering.py
@@ -11,6 +11,7 @@
     import socket
 
 NAME = "banyanline-balancer"
+EXIT_PROBLEM = 1
 EXIT_USAGE = 2
 
 
@@ -36,13 +37,16 @@
         return _refuse(str(settings))
     output = NonBlockingOutput(sys.stdout.fileno())
     configure_logs("info", host=settings.host, output=output)
-    asyncio.run(serve(settings, path, output, packets))
+    try:
+        asyncio.run(serve(settings, path, output, packets))
+    except OSError as error:
+        return _refuse(str(error), EXIT_PROBLEM)
     return 0
 
 
-def _refuse(message: str) -> int:
+def _refuse(message: str, status: int = EXIT_USAGE) -> int:
     print(f"{NAME}: {message}", file=sys.stderr)
-    return EXIT_USAGE
+    return status
 
 
 if __name__ == "__main__":
--- a/bench/steering/fleet.py
+++ b/bench/steering/fleet.py
@@ -106,11 +106,12 @@
             await self.wait()
 
     async def wait(self) -> int:
-        """Wait until the process has ended; return its exit status."""
-        assert self._process is not None
-        while self._process.poll() is None:
+        """Wait until the present process has ended; return its exit status."""
+        process = self._process
+        assert process is not None
+        while process.poll() is None:
             await asyncio.sleep(POLL_S)
-        return self._process.returncode
+        return process.returncode
 
     async def status(self, timeout_s: float = 1.0) -> int | None:
         """Return the status of the readiness page, or None without an answer."""
--- a/bench/steering/soak.py
+++ b/bench/steering/soak.py
@@ -333,6 +333,7 @@
 def main(argv: list[str]) -> None:
     """Play seed after seed, and exit with 1 if any promise was broken."""
     del argv
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(1))
     ends_at = time.monotonic() + 60.0 * FLAGS.minutes
     failed = []
     seed = FLAGS.seed
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -12,7 +12,7 @@
 import pytest
 
 from bench.steering.caller import FlowRefusedError, PacketCaller
-from bench.steering.fleet import OTHER_SERVICE, SERVICE, Fleet
+from bench.steering.fleet import OTHER_SERVICE, SERVICE, BalancerProcess, Fleet
 from bench.steering.store import Fault
 
 TIMEOUT_S = 60.0
@@ -261,3 +261,14 @@
         assert await flow.ask(b"x", host.plan.packets)
         os.close(reader)
         assert await flow.ask(b"y", host.plan.packets)
+
+
+async def test_an_address_in_use_is_told_in_one_line(tmp_path):
+    async with fleet(tmp_path) as running:
+        second = BalancerProcess(running.hosts[0].plan, tmp_path / "second")
+        second.output.parent.mkdir()
+        second.settings.write_text(running.hosts[0].settings.read_text())
+        second.start()
+        assert await second.wait() == 1
+        assert "Traceback" not in second.log_text
+        assert "in use" in second.log_text
