Leave the store to the seeds where changes have 5 s to take effect

Change: a host that is no seed asks a seed for what changed (a long question, answered with what is newer than the asker's revision and the age of what the seed knows) and asks the store itself when no seed answers, or none has heard of the store for 2.6 s, or the configuration is too large for a small link. Seeds watch for 0.3 of the contact time. A host knows up to which revision it has heard of all changes. Tests with real processes: changes through a seed, seeds killed, seeds frozen.

--- a/banyanline/core/steering/model.py
+++ b/banyanline/core/steering/model.py
@@ -127,9 +127,15 @@
 
 
 class FleetView(NamedTuple):
-    """What one host tells another of the platform, up to ``revision``."""
+    """What one host tells another of the platform: all that changed up to ``revision``.
+
+    ``age_s`` is the time since the teller heard of the store. ``table`` is None if it
+    has not changed, or is too large to tell; ``table_version`` shows which.
+    """
 
     revision: Revision
+    age_s: Seconds
+    table_version: int
     table: RoutingTable | None
     upstreams: tuple[KnownUpstream, ...]
     data_centres: tuple[DataCentreOut, ...]
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -54,6 +54,9 @@
 
 MAX_IDLE_S = 60.0
 
+MAX_TOLD_ROUTES = 400
+"""A larger configuration is read from the store rather than told by a host on a small link."""
+
 
 class Steering:
     """The decisions of one host."""
@@ -70,6 +73,7 @@
         self._counters = SteeringCounters()
         self._flows = FlowTable(self._counters)
         self._table: RoutingTable | None = None
+        self._table_revision: Revision = 0
         self._removed_routes: set[ServiceAddress] = set()
         self._out: dict[DataCentreName, Revision] = {}
         self._back: dict[DataCentreName, Revision] = {}
@@ -87,7 +91,7 @@
 
     @property
     def revision(self) -> Revision:
-        """The greatest revision of the platform that this host has heard of."""
+        """The revision of the platform up to which this host knows all changes."""
         return self._revision
 
     @property
@@ -138,7 +142,6 @@
 
     def on_change(self, change: Change, now: Seconds) -> bool:
         """Take in what the platform says; return whether it was news."""
-        self._revision = max(self._revision, change.revision)
         if isinstance(change, UpstreamChanged):
             known = self._upstreams.get(change.entry.name)
             before = known.revision if known else 0
@@ -147,9 +150,13 @@
         if isinstance(change, UpstreamRemoved):
             return self._upstreams.remove(change.name, change.revision, now) is not None
         if isinstance(change, TableChanged):
-            return self._put_table(change.table)
+            return self._put_table(change.table, change.revision)
         return self._put_out(change)
 
+    def settle(self, as_of: Revision) -> None:
+        """Take in that all changes up to ``as_of`` have been told."""
+        self._revision = max(self._revision, as_of)
+
     def retain(
         self,
         names: Collection[UpstreamName],
@@ -158,7 +165,7 @@
         now: Seconds,
     ) -> None:
         """Take in a complete list: what is not on it was removed by revision ``as_of``."""
-        self._revision = max(self._revision, as_of)
+        self.settle(as_of)
         for name in set(self._upstreams.names_with_entry()) - set(names):
             self._upstreams.remove(name, as_of, now)
         for data_centre in set(self._out) - set(out):
@@ -178,16 +185,29 @@
             return UpstreamStanding.SUSPECT
         return UpstreamStanding.COLD if upstream.is_cold(now) else UpstreamStanding.WELL
 
-    def view(self, now: Seconds) -> FleetView:
-        """Return what this host knows, for another host."""
+    def view(
+        self, now: Seconds, have: Revision = 0, age_s: Seconds = 0.0, *, whole: bool = True
+    ) -> FleetView:
+        """Return what changed after the revision ``have``, for another host.
+
+        A large configuration is told only if the view is to be ``whole``.
+        """
+        table = self._table if self._table_revision > have else None
+        if table is not None and not whole and len(table.routes) > MAX_TOLD_ROUTES:
+            table = None
         return FleetView(
-            self.revision,
-            self._table,
-            tuple(_known(upstream, now) for upstream in self._upstreams),
+            self._revision,
+            age_s,
+            self.version,
+            table,
+            tuple(
+                _known(upstream, now) for upstream in self._upstreams if upstream.revision > have
+            ),
             tuple(
                 DataCentreOut(name, is_out, revision)
                 for words, is_out in ((self._out, True), (self._back, False))
                 for name, revision in words.items()
+                if revision > have
             ),
         )
 
@@ -198,10 +218,11 @@
             if not known.has_entry:
                 self._upstreams.remove(known.entry.name, known.revision, now)
         if view.table is not None:
-            self._put_table(view.table)
+            self._put_table(view.table, view.revision)
         for word in view.data_centres:
             self._put_out(word)
-        self._revision = max(self._revision, view.revision)
+        if self.version >= view.table_version:
+            self.settle(view.revision)
 
     def on_tick(self, now: Seconds) -> None:
         """Forget what is too old to matter; to be called about once a second."""
@@ -209,9 +230,10 @@
         self._flows.expire(now - idle_s, now - OPENING_LIFETIME_S)
         self._upstreams.forget_removed(now)
 
-    def _put_table(self, table: RoutingTable) -> bool:
+    def _put_table(self, table: RoutingTable, revision: Revision) -> bool:
         if table.version <= self.version:
             return False
+        self._table_revision = revision
         if self._table is not None:
             self._removed_routes |= self._table.routes.keys()
         self._removed_routes -= table.routes.keys()
--- a/banyanline/net/pages.py
+++ b/banyanline/net/pages.py
@@ -6,12 +6,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, TypeAlias
 
 import h11
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping, Sequence
+    from collections.abc import Awaitable, Callable, Mapping, Sequence
 
     from banyanline.core.types import Endpoint
 
@@ -31,14 +31,19 @@
     headers: Mapping[str, str] = TEXT_HEADERS
 
 
+Responder: TypeAlias = "Callable[[str, Sequence[str]], PageResponse | Awaitable[PageResponse]]"
+"""Answers a target and the values of ``Accept``, at once or later."""
+
+
 class PageServer:
-    """Serves what ``respond`` returns for a target and the values of ``Accept``."""
+    """Serves what ``respond`` returns, on at most ``max_connections`` at a time."""
 
     def __init__(
-        self, endpoint: Endpoint, respond: Callable[[str, Sequence[str]], PageResponse]
+        self, endpoint: Endpoint, respond: Responder, max_connections: int | None = None
     ) -> None:
         self._endpoint = endpoint
         self._respond = respond
+        self._max_connections = max_connections
         self._server: asyncio.Server | None = None
         self._connections = 0
         self._refused = 0
@@ -67,7 +72,7 @@
             self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._connections >= MAX_CONNECTIONS:
+        if self._connections >= (self._max_connections or MAX_CONNECTIONS):
             self._refused += 1
             writer.transport.abort()
             return
@@ -98,7 +103,8 @@
             accepts = [
                 value.decode("latin-1") for name, value in request.headers if name == b"accept"
             ]
-            response = self._respond(request.target.decode("ascii"), accepts)
+            result = self._respond(request.target.decode("ascii"), accepts)
+            response = result if isinstance(result, PageResponse) else await result
         await _send(connection, writer, response)
 
 
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -9,6 +9,7 @@
 
 from banyanline.core.steering.model import DataCentreOut, UpstreamChanged
 from banyanline.net.steering.beliefs import log_change
+from banyanline.net.steering.views import ViewQuery, fetch_view
 from banyanline.platform.entries import Unrelated, UnusableItem, decode_item
 from banyanline.platform.store import Snapshot, StoreFailed, StoreFailure
 
@@ -18,7 +19,8 @@
 
     from banyanline.core.steering.model import Change
     from banyanline.core.steering.steering import Steering
-    from banyanline.core.types import Seconds
+    from banyanline.core.types import Endpoint, Seconds
+    from banyanline.net.steering.seeds import Seeds
     from banyanline.platform.entries import StoreItem
     from banyanline.platform.store import StoreClient
 
@@ -34,6 +36,20 @@
 PAUSE_S = 0.8
 """Pause after an answer, so that changes that come together cost one call."""
 
+RELAY_BOUND_S = 5.0
+"""Hosts that have this long to act on a change leave the store to the seeds."""
+
+SEED_WATCH_SHARE = 0.3
+"""The same share for a seed on which other hosts rely."""
+
+RELAY_WAIT_S = 1.2
+RELAY_AGE_S = 2.6
+"""A seed that has heard of the store longer ago may be cut off: its watches are shorter."""
+
+RELAY_PAUSE_S = 0.3
+DIRECT_S = 3.0
+"""How long the store is asked directly after a seed has failed."""
+
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 
@@ -49,14 +65,17 @@
         steering: Steering,
         clock: Callable[[], Seconds],
         rng: random.Random,
-        contact_s: Seconds,
+        seeds: Seeds,
         on_change: Callable[[], None],
     ) -> None:
         self._client = client
         self._steering = steering
         self._clock = clock
         self._rng = rng
-        self._watch_s = contact_s * WATCH_SHARE
+        self._seeds = seeds
+        self._watch_s = 0.0
+        self._relays = False
+        self._direct_until: Seconds = 0.0
         self._on_change = on_change
         self._failed = 0
         self._heard_at: Seconds | None = None
@@ -71,10 +90,16 @@
         """When the store answered last, or None before the first answer."""
         return self._heard_at
 
-    def set_source(self, client: StoreClient, contact_s: Seconds) -> None:
-        """Make the calls to come with this client."""
-        self._client = client
-        self._watch_s = contact_s * WATCH_SHARE
+    def set_source(self, store: Endpoint, contact_s: Seconds, bound_s: Seconds) -> None:
+        """Make the calls to come to this store.
+
+        ``contact_s`` is the time after which a well host is held to its bounds, and
+        ``bound_s`` the shortest time within which it has to act on a change.
+        """
+        self._client.endpoint = store
+        self._relays = bound_s >= RELAY_BOUND_S
+        share = SEED_WATCH_SHARE if self._relays and self._seeds.has_own else WATCH_SHARE
+        self._watch_s = contact_s * share
 
     async def run(self) -> None:
         """Follow the store without end."""
@@ -89,6 +114,10 @@
     async def _follow(self, as_of: int) -> None:
         """Apply changes until their history is lost."""
         while True:
+            seed = self._relay()
+            if seed is not None:
+                as_of = await self._follow_seed(seed, as_of)
+                continue
             changes = await self._client.wait_for_changes(EVERYTHING, as_of, self._watch_s)
             if isinstance(changes, StoreFailed):
                 if changes.reason is StoreFailure.HISTORY_GONE:
@@ -96,18 +125,49 @@
                     return
                 await self._pause_after(changes)
                 continue
-            self._note_answer()
+            self._note_answer(0.0)
             as_of = max(as_of, changes.as_of)
             if changes.events:
                 self._apply(changes.events)
+                self._steering.settle(as_of)
+                self._on_change()
                 await asyncio.sleep(PAUSE_S)
 
+    def _relay(self) -> Endpoint | None:
+        """Return the seed to ask instead of the store, or None to ask the store."""
+        if not self._relays or self._seeds.has_own or self._clock() < self._direct_until:
+            return None
+        return self._seeds.choose()
+
+    async def _follow_seed(self, seed: Endpoint, as_of: int) -> int:
+        """Apply what a seed tells; return up to which revision that goes.
+
+        The store is asked directly for a while if the seed does not answer, or has
+        not heard of the store lately, or has more to tell than its link should carry.
+        """
+        query = ViewQuery(as_of, RELAY_WAIT_S, whole=False)
+        view = await fetch_view(seed, query)
+        if view is None or view.age_s > RELAY_AGE_S or view.revision < as_of:
+            self._direct_until = self._clock() + DIRECT_S
+            return as_of
+        self._note_answer(view.age_s)
+        self._steering.on_view(view, self._clock())
+        if view.table_version > self._steering.version:
+            self._direct_until = self._clock() + PAUSE_S
+            return as_of
+        if view.revision > as_of:
+            log.info("view_taken", seed=str(seed), had=as_of, revision=view.revision)
+            self._on_change()
+            await asyncio.sleep(RELAY_PAUSE_S * self._rng.random())
+        return view.revision
+
     def _take_snapshot(self, snapshot: Snapshot) -> None:
-        self._note_answer()
+        self._note_answer(0.0)
         changes = self._apply(snapshot.items)
         names = [change.entry.name for change in changes if isinstance(change, UpstreamChanged)]
         out = [change.data_centre for change in changes if isinstance(change, DataCentreOut)]
         self._steering.retain(names, out, snapshot.as_of, self._clock())
+        self._on_change()
         log.info("store_read", items=len(snapshot.items), as_of=snapshot.as_of)
 
     def _apply(self, items: Sequence[StoreItem]) -> list[Change]:
@@ -123,14 +183,13 @@
             changes.append(decoded)
             if self._steering.on_change(decoded, now):
                 log_change(decoded)
-        self._on_change()
         return changes
 
-    def _note_answer(self) -> None:
+    def _note_answer(self, age_s: Seconds) -> None:
         if self._failed:
             log.info("store_regained", failed_calls=self._failed)
         self._failed = 0
-        self._heard_at = self._clock()
+        self._heard_at = self._clock() - age_s
 
     async def _pause_after(self, failure: StoreFailed) -> None:
         self._failed += 1
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -16,7 +16,9 @@
 from banyanline.net.steering.beliefs import StandingLog
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.path import PacketPath
-from banyanline.net.steering.peers import PeerReader, view_page
+from banyanline.net.steering.peers import PeerReader
+from banyanline.net.steering.seeds import Seeds
+from banyanline.net.steering.views import MAX_CONNECTIONS, ViewBoard
 from banyanline.platform.boot import SettingsFault, SettingsFile
 from banyanline.platform.served import METRICS_PORT, METRICS_TARGET, READY_TARGET
 from banyanline.platform.store import StoreClient
@@ -53,28 +55,32 @@
         self._clock: Callable[[], float] = loop.time
         self._steering = Steering(settings.data_centre, rng)
         self._path = PacketPath(loop, settings.packets, self._steering, packets)
+        self._seeds = Seeds(settings.control, rng)
         self._feed = StoreFeed(
             StoreClient(settings.store),
             self._steering,
             self._clock,
             rng,
-            settings.contact_s,
-            self._path.release_held,
+            self._seeds,
+            self._on_change,
         )
         self._peers = PeerReader(
             self._steering,
-            settings.control,
+            self._seeds,
             self._clock,
             rng,
             lambda: self._feed.heard_at,
-            self._path.release_held,
+            self._on_change,
         )
-        self._peers.set_seeds(settings.seeds)
+        self._board = ViewBoard(self._steering, self._clock, self._store_age_s)
+        self._follow_settings(settings)
         self._standings = StandingLog(self._steering)
         self._departure: Departure | None = None
         self._servers = [PageServer(settings.readiness, self._respond_ready)]
         if settings.control is not None:
-            self._servers.append(PageServer(settings.control, self._respond_control))
+            self._servers.append(
+                PageServer(settings.control, self._respond_control, MAX_CONNECTIONS)
+            )
         self._output = output
         self._metrics: SteeringMetrics | None = None
         metrics = Endpoint(settings.packets.ip, METRICS_PORT)
@@ -142,8 +148,7 @@
         if applied != settings:
             log.warning("settings_need_restart", detail="addresses, name or data centre changed")
         self._settings = applied
-        self._peers.set_seeds(applied.seeds)
-        self._feed.set_source(StoreClient(applied.store), applied.contact_s)
+        self._follow_settings(applied)
         log.info("settings_reloaded", seeds=len(applied.seeds))
 
     async def _tick(self) -> None:
@@ -189,8 +194,16 @@
         heard_at = self._feed.heard_at
         return float("inf") if heard_at is None else self._clock() - heard_at
 
-    def _respond_control(self, target: str, _accepts: Sequence[str]) -> PageResponse:
-        return view_page(self._steering, target, self._clock())
+    async def _respond_control(self, target: str, _accepts: Sequence[str]) -> PageResponse:
+        return await self._board.respond(target)
+
+    def _follow_settings(self, settings: HostSettings) -> None:
+        self._seeds.set(settings.seeds)
+        self._feed.set_source(settings.store, settings.contact_s, settings.change_bound_s)
+
+    def _on_change(self) -> None:
+        self._path.release_held()
+        self._board.wake()
 
 
 async def serve(
--- /dev/null
+++ b/banyanline/net/steering/views.py
@@ -0,0 +1,136 @@
+"""What hosts tell each other of the platform: the page, the question, and their encoding."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+from urllib.parse import parse_qs, urlencode, urlsplit
+
+import msgspec
+import structlog
+
+from banyanline.core.steering.model import FleetView
+from banyanline.net.http import HttpFailed, http_get
+from banyanline.net.pages import PageResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from banyanline.core.steering.steering import Steering
+    from banyanline.core.types import Endpoint, Seconds
+
+VIEW_PATH = "/view"
+MAX_VIEW_BYTES = 4 * 1024 * 1024
+ANSWER_TIMEOUT_S = 0.5
+MAX_WAIT_S = 3.0
+MAX_CONNECTIONS = 600
+"""Hosts that wait for one host's words at a time."""
+
+_CONTENT_TYPE = {"Content-Type": "application/vnd.msgpack"}
+_MAX_DIGITS = 19
+_HTTP_OK = 200
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(FleetView)
+
+log = structlog.get_logger()
+
+
+class ViewQuery(NamedTuple):
+    """Asks for what changed after the revision ``have``, within ``wait_s``."""
+
+    have: int
+    wait_s: Seconds = 0.0
+    whole: bool = True
+
+
+def encode_view(view: FleetView) -> bytes:
+    """Return a view as other hosts of this version read it."""
+    return _ENCODER.encode(view)
+
+
+def decode_view(data: bytes) -> FleetView | None:
+    """Return the view that another host sent, or None if it cannot be read."""
+    try:
+        return _DECODER.decode(data)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        log.warning("view_unreadable", detail=str(error))
+        return None
+
+
+def parse_query(target: str) -> ViewQuery | PageResponse:
+    """Return what a target asks for, or the answer that says what is wrong with it.
+
+    >>> parse_query("/view?have=7&wait_ms=500&whole=0")
+    ViewQuery(have=7, wait_s=0.5, whole=False)
+    """
+    parts = urlsplit(target)
+    if parts.path != VIEW_PATH:
+        return PageResponse(404, b"no such page\n")
+    fields = {name: values[0] for name, values in parse_qs(parts.query).items()}
+    numbers = [fields.get(name, default) for name, default in _FIELDS]
+    if not all(_is_number(number) for number in numbers):
+        return PageResponse(400, b"have, wait_ms and whole are whole numbers\n")
+    have, wait_ms, whole = (int(number) for number in numbers)
+    return ViewQuery(have, min(MAX_WAIT_S, wait_ms / 1000.0), whole != 0)
+
+
+_FIELDS = (("have", "0"), ("wait_ms", "0"), ("whole", "1"))
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= _MAX_DIGITS
+
+
+class ViewBoard:
+    """The page on which a host tells what it knows, at once or when it hears something new."""
+
+    def __init__(
+        self, steering: Steering, clock: Callable[[], Seconds], age_s: Callable[[], Seconds]
+    ) -> None:
+        self._steering = steering
+        self._clock = clock
+        self._age_s = age_s
+        self._news = asyncio.Event()
+
+    def wake(self) -> None:
+        """Answer those that wait for something new."""
+        self._news.set()
+        self._news = asyncio.Event()
+
+    async def respond(self, target: str) -> PageResponse:
+        """Answer a question; 503 before there is a configuration."""
+        query = parse_query(target)
+        if isinstance(query, PageResponse):
+            return query
+        if not self._steering.is_configured:
+            return PageResponse(503, b"not configured\n")
+        if query.have >= self._steering.revision and query.wait_s > 0:
+            await self._wait(query.wait_s)
+        view = self._steering.view(self._clock(), query.have, self._age_s(), whole=query.whole)
+        return PageResponse(200, encode_view(view), _CONTENT_TYPE)
+
+    async def _wait(self, wait_s: Seconds) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._news.wait()
+        except TimeoutError:
+            return
+
+
+async def fetch_view(host: Endpoint, query: ViewQuery) -> FleetView | None:
+    """Ask another host; None if it did not answer, or knows nothing itself."""
+    fields = {
+        "have": query.have,
+        "wait_ms": int(query.wait_s * 1000),
+        "whole": int(query.whole),
+    }
+    result = await http_get(
+        host,
+        f"{VIEW_PATH}?{urlencode(fields)}",
+        timeout_s=query.wait_s + ANSWER_TIMEOUT_S,
+        max_body_bytes=MAX_VIEW_BYTES,
+    )
+    if isinstance(result, HttpFailed):
+        log.info("seed_silent", seed=str(host), reason=result.reason.value)
+        return None
+    return decode_view(result.body) if result.status == _HTTP_OK else None
--- a/banyanline/platform/boot.py
+++ b/banyanline/platform/boot.py
@@ -21,7 +21,8 @@
     ``packets``, ``readiness`` and ``control`` are addresses of this host.
     ``internal_ports`` are free for the project's own use. ``seeds`` are control
     addresses of a few hosts, which may be stale. Bounds are in seconds; a host that has
-    been well for ``contact_s`` is held to all of them.
+    been well for ``contact_s`` is held to all of them. ``change_bound_s`` is the shortest
+    time within which it has to act on a change of the platform.
     """
 
     host: HostName
@@ -36,6 +37,7 @@
     heartbeat_s: float
     max_flow_s: float
     contact_s: float
+    change_bound_s: float
 
 
 class SettingsFault(NamedTuple):
@@ -58,6 +60,9 @@
     grace_s: float = 6.0
     max_flow_s: float = 60.0
     contact_ms: float = 4000.0
+    drain_ms: float = 3000.0
+    config_apply_ms: float = 3000.0
+    evacuation_ms: float = 5000.0
 
 
 class _Store(msgspec.Struct):
@@ -172,4 +177,9 @@
         heartbeat_s=document.heartbeat_ms / 1000.0,
         max_flow_s=document.bounds.max_flow_s,
         contact_s=document.bounds.contact_ms / 1000.0,
+        change_bound_s=_change_bound_s(document.bounds),
     )
+
+
+def _change_bound_s(bounds: _Bounds) -> float:
+    return min(bounds.drain_ms, bounds.config_apply_ms, bounds.evacuation_ms) / 1000.0
--- a/banyanline/platform/store.py
+++ b/banyanline/platform/store.py
@@ -87,6 +87,15 @@
         self._calls = 0
         self._failures: Counter[StoreFailure] = Counter()
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """Where the calls go; it may be changed."""
+        return self._endpoint
+
+    @endpoint.setter
+    def endpoint(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+
     @property
     def calls(self) -> int:
         """Number of calls made so far."""
--- a/banyanline/tests/steering.py
+++ b/banyanline/tests/steering.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from banyanline.core.steering.model import (
+    Change,
     ColdLimit,
     DataCentreOut,
     Route,
@@ -104,21 +105,24 @@
 
     def put(self, upstream: UpstreamEntry) -> bool:
         self.revision += 1
-        return self.steering.on_change(
-            UpstreamChanged(upstream, self.revision, self.revision), self.now
-        )
+        return self._tell(UpstreamChanged(upstream, self.revision, self.revision))
 
     def remove(self, name: str) -> bool:
         self.revision += 1
-        return self.steering.on_change(UpstreamRemoved(name, self.revision), self.now)
+        return self._tell(UpstreamRemoved(name, self.revision))
 
     def configure(self, configuration: RoutingTable) -> bool:
         self.revision += 1
-        return self.steering.on_change(TableChanged(configuration, self.revision), self.now)
+        return self._tell(TableChanged(configuration, self.revision))
 
     def take_out(self, data_centre: str = HERE, *, is_out: bool = True) -> bool:
         self.revision += 1
-        return self.steering.on_change(DataCentreOut(data_centre, is_out, self.revision), self.now)
+        return self._tell(DataCentreOut(data_centre, is_out, self.revision))
+
+    def _tell(self, change: Change) -> bool:
+        is_news = self.steering.on_change(change, self.now)
+        self.steering.settle(self.revision)
+        return is_news
 
     def wait(self, seconds: float) -> None:
         self.now += seconds
--- a/banyanline/tests/test_steering_peers.py
+++ b/banyanline/tests/test_steering_peers.py
@@ -9,9 +9,18 @@
 
 from banyanline.core.steering.outcomes import Forward, Reset, ResetReason
 from banyanline.core.types import Endpoint
-from banyanline.net.pages import PageServer
+from banyanline.net.pages import PageResponse, PageServer
 from banyanline.net.steering import peers
-from banyanline.net.steering.peers import PeerReader, decode_view, encode_view, view_page
+from banyanline.net.steering.peers import PeerReader
+from banyanline.net.steering.seeds import Seeds
+from banyanline.net.steering.views import (
+    ViewBoard,
+    ViewQuery,
+    decode_view,
+    encode_view,
+    fetch_view,
+    parse_query,
+)
 from banyanline.tests.steering import SHEETS, THERE, Host, entry, opening, packet, route, table
 
 TIMEOUT_S = 10.0
@@ -66,24 +75,84 @@
 
 
 @pytest.mark.parametrize(
-    ("target", "status"),
+    ("target", "expected"),
     [
-        pytest.param("/view", 200, id="all"),
-        pytest.param("/view?have=1", 200, id="newer"),
-        pytest.param("/view?have=3", 204, id="the same"),
-        pytest.param("/view?have=99", 204, id="less"),
+        pytest.param("/view", ViewQuery(0), id="all"),
+        pytest.param("/view?have=7&wait_ms=500&whole=0", ViewQuery(7, 0.5, False), id="newer"),
+        pytest.param("/view?wait_ms=999999", ViewQuery(0, 3.0), id="long wait"),
         pytest.param("/view?have=x", 400, id="no revision"),
         pytest.param("/view?have=-1", 400, id="negative"),
+        pytest.param("/view?whole=no", 400, id="no number"),
+        pytest.param("/view?have=" + "9" * 30, 400, id="large number"),
         pytest.param("/other", 404, id="another page"),
     ],
 )
-def test_the_page(target, status):
+def test_what_a_target_asks_for(target, expected):
+    query = parse_query(target)
+    assert (query.status if isinstance(query, PageResponse) else query) == expected
+
+
+def board(host: Host, age_s: float = 0.0) -> ViewBoard:
+    return ViewBoard(host.steering, lambda: host.now, lambda: age_s)
+
+
+async def test_a_host_without_a_configuration_tells_nothing():
+    assert (await board(Host(configured=False)).respond("/view")).status == 503
+
+
+async def test_only_what_is_newer_is_told():
     host = Host(entry("orders-1"), entry("orders-2"))
-    assert view_page(host.steering, target, host.now).status == status
+    host.take_out(THERE)
+    response = await board(host, 1.5).respond("/view?have=2")
+    view = decode_view(response.body)
+    assert view is not None
+    assert [known.entry.name for known in view.upstreams] == ["orders-2"]
+    assert [word.data_centre for word in view.data_centres] == [THERE]
+    assert (view.table, view.table_version) == (None, 1)
+    assert (view.revision, view.age_s) == (host.revision, 1.5)
 
 
-def test_a_host_without_a_configuration_tells_nothing():
-    assert view_page(Host(configured=False).steering, "/view", 0.0).status == 503
+@pytest.mark.parametrize(
+    ("routes", "whole", "told"),
+    [
+        pytest.param(3, 0, True, id="small"),
+        pytest.param(500, 0, False, id="large"),
+        pytest.param(500, 1, True, id="large, whole"),
+    ],
+)
+async def test_a_large_configuration_is_told_only_if_it_is_asked_for(routes, whole, told):
+    host = Host(configured=False)
+    addresses = [b"%06d" % number for number in range(routes)]
+    host.configure(table(4, [route(address) for address in addresses]))
+    response = await board(host).respond(f"/view?whole={whole}")
+    view = decode_view(response.body)
+    assert view is not None
+    assert (view.table is not None) is told
+    fresh = Host(configured=False)
+    fresh.steering.on_view(view, fresh.now)
+    assert fresh.steering.revision == (host.revision if told else 0)
+
+
+async def test_a_question_waits_for_news():
+    host = Host(entry("orders-1"))
+    asked = board(host)
+    answer = asyncio.create_task(asked.respond(f"/view?have={host.revision}&wait_ms=3000"))
+    await asyncio.sleep(0.05)
+    assert not answer.done()
+    host.put(entry("orders-2"))
+    asked.wake()
+    async with asyncio.timeout(1.0):
+        view = decode_view((await answer).body)
+    assert view is not None
+    assert [known.entry.name for known in view.upstreams] == ["orders-2"]
+
+
+async def test_a_question_without_news_is_answered_in_time():
+    host = Host(entry("orders-1"))
+    response = await board(host).respond(f"/view?have={host.revision}&wait_ms=50")
+    view = decode_view(response.body)
+    assert view is not None
+    assert (view.revision, view.upstreams) == (host.revision, ())
 
 
 @pytest.mark.parametrize(
@@ -91,9 +160,9 @@
     [
         pytest.param(b"", id="empty"),
         pytest.param(b"\xff" * 40, id="garbage"),
-        pytest.param(b"\x94\x01\xc0\x90", id="cut short"),
+        pytest.param(b"\x96\x01\xc0\x90", id="cut short"),
         pytest.param(b"\x91" * 100_000, id="deeply nested"),
-        pytest.param(b"\x94\xa1x\xc0\x90\x90", id="wrong type"),
+        pytest.param(b"\x96\xa1x\x00\x00\xc0\x90\x90", id="wrong type"),
     ],
 )
 def test_unreadable_views(data):
@@ -112,21 +181,21 @@
     monkeypatch.setattr(peers, "FIRST_ASK_S", 0.0)
     teller = Host(entry("orders-1"))
     server = PageServer(
-        Endpoint("127.0.0.1", 0),
-        lambda target, _accepts: view_page(teller.steering, target, teller.now),
+        Endpoint("127.0.0.1", 0), lambda target, _accepts: board(teller).respond(target)
     )
     await server.start()
     learned = asyncio.Event()
     listener = Host(configured=False)
+    seeds = Seeds(Endpoint("127.0.0.1", 1), random.Random(1))
+    seeds.set([Endpoint("127.0.0.1", 1), Endpoint("127.0.0.1", server.port)])
     reader = PeerReader(
         listener.steering,
-        Endpoint("127.0.0.1", 1),
+        seeds,
         lambda: 0.0,
         random.Random(1),
         lambda: heard_at,
         learned.set,
     )
-    reader.set_seeds([Endpoint("127.0.0.1", 1), Endpoint("127.0.0.1", server.port)])
     task = asyncio.create_task(reader.run())
     try:
         async with asyncio.timeout(TIMEOUT_S if expected else 0.3):
@@ -142,12 +211,27 @@
 async def test_a_silent_seed_does_no_harm(monkeypatch):
     monkeypatch.setattr(peers, "FIRST_ASK_S", 0.0)
     listener = Host(configured=False)
+    seeds = Seeds(None, random.Random(1))
+    seeds.set([Endpoint("127.0.0.1", 9)])
     reader = PeerReader(
-        listener.steering, None, lambda: 0.0, random.Random(1), lambda: None, lambda: None
+        listener.steering, seeds, lambda: 0.0, random.Random(1), lambda: None, lambda: None
     )
-    reader.set_seeds([Endpoint("127.0.0.1", 9)])
     task = asyncio.create_task(reader.run())
     await asyncio.sleep(0.3)
     assert not task.done()
     task.cancel()
     assert not listener.steering.is_configured
+
+
+async def test_a_host_that_is_not_there_brings_no_view():
+    assert await fetch_view(Endpoint("127.0.0.1", 9), ViewQuery(0)) is None
+
+
+def test_a_host_never_asks_itself():
+    own, other = Endpoint("192.0.2.1", 1), Endpoint("192.0.2.2", 1)
+    seeds = Seeds(own, random.Random(1))
+    seeds.set([own, other])
+    assert seeds.has_own
+    assert {seeds.choose() for _ in range(10)} == {other}
+    seeds.set([])
+    assert seeds.choose() is None
--- a/bench/steering/fleet.py
+++ b/bench/steering/fleet.py
@@ -27,6 +27,7 @@
 OTHER_SERVICE = ("198.18.0.2", 8443)
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
+MAX_SEEDS = 3
 
 _SETTINGS = """\
 node_name = "{name}"
@@ -41,6 +42,9 @@
 [bounds]
 contact_ms = 4000
 grace_s = {grace_s}
+drain_ms = {change_bound_ms}
+config_apply_ms = {change_bound_ms}
+evacuation_ms = {change_bound_ms}
 [platform]
 address = "{store}"
 """
@@ -145,7 +149,13 @@
     """A store, upstreams, callers and hosts, to be closed at the end."""
 
     def __init__(
-        self, folder: Path, hosts: int = 1, hint: int = 0, *, through_proxies: bool = False
+        self,
+        folder: Path,
+        hosts: int = 1,
+        hint: int = 0,
+        *,
+        through_proxies: bool = False,
+        change_bound_ms: int = 3000,
     ) -> None:
         self.plan = AddressPlan.acquire(hint=hint)
         self.store = StandInStore()
@@ -156,6 +166,7 @@
         ]
         self._callers: list[PacketCaller] = []
         self._through_proxies = through_proxies
+        self._change_bound_ms = change_bound_ms
         self.links: list[FaultyLink] = []
         self._store_addresses: list[tuple[str, int]] = []
 
@@ -176,7 +187,8 @@
 
     def write_settings(self, host: BalancerProcess, *, grace_s: float = 4.0) -> None:
         """Write the settings file of a host."""
-        seeds = ",".join(f'"{each.plan.ip}:{CONTROL_PORT}"' for each in self.hosts)
+        named = self.hosts[:MAX_SEEDS]
+        seeds = ",".join(f'"{each.plan.ip}:{CONTROL_PORT}"' for each in named)
         ip, port = self._store_addresses[self.hosts.index(host)]
         text = _SETTINGS.format(
             name=host.plan.name,
@@ -187,6 +199,7 @@
             ready=READY_PORT,
             control=CONTROL_PORT,
             grace_s=grace_s,
+            change_bound_ms=self._change_bound_ms,
             store=f"{ip}:{port}",
         )
         host.settings.write_text(text)
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from banyanline.net.steering.feed import DIRECT_S
 from bench.steering.caller import FlowRefusedError, PacketCaller
 from bench.steering.fleet import OTHER_SERVICE, SERVICE, BalancerProcess, Fleet
 from bench.steering.store import Fault
@@ -20,9 +21,11 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet(folder: Path, hosts: int = 1, upstreams: int = 2) -> AsyncIterator[Fleet]:
+async def fleet(
+    folder: Path, hosts: int = 1, upstreams: int = 2, change_bound_ms: int = 3000
+) -> AsyncIterator[Fleet]:
     """Start a fleet that serves ``SERVICE``."""
-    started = Fleet(folder, hosts, hint=120)
+    started = Fleet(folder, hosts, hint=120, change_bound_ms=change_bound_ms)
     try:
         async with asyncio.timeout(TIMEOUT_S):
             await started.start()
@@ -272,3 +275,60 @@
         assert await second.wait() == 1
         assert "Traceback" not in second.log_text
         assert "in use" in second.log_text
+
+
+class TestReadingThroughSeeds:
+    """Hosts that have time to act on changes leave the store to three seeds."""
+
+    LAST = 3
+
+    def relaying(self, folder: Path):
+        return fleet(folder, hosts=self.LAST + 1, change_bound_ms=5000)
+
+    async def leave(self, running: Fleet) -> None:
+        """Let an upstream leave and wait until the host that is no seed knows."""
+        await running.register("i-a0", state="draining")
+        await until_logged(running, "leaving=true", 0)
+        host = running.hosts[self.LAST]
+        caller = running.caller()
+        async with asyncio.timeout(5.0):
+            while True:
+                flow = await caller.open(host.plan.packets)
+                if (await flow.ask(b"x", host.plan.packets)).startswith(b"i-a1"):
+                    upstream = running.upstreams["i-a0"]
+                    opened = len(upstream.opened)
+                    for _ in range(4):
+                        await caller.open(host.plan.packets)
+                    if len(upstream.opened) == opened:
+                        return
+                await asyncio.sleep(0.05)
+
+    async def test_changes_arrive_through_a_seed(self, tmp_path):
+        async with self.relaying(tmp_path) as running:
+            await asyncio.sleep(DIRECT_S + 0.5)
+            before = running.store.calls
+            await self.leave(running)
+            assert "event=view_taken" in running.hosts[self.LAST].log_text
+            assert running.store.calls - before <= 2 * self.LAST
+
+    @pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGSTOP], ids=["killed", "frozen"])
+    async def test_without_seeds_the_store_is_read_directly(self, tmp_path, number):
+        async with self.relaying(tmp_path) as running:
+            await asyncio.sleep(DIRECT_S + 0.5)
+            for seed in running.hosts[1 : self.LAST]:
+                seed.signal(number)
+            await self.leave(running)
+            running.hosts[0].signal(number)
+            await running.configure(9, ROUTE, (OTHER_SERVICE, "orders"))
+            stranger = PacketCaller((running.plan.caller(50), 8172), OTHER_SERVICE)
+            host = running.hosts[self.LAST].plan.packets
+            async with asyncio.timeout(5.0):
+                while True:
+                    try:
+                        await stranger.open(host)
+                        break
+                    except FlowRefusedError:
+                        await asyncio.sleep(0.05)
+            stranger.close()
+            for seed in running.hosts[: self.LAST]:
+                seed.signal(signal.SIGCONT)
