--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -34,7 +34,8 @@
 class Placement:
     """Chooses the upstream with the least expected wait, of those that seem to be well.
 
-    Upstreams that are cold come after warm ones, and suspect ones come last.
+    Suspect upstreams come after the others, and cold ones come last: what they bear
+    is little, and no host knows how much other hosts send them.
     """
 
     def __init__(
@@ -57,7 +58,7 @@
         return min(fresh or upstreams, key=lambda upstream: self._rank(upstream, now))
 
     def _rank(self, upstream: Upstream, now: Seconds) -> tuple[bool, bool, float]:
-        return (is_suspect(upstream, now), upstream.is_cold(now), self._load(upstream))
+        return (upstream.is_cold(now), is_suspect(upstream, now), self._load(upstream))
 
     def _load(self, upstream: Upstream) -> float:
         policy = self._policy
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -12,7 +12,7 @@
 
     from banyanline.core.steering.model import Revision, UpstreamEntry
     from banyanline.core.steering.packet import Cookie
-    from banyanline.core.types import DataCentreName, Seconds, ServiceName, UpstreamName
+    from banyanline.core.types import Seconds, ServiceName, UpstreamName
 
 FORGET_AFTER_S = 120.0
 """How long an upstream without an entry is remembered for the flows that it may still have."""
@@ -171,10 +171,3 @@
             self._by_cookie.setdefault(upstream.entry.cookie, upstream)
             if upstream.removed_at is None:
                 self._by_service.setdefault(upstream.entry.service, []).append(upstream)
-
-
-def in_data_centres(
-    upstreams: Iterable[Upstream], excluded: frozenset[DataCentreName]
-) -> list[Upstream]:
-    """Return the upstreams that are in none of the excluded data centres."""
-    return [upstream for upstream in upstreams if upstream.entry.data_centre not in excluded]
--- a/banyanline/net/steering/beliefs.py
+++ b/banyanline/net/steering/beliefs.py
@@ -16,7 +16,7 @@
 from banyanline.core.steering.upstreams import UpstreamStanding
 
 if TYPE_CHECKING:
-    from banyanline.core.steering.steering import Steering
+    from banyanline.core.steering.catalog import Catalog
     from banyanline.core.types import Seconds, UpstreamName
 
 DOUBTED = (UpstreamStanding.SUSPECT, UpstreamStanding.LOST)
@@ -73,14 +73,14 @@
 class StandingLog:
     """Writes a line when an upstream becomes suspect or lost, and when it is well again."""
 
-    def __init__(self, steering: Steering) -> None:
-        self._steering = steering
+    def __init__(self, catalog: Catalog) -> None:
+        self._catalog = catalog
         self._doubted: dict[UpstreamName, UpstreamStanding] = {}
 
     def update(self, now: Seconds) -> None:
         """Write what has changed since the last call."""
-        for upstream in self._steering.upstreams:
-            standing = self._steering.standing(upstream, now)
+        for upstream in self._catalog.upstreams:
+            standing = self._catalog.standing(upstream, now)
             before = self._doubted.get(upstream.name)
             if standing is before or (before is None and standing not in DOUBTED):
                 continue
@@ -99,5 +99,5 @@
         self._forget_unknown()
 
     def _forget_unknown(self) -> None:
-        known = self._steering.upstreams
+        known = self._catalog.upstreams
         self._doubted = {name: at for name, at in self._doubted.items() if known.get(name)}
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -17,8 +17,8 @@
     import random
     from collections.abc import Callable, Sequence
 
+    from banyanline.core.steering.catalog import Catalog
     from banyanline.core.steering.model import Change
-    from banyanline.core.steering.steering import Steering
     from banyanline.core.types import Endpoint, Seconds
     from banyanline.net.steering.seeds import Seeds
     from banyanline.platform.entries import StoreItem
@@ -62,14 +62,14 @@
     def __init__(
         self,
         client: StoreClient,
-        steering: Steering,
+        catalog: Catalog,
         clock: Callable[[], Seconds],
         rng: random.Random,
         seeds: Seeds,
         on_change: Callable[[], None],
     ) -> None:
         self._client = client
-        self._steering = steering
+        self._catalog = catalog
         self._clock = clock
         self._rng = rng
         self._seeds = seeds
@@ -129,7 +129,7 @@
             as_of = max(as_of, changes.as_of)
             if changes.events:
                 self._apply(changes.events)
-                self._steering.settle(as_of)
+                self._catalog.settle(as_of)
                 self._on_change()
                 await asyncio.sleep(PAUSE_S)
 
@@ -151,8 +151,8 @@
             self._direct_until = self._clock() + DIRECT_S
             return as_of
         self._note_answer(view.age_s)
-        self._steering.on_view(view, self._clock())
-        if view.table_version > self._steering.version:
+        self._catalog.on_view(view, self._clock())
+        if view.table_version > self._catalog.version:
             self._direct_until = self._clock() + PAUSE_S
             return as_of
         if view.revision > as_of:
@@ -166,7 +166,7 @@
         changes = self._apply(snapshot.items)
         names = [change.entry.name for change in changes if isinstance(change, UpstreamChanged)]
         out = [change.data_centre for change in changes if isinstance(change, DataCentreOut)]
-        self._steering.retain(names, out, snapshot.as_of, self._clock())
+        self._catalog.retain(names, out, snapshot.as_of, self._clock())
         self._on_change()
         log.info("store_read", items=len(snapshot.items), as_of=snapshot.as_of)
 
@@ -181,7 +181,7 @@
                 log.warning("item_unusable", key=decoded.key, detail=decoded.detail)
                 continue
             changes.append(decoded)
-            if self._steering.on_change(decoded, now):
+            if self._catalog.on_change(decoded, now):
                 log_change(decoded)
         return changes
 
--- a/banyanline/net/steering/path.py
+++ b/banyanline/net/steering/path.py
@@ -75,7 +75,7 @@
 
     def release_held(self) -> None:
         """Steer what came before there was a configuration."""
-        if not (self._held and self._steering.is_configured):
+        if not (self._held and self._steering.catalog.is_configured):
             return
         now = self._loop.time()
         held, self._held = self._held, deque(maxlen=MAX_HELD_PACKETS)
@@ -132,6 +132,6 @@
             flow=describe_endpoint(packet.flow[:6]),
             to=describe_endpoint(packet.destination),
             copy=packet.ack if packet.opens_flow else None,
-            version=self._steering.version,
+            version=self._steering.catalog.version,
             **fields,
         )
--- a/banyanline/net/steering/peers.py
+++ b/banyanline/net/steering/peers.py
@@ -13,7 +13,7 @@
     import random
     from collections.abc import Callable
 
-    from banyanline.core.steering.steering import Steering
+    from banyanline.core.steering.catalog import Catalog
     from banyanline.core.types import Endpoint, Seconds
     from banyanline.net.steering.seeds import Seeds
 
@@ -33,14 +33,14 @@
 
     def __init__(
         self,
-        steering: Steering,
+        catalog: Catalog,
         seeds: Seeds,
         clock: Callable[[], Seconds],
         rng: random.Random,
         heard_at: Callable[[], Seconds | None],
         on_change: Callable[[], None],
     ) -> None:
-        self._steering = steering
+        self._catalog = catalog
         self._seeds = seeds
         self._clock = clock
         self._rng = rng
@@ -54,7 +54,7 @@
             seed = self._seeds.choose() if self._is_store_lost() else None
             if seed is not None:
                 await self._ask(seed)
-            interval_s = REFRESH_INTERVAL_S if self._steering.is_configured else ASK_INTERVAL_S
+            interval_s = REFRESH_INTERVAL_S if self._catalog.is_configured else ASK_INTERVAL_S
             await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
 
     def _is_store_lost(self) -> bool:
@@ -62,17 +62,17 @@
         return heard_at is None or self._clock() - heard_at > STORE_LOST_S
 
     async def _ask(self, seed: Endpoint) -> None:
-        have = self._steering.revision
+        have = self._catalog.revision
         view = await fetch_view(seed, ViewQuery(have))
         if view is None or view.revision <= have:
             return
-        self._steering.on_view(view, self._clock())
+        self._catalog.on_view(view, self._clock())
         log.info(
             "view_taken",
             seed=str(seed),
             had=have,
             revision=view.revision,
-            version=self._steering.version,
+            version=self._catalog.version,
             age_s=round(view.age_s, 3),
         )
         self._on_change()
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from banyanline.core.steering.catalog import Catalog
 from banyanline.core.steering.departure import Departure
 from banyanline.core.steering.steering import Steering
 from banyanline.core.types import Endpoint
@@ -53,28 +54,29 @@
         self._settings = settings
         self._settings_file = SettingsFile(path)
         self._clock: Callable[[], float] = loop.time
-        self._steering = Steering(settings.data_centre, rng)
+        self._catalog = Catalog()
+        self._steering = Steering(self._catalog, settings.data_centre, rng)
         self._path = PacketPath(loop, settings.packets, self._steering, packets)
         self._seeds = Seeds(settings.control, rng)
         self._feed = StoreFeed(
             StoreClient(settings.store),
-            self._steering,
+            self._catalog,
             self._clock,
             rng,
             self._seeds,
             self._on_change,
         )
         self._peers = PeerReader(
-            self._steering,
+            self._catalog,
             self._seeds,
             self._clock,
             rng,
             lambda: self._feed.heard_at,
             self._on_change,
         )
-        self._board = ViewBoard(self._steering, self._clock, self._store_age_s)
+        self._board = ViewBoard(self._catalog, self._clock, self._store_age_s)
         self._follow_settings(settings)
-        self._standings = StandingLog(self._steering)
+        self._standings = StandingLog(self._catalog)
         self._departure: Departure | None = None
         self._servers = [PageServer(settings.readiness, self._respond_ready)]
         if settings.control is not None:
@@ -90,7 +92,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether routers should send packets here."""
-        return self._steering.is_configured and self._departure is None
+        return self._catalog.is_configured and self._departure is None
 
     async def start(self) -> None:
         """Begin to read the platform and to answer; raises OSError for a socket in use."""
--- a/banyanline/net/steering/views.py
+++ b/banyanline/net/steering/views.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from banyanline.core.steering.steering import Steering
+    from banyanline.core.steering.catalog import Catalog
     from banyanline.core.types import Endpoint, Seconds
 
 VIEW_PATH = "/view"
@@ -85,9 +85,9 @@
     """The page on which a host tells what it knows, at once or when it hears something new."""
 
     def __init__(
-        self, steering: Steering, clock: Callable[[], Seconds], age_s: Callable[[], Seconds]
+        self, catalog: Catalog, clock: Callable[[], Seconds], age_s: Callable[[], Seconds]
     ) -> None:
-        self._steering = steering
+        self._catalog = catalog
         self._clock = clock
         self._age_s = age_s
         self._news = asyncio.Event()
@@ -102,11 +102,11 @@
         query = parse_query(target)
         if isinstance(query, PageResponse):
             return query
-        if not self._steering.is_configured:
+        if not self._catalog.is_configured:
             return PageResponse(503, b"not configured\n")
-        if query.have >= self._steering.revision and query.wait_s > 0:
+        if query.have >= self._catalog.revision and query.wait_s > 0:
             await self._wait(query.wait_s)
-        view = self._steering.view(self._clock(), query.have, self._age_s(), whole=query.whole)
+        view = self._catalog.view(self._clock(), query.have, self._age_s(), whole=query.whole)
         return PageResponse(200, encode_view(view), _CONTENT_TYPE)
 
     async def _wait(self, wait_s: Seconds) -> None:
--- a/banyanline/tests/steering.py
+++ b/banyanline/tests/steering.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+from banyanline.core.steering.catalog import Catalog
 from banyanline.core.steering.model import (
     Change,
     ColdLimit,
@@ -97,7 +98,8 @@
     ) -> None:
         self.now = 100.0
         self.revision = 0
-        self.steering = Steering(data_centre, random.Random(seed))
+        self.catalog = Catalog()
+        self.steering = Steering(self.catalog, data_centre, random.Random(seed))
         if configured:
             self.configure(table())
         for each in entries:
@@ -120,8 +122,8 @@
         return self._tell(DataCentreOut(data_centre, is_out, self.revision))
 
     def _tell(self, change: Change) -> bool:
-        is_news = self.steering.on_change(change, self.now)
-        self.steering.settle(self.revision)
+        is_news = self.catalog.on_change(change, self.now)
+        self.catalog.settle(self.revision)
         return is_news
 
     def wait(self, seconds: float) -> None:
@@ -146,7 +148,7 @@
 
     def upstream(self, name: str) -> Upstream:
         """Return what the host knows of an upstream."""
-        upstream = self.steering.upstreams.get(name)
+        upstream = self.catalog.upstreams.get(name)
         assert upstream is not None
         return upstream
 
--- a/banyanline/tests/test_docs.py
+++ b/banyanline/tests/test_docs.py
@@ -8,6 +8,7 @@
 import pytest
 
 from banyanline.core.counters import Counters
+from banyanline.core.steering.catalog import Catalog
 from banyanline.core.steering.outcomes import DropReason, ResetReason
 from banyanline.core.steering.steering import Steering
 from banyanline.core.steering.upstreams import UpstreamStanding
@@ -68,7 +69,7 @@
 
 
 def test_the_page_of_the_platform_names_its_metrics() -> None:
-    steering = Steering("here", random.Random(1))
+    steering = Steering(Catalog(), "here", random.Random(1))
     sources = SteeringSources(steering, lambda: 0.0, lambda: 0, dict, lambda: 0.0, lambda: 0)
     body, _ = SteeringMetrics(sources).render()
     page = (ROOT / "docs/operators/platform.md").read_text(encoding="utf-8")
--- a/banyanline/tests/test_steering.py
+++ b/banyanline/tests/test_steering.py
@@ -192,6 +192,19 @@
         host.wait(2.1)
         assert "orders-1" in places(host, first=500)
 
+    def test_spare_a_cold_upstream_while_all_others_are_suspect(self):
+        """Each host of a data centre that was cut off would send it all that it has."""
+        host = Host(
+            entry("orders-1", cold_for_s=5.0),
+            entry("orders-2", data_centre=THERE),
+            entry("orders-3", data_centre=THERE),
+        )
+        for flow in range(4):
+            first = host.place(flow)
+            host.wait(0.2)
+            second = host.place(flow, copy=1)
+            assert {first, second} == {"orders-2", "orders-3"}
+
     def test_take_a_cold_upstream_if_all_are_cold(self):
         assert Host(entry(cold_for_s=2.0)).place() == "orders-1"
 
@@ -258,7 +271,7 @@
         host = Host(entry())
         assert host.configure(table(5, [route(SHEETS, ("sheets",))]))
         assert not host.configure(table(4))
-        assert host.steering.version == 5
+        assert host.catalog.version == 5
         assert host.send(opening()) == Reset(ResetReason.NO_ROUTE)
 
     def test_a_new_route_serves_at_once(self):
@@ -276,15 +289,15 @@
     def test_a_complete_list_removes_what_it_does_not_hold(self):
         host = Host(entry("orders-1"), entry("orders-2"))
         host.take_out(THERE)
-        host.steering.retain(["orders-2"], [], host.revision + 1, host.now)
+        host.catalog.retain(["orders-2"], [], host.revision + 1, host.now)
         assert set(places(host)) == {"orders-2"}
-        assert host.steering.data_centres_out == frozenset()
+        assert host.catalog.data_centres_out == frozenset()
 
     def test_an_older_complete_list_removes_nothing(self):
         host = Host(entry("orders-1"), entry("orders-2"))
         host.take_out(THERE)
-        host.steering.retain([], [], 1, host.now)
-        assert host.steering.data_centres_out == {THERE}
+        host.catalog.retain([], [], 1, host.now)
+        assert host.catalog.data_centres_out == {THERE}
         assert "orders-2" in places(host)
 
 
@@ -305,5 +318,5 @@
     host.place(99)
     host.wait(OPENING_LIFETIME_S + 1)
     assert len(host.steering.flows) == 0
-    for upstream in host.steering.upstreams:
+    for upstream in host.catalog.upstreams:
         assert (upstream.open_flows, upstream.pending_opens, upstream.in_flight) == (0, 0, 0)
--- a/banyanline/tests/test_steering_peers.py
+++ b/banyanline/tests/test_steering_peers.py
@@ -28,9 +28,9 @@
 
 def told(teller: Host, listener: Host) -> Host:
     """Let one host tell another what it knows, as bytes."""
-    view = decode_view(encode_view(teller.steering.view(teller.now)))
-    assert view == teller.steering.view(teller.now)
-    listener.steering.on_view(view, listener.now)
+    view = decode_view(encode_view(teller.catalog.view(teller.now)))
+    assert view == teller.catalog.view(teller.now)
+    listener.catalog.on_view(view, listener.now)
     return listener
 
 
@@ -40,8 +40,8 @@
     teller.remove("orders-2")
     teller.take_out(THERE)
     fresh = told(teller, Host(configured=False))
-    assert fresh.steering.version == 5
-    assert fresh.steering.revision == teller.revision
+    assert fresh.catalog.version == 5
+    assert fresh.catalog.revision == teller.revision
     assert {fresh.place(flow) for flow in range(20)} == {"orders-1"}
 
 
@@ -69,9 +69,9 @@
     new.put(entry("orders-1", is_leaving=True))
     new.put(entry("orders-2"))
     new.take_out(THERE)
-    before = new.steering.view(new.now)
+    before = new.catalog.view(new.now)
     told(old, new)
-    assert new.steering.view(new.now) == before
+    assert new.catalog.view(new.now) == before
 
 
 @pytest.mark.parametrize(
@@ -93,7 +93,7 @@
 
 
 def board(host: Host, age_s: float = 0.0) -> ViewBoard:
-    return ViewBoard(host.steering, lambda: host.now, lambda: age_s)
+    return ViewBoard(host.catalog, lambda: host.now, lambda: age_s)
 
 
 async def test_a_host_without_a_configuration_tells_nothing():
@@ -129,8 +129,8 @@
     assert view is not None
     assert (view.table is not None) is told
     fresh = Host(configured=False)
-    fresh.steering.on_view(view, fresh.now)
-    assert fresh.steering.revision == (host.revision if told else 0)
+    fresh.catalog.on_view(view, fresh.now)
+    assert fresh.catalog.revision == (host.revision if told else 0)
 
 
 async def test_a_question_waits_for_news():
@@ -189,7 +189,7 @@
     seeds = Seeds(Endpoint("127.0.0.1", 1), random.Random(1))
     seeds.set([Endpoint("127.0.0.1", 1), Endpoint("127.0.0.1", server.port)])
     reader = PeerReader(
-        listener.steering,
+        listener.catalog,
         seeds,
         lambda: 0.0,
         random.Random(1),
@@ -205,7 +205,7 @@
     finally:
         task.cancel()
         await server.stop()
-    assert listener.steering.revision == expected
+    assert listener.catalog.revision == expected
 
 
 async def test_a_silent_seed_does_no_harm(monkeypatch):
@@ -214,13 +214,13 @@
     seeds = Seeds(None, random.Random(1))
     seeds.set([Endpoint("127.0.0.1", 9)])
     reader = PeerReader(
-        listener.steering, seeds, lambda: 0.0, random.Random(1), lambda: None, lambda: None
+        listener.catalog, seeds, lambda: 0.0, random.Random(1), lambda: None, lambda: None
     )
     task = asyncio.create_task(reader.run())
     await asyncio.sleep(0.3)
     assert not task.done()
     task.cancel()
-    assert not listener.steering.is_configured
+    assert not listener.catalog.is_configured
 
 
 async def test_a_host_that_is_not_there_brings_no_view():
