Index upstreams once for many entries; bound the table of flows; outlive an early SIGHUP

Cause: each entry that came rebuilt the indexes, so that a start before 3,000 upstreams took time in their square; the bound on flows was not kept; SIGHUP during the imports ended the process. Change: indexes are rebuilt when a packet asks; the oldest flow is forgotten at the bound; SIGHUP is ignored until there is something to reload. The unused mean of response times goes.

--- a/banyanline/cli/steering.py
+++ b/banyanline/cli/steering.py
@@ -5,7 +5,7 @@
 import sys
 from typing import TYPE_CHECKING
 
-from banyanline.platform.early import PATH_VARIABLE, bind_packet_socket
+from banyanline.platform.early import PATH_VARIABLE, bind_packet_socket, ignore_reload
 
 if TYPE_CHECKING:
     import socket
@@ -17,6 +17,7 @@
 
 def main() -> int:
     """Run the balancer with the settings that the platform has put in place."""
+    ignore_reload()
     return _run(bind_packet_socket())
 
 
--- a/banyanline/core/steering/flows.py
+++ b/banyanline/core/steering/flows.py
@@ -18,10 +18,8 @@
 SEQUENCE_MODULUS = 1 << 32
 _HALF = SEQUENCE_MODULUS // 2
 
-RESPONSE_SMOOTHING = 0.2
-"""Weight of the newest response time in the mean of an upstream."""
-
 MAX_FLOWS = 200_000
+"""Flows beyond these are carried by their cookies alone; the oldest are forgotten first."""
 
 
 class Progress(Enum):
@@ -65,9 +63,10 @@
 class FlowTable:
     """Flows by their addresses, and the work at each upstream that they amount to."""
 
-    def __init__(self, counters: SteeringCounters) -> None:
+    def __init__(self, counters: SteeringCounters, max_flows: int = MAX_FLOWS) -> None:
         self._flows: dict[FlowId, Flow] = {}
         self._counters = counters
+        self._max_flows = max_flows
 
     def __len__(self) -> int:
         """Return the number of flows."""
@@ -81,7 +80,7 @@
         """Take in that an opening packet went to an upstream, perhaps after another one."""
         flow = self._flows.get(flow_id)
         if flow is None:
-            flow = self._flows[flow_id] = Flow(upstream, now)
+            flow = self._add(flow_id, upstream, now)
         else:
             _release(flow)
             flow.upstream = upstream
@@ -94,7 +93,7 @@
 
     def adopt(self, flow_id: FlowId, upstream: Upstream, now: Seconds) -> Flow:
         """Take in an open flow that began at another host."""
-        flow = self._flows[flow_id] = Flow(upstream, now)
+        flow = self._add(flow_id, upstream, now)
         flow.is_open = True
         upstream.open_flows += 1
         return flow
@@ -136,6 +135,13 @@
         for flow_id in old:
             self.close(flow_id)
 
+    def _add(self, flow_id: FlowId, upstream: Upstream, now: Seconds) -> Flow:
+        self.close(flow_id)
+        if len(self._flows) >= self._max_flows:
+            self.close(next(iter(self._flows)))
+        flow = self._flows[flow_id] = Flow(upstream, now)
+        return flow
+
     def _answer(self, flow: Flow, now: Seconds) -> None:
         upstream = flow.upstream
         upstream.silence.on_sign(now)
@@ -145,11 +151,6 @@
         flow.asked_at = None
         upstream.in_flight -= 1
         self._counters.responses[upstream.entry.service].observe(took_s)
-        known_s = upstream.response_s
-        if known_s is None:
-            upstream.response_s = took_s
-        else:
-            upstream.response_s = known_s + RESPONSE_SMOOTHING * (took_s - known_s)
 
     def _take_data(self, flow: Flow, packet: CallerPacket, now: Seconds) -> bool:
         """Note a request that begins; return whether the packet was sent before."""
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -46,7 +46,6 @@
         "open_flows",
         "pending_opens",
         "removed_at",
-        "response_s",
         "revision",
         "silence",
     )
@@ -60,7 +59,6 @@
         self.open_flows = 0
         self.pending_opens = 0
         self.in_flight = 0
-        self.response_s: Seconds | None = None
         self.silence = Silence()
 
     @property
@@ -94,6 +92,7 @@
         self._by_name: dict[UpstreamName, Upstream] = {}
         self._by_service: dict[ServiceName, list[Upstream]] = {}
         self._by_cookie: dict[Cookie, Upstream] = {}
+        self._is_indexed = True
 
     def __len__(self) -> int:
         """Return the number of upstreams that are known or remembered."""
@@ -105,6 +104,7 @@
 
     def of_service(self, service: ServiceName) -> list[Upstream]:
         """Return the upstreams of a service that have an entry."""
+        self._index()
         return self._by_service.get(service, [])
 
     def get(self, name: UpstreamName) -> Upstream | None:
@@ -113,11 +113,12 @@
 
     def by_cookie(self, cookie: Cookie) -> Upstream | None:
         """Return the upstream that a cookie names."""
+        self._index()
         return self._by_cookie.get(cookie)
 
     def is_addressable(self, upstream: Upstream) -> bool:
         """Whether the upstream's cookie names it and no other."""
-        return self._by_cookie.get(upstream.entry.cookie) is upstream
+        return self.by_cookie(upstream.entry.cookie) is upstream
 
     def put(
         self, entry: UpstreamEntry, revision: Revision, created: Revision, now: Seconds
@@ -129,13 +130,12 @@
         elif revision <= upstream.revision:
             return upstream
         elif upstream.entry.incarnation != entry.incarnation:
-            upstream.response_s = None
             upstream.silence.clear()
         upstream.entry = entry
         upstream.revision = revision
         upstream.removed_at = None
         upstream.cold_until = now + entry.cold_for_s
-        self._index()
+        self._is_indexed = False
         return upstream
 
     def remove(self, name: UpstreamName, revision: Revision, now: Seconds) -> Upstream | None:
@@ -145,7 +145,7 @@
             return None
         upstream.revision = revision
         upstream.removed_at = now
-        self._index()
+        self._is_indexed = False
         return upstream
 
     def names_with_entry(self) -> Iterable[UpstreamName]:
@@ -161,10 +161,16 @@
         }
         if len(kept) < len(self._by_name):
             self._by_name = kept
-            self._index()
+            self._is_indexed = False
 
     def _index(self) -> None:
-        """Rebuild the indexes; the upstream that was created first owns a cookie."""
+        """Rebuild the indexes after changes; who was created first owns a cookie.
+
+        Many entries come at once, so this is done when the first packet after them asks.
+        """
+        if self._is_indexed:
+            return
+        self._is_indexed = True
         self._by_service = {}
         self._by_cookie = {}
         for upstream in sorted(self, key=lambda upstream: upstream.created):
--- a/banyanline/platform/early.py
+++ b/banyanline/platform/early.py
@@ -1,12 +1,15 @@
-"""Binds the socket for callers' packets before the rest of the program is loaded.
+"""What a process does before the rest of the program is loaded.
 
-Packets that come in the meantime wait in the kernel. After a loss of power on many
-hosts they are those of callers that have waited longest.
+It binds the socket for callers' packets: those that come in the meantime wait in
+the kernel. After a loss of power on many hosts they are those of callers that have
+waited longest. And it ignores the signal to reload, which would end a process that
+has not read its settings yet.
 """
 
 from __future__ import annotations
 
 import os
+import signal
 import socket
 import tomllib
 
@@ -14,6 +17,11 @@
 RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 
+def ignore_reload() -> None:
+    """Let SIGHUP pass until there is something to reload."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def bind_packet_socket() -> socket.socket | None:
     """Return the bound socket, or None if the settings do not lead to one.
 
--- a/banyanline/tests/test_steering.py
+++ b/banyanline/tests/test_steering.py
@@ -320,3 +320,33 @@
     assert len(host.steering.flows) == 0
     for upstream in host.catalog.upstreams:
         assert (upstream.open_flows, upstream.pending_opens, upstream.in_flight) == (0, 0, 0)
+
+
+def test_thousands_of_entries_are_taken_in_without_indexing_each(monkeypatch):
+    """A host that starts before 3,000 upstreams reads them in several pages."""
+    host = Host()
+    for number in range(3000):
+        host.put(entry(f"orders-{number}", cookie=number + 1))
+    sorts = []
+
+    def counted(*args, **kwargs):
+        sorts.append(1)
+        return sorted_as_before(*args, **kwargs)
+
+    sorted_as_before = sorted
+    monkeypatch.setattr("builtins.sorted", counted)
+    host.place(1)
+    host.place(2)
+    assert len(sorts) == 1
+
+
+def test_the_table_of_flows_is_bounded_and_what_is_forgotten_is_carried_on():
+    host = Host(entry("orders-1"))
+    host.steering.flows._max_flows = 10
+    for flow in range(25):
+        host.open(flow)
+    assert len(host.steering.flows) == 10
+    assert host.upstream("orders-1").open_flows == 10
+    cookie = host.cookie("orders-1")
+    assert host.send(packet(1, cookie=cookie, data=5)) == Forward(host.upstream("orders-1"))
+    assert len(host.steering.flows) == 10
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -332,3 +332,14 @@
             stranger.close()
             for seed in running.hosts[: self.LAST]:
                 seed.signal(signal.SIGCONT)
+
+
+async def test_a_reload_that_comes_too_early_ends_nothing(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0]
+        for delay_s in (0.06, 0.09, 0.12, 0.2):
+            await host.kill()
+            host.start()
+            await asyncio.sleep(delay_s)
+            host.signal(signal.SIGHUP)
+            await host.become(200)
