--- a/banyanline/cli/balancer.py
+++ b/banyanline/cli/balancer.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from banyanline.cli import steering
 from banyanline.cli.common import (
     ExitCode,
     define_settings_flags,
@@ -23,6 +24,7 @@
 from banyanline.core.keys import KeyRing
 from banyanline.net.balancer import Balancer
 from banyanline.net.logs import configure_logs, log_loop_error
+from banyanline.platform.boot import settings_path
 from banyanline.settings import BalancerSettings, KeysError, SettingsError, parse_keys
 
 _PROGRAM = new_program(
@@ -34,6 +36,9 @@
     whose home it is, and sends to the upstreams that it owns. settings.example.ini
     lists all settings.
 
+    Without --settings it runs on the operators' platform, if BANYANLINE_BOOT names a
+    settings file; banyanline.cli.steering does the same and starts sooner.
+
     SIGTERM and SIGINT stop it without cutting a request, within stop.grace_s; a second
     one ends it at once.
 
@@ -100,6 +105,8 @@
     if arguments:
         return usage_error(_PROGRAM, f"unexpected argument {arguments[0]!r}")
     if _PROGRAM.flag_values["settings"].value is None:
+        if settings_path() is not None:
+            return steering.main()
         return usage_error(_PROGRAM, "--settings FILE is missing")
     settings = load_program_settings(_PROGRAM)
     if isinstance(settings, SettingsError):
--- a/banyanline/tests/test_cli_balancer.py
+++ b/banyanline/tests/test_cli_balancer.py
@@ -5,6 +5,7 @@
 import banyanline
 from banyanline.cli.balancer import main
 from banyanline.cli.common import ExitCode
+from banyanline.platform.early import PATH_VARIABLE
 
 PROGRAM = "banyanline-balancer"
 GOOD = """[host]
@@ -90,3 +91,14 @@
 def test_version(capsys):
     assert main([PROGRAM, "--version"]) == ExitCode.OK
     assert banyanline.__version__ in capsys.readouterr().out
+
+
+def test_without_settings_it_runs_on_the_platform_if_there_is_one(monkeypatch, tmp_path, capfd):
+    path = tmp_path / "settings.toml"
+    path.write_text("node_name = 7")
+    monkeypatch.setenv(PATH_VARIABLE, str(path))
+    assert main([PROGRAM]) == 2
+    assert "node_name" in capfd.readouterr().err
+    monkeypatch.delenv(PATH_VARIABLE)
+    assert main([PROGRAM]) == 2
+    assert "--settings FILE is missing" in capfd.readouterr().err
