--- a/banyanline/platform/store.py
+++ b/banyanline/platform/store.py
@@ -64,7 +64,9 @@
 ChangesResult: TypeAlias = Changes | StoreFailed
 
 
-class _Page(msgspec.Struct):
+class Page(msgspec.Struct):
+    """One page of items; the next begins after the last key if it is ``truncated``."""
+
     items: list[StoreItem]
     truncated: bool
     as_of: int
@@ -75,7 +77,7 @@
     as_of: int
 
 
-_PAGE_DECODER = msgspec.json.Decoder(_Page)
+_PAGE_DECODER = msgspec.json.Decoder(Page)
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
 
 
@@ -120,7 +122,7 @@
             body = await self._get("/kv-range", query, 0.0)
             if isinstance(body, StoreFailed):
                 return body
-            page = _decode_page(body)
+            page = parse_page(body)
             if isinstance(page, StoreFailed):
                 return page
             items += page.items
@@ -140,11 +142,7 @@
         body = await self._get("/kv-watch", query, wait_s)
         if isinstance(body, StoreFailed):
             return body
-        try:
-            answer = _EVENTS_DECODER.decode(body)
-        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-            return StoreFailed(StoreFailure.MALFORMED, str(error))
-        return Changes(tuple(answer.events), answer.as_of)
+        return parse_changes(body)
 
     async def _get(self, path: str, query: dict[str, str], wait_s: Seconds) -> bytes | StoreFailed:
         self._calls += 1
@@ -171,8 +169,22 @@
         return StoreFailed(StoreFailure.BAD_STATUS, str(response.status))
 
 
-def _decode_page(body: bytes) -> _Page | StoreFailed:
+def parse_page(body: bytes) -> Page | StoreFailed:
+    """Return the page that the store sent."""
     try:
         return _PAGE_DECODER.decode(body)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return StoreFailed(StoreFailure.MALFORMED, str(error))
+
+
+def parse_changes(body: bytes) -> ChangesResult:
+    """Return the changes that the store sent.
+
+    >>> parse_changes(b'{"events":[],"as_of":413}')
+    Changes(events=(), as_of=413)
+    """
+    try:
+        answer = _EVENTS_DECODER.decode(body)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        return StoreFailed(StoreFailure.MALFORMED, str(error))
+    return Changes(tuple(answer.events), answer.as_of)
