An upstream is lost only if it takes no TCP connection

At 90 hosts one host sees a flow of an upstream every few seconds, and with each change of the rotation flows move on: their answers are seen elsewhere, so the evidence stays although the upstream has answered.

Change: a repeat, or a packet for an upstream without an entry, makes the host try a TCP connection (two attempts of 0.15 s, at most one check a second while there is no sign; a timeout noticed late proves nothing). Only a failed check makes an upstream lost; one flow is then enough. The stand-in upstream takes connections, and the soak stalls living upstreams.

--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from banyanline.core.steering.outcomes import DropReason, ResetReason
+    from banyanline.core.steering.silence import CheckResult
     from banyanline.core.types import ServiceName
 
 
@@ -19,7 +20,7 @@
     its answer, in seconds.
     """
 
-    __slots__ = ("copies", "drops", "forwarded", "held", "placed", "resets", "responses")
+    __slots__ = ("checks", "copies", "drops", "forwarded", "held", "placed", "resets", "responses")
 
     def __init__(self) -> None:
         self.forwarded = 0
@@ -27,5 +28,6 @@
         self.placed: Counter[ServiceName] = Counter()
         self.copies: Counter[ServiceName] = Counter()
         self.resets: Counter[ResetReason] = Counter()
+        self.checks: Counter[CheckResult] = Counter()
         self.drops: Counter[DropReason] = Counter()
         self.responses: defaultdict[ServiceName, LatencyHistogram] = defaultdict(LatencyHistogram)
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from banyanline.core.steering.counters import SteeringCounters
 from banyanline.core.steering.flows import FlowTable, Progress
@@ -33,6 +33,7 @@
     from banyanline.core.steering.flows import Flow
     from banyanline.core.steering.model import Route
     from banyanline.core.steering.packet import CallerPacket
+    from banyanline.core.steering.silence import CheckResult
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import DataCentreName, Seconds, ServiceName
 
@@ -42,6 +43,13 @@
 MAX_IDLE_S = 60.0
 
 
+class DueCheck(NamedTuple):
+    """A connection that should be tried: to which upstream, and since when."""
+
+    upstream: Upstream
+    began_at: Seconds
+
+
 class Steering:
     """The decisions of one host, by what its catalog says of the platform."""
 
@@ -57,6 +65,7 @@
         self._placement = placement or Placement(data_centre, rng)
         self._counters = SteeringCounters()
         self._flows = FlowTable(self._counters)
+        self._due_checks: list[DueCheck] = []
 
     @property
     def catalog(self) -> Catalog:
@@ -94,6 +103,16 @@
         else:
             counters.held += 1
 
+    def take_due_checks(self) -> list[DueCheck]:
+        """Return the upstreams to which a connection should be tried now."""
+        due, self._due_checks = self._due_checks, []
+        return due
+
+    def on_check(self, check: DueCheck, result: CheckResult, now: Seconds) -> None:
+        """Take in what became of a check."""
+        self._counters.checks[result] += 1
+        check.upstream.silence.on_check(result, check.began_at, now)
+
     def on_tick(self, now: Seconds) -> None:
         """Forget what is too old to matter; to be called about once a second."""
         table = self._catalog.table
@@ -111,7 +130,7 @@
         if flow is not None and flow.is_open:
             return Forward(flow.upstream)
         if flow is not None:
-            flow.upstream.silence.on_repeat(flow, flow.sent_at, now, is_open=False)
+            self._on_repeat(flow, now)
         upstream = self._choose(route, flow.tried if flow else (), now)
         if upstream is None:
             return Reset(ResetReason.NO_UPSTREAM)
@@ -155,6 +174,8 @@
     def _is_hopeless(self, upstream: Upstream, packet: CallerPacket, now: Seconds) -> bool:
         """Whether the caller should try again elsewhere rather than wait."""
         if not (upstream.silence.is_lost(now) or is_gone(upstream, now)):
+            if upstream.is_unheard_since_removal:
+                self._check(upstream, now)
             return False
         route = self._catalog.route(packet.destination)
         return route is not None and route.kind is not RouteKind.NON_IDEMPOTENT
@@ -177,4 +198,13 @@
     def _observe(self, flow: Flow, packet: CallerPacket, now: Seconds) -> None:
         progress = self._flows.observe(flow, packet, now)
         if progress is Progress.REPEATED:
-            flow.upstream.silence.on_repeat(flow, flow.sent_at, now, is_open=True)
+            self._on_repeat(flow, now)
+
+    def _on_repeat(self, flow: Flow, now: Seconds) -> None:
+        upstream = flow.upstream
+        upstream.silence.on_repeat(flow, flow.sent_at, now, is_open=flow.is_open)
+        self._check(upstream, now)
+
+    def _check(self, upstream: Upstream, now: Seconds) -> None:
+        if upstream.silence.begin_check(now):
+            self._due_checks.append(DueCheck(upstream, now))
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -66,6 +66,11 @@
         """The upstream's name."""
         return self.entry.name
 
+    @property
+    def is_unheard_since_removal(self) -> bool:
+        """Whether the entry was removed, and no flow has had an answer since."""
+        return self.removed_at is not None and self.silence.sign_at < self.removed_at
+
     @property
     def takes_flows(self) -> bool:
         """Whether the upstream itself is willing to get new flows."""
--- /dev/null
+++ b/banyanline/net/steering/checks.py
@@ -0,0 +1,97 @@
+"""Tries connections to upstreams that left callers' packets unanswered.
+
+The connection is closed as soon as it stands: what is asked is whether a process
+listens and can be reached, not how busy it is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from typing import TYPE_CHECKING
+
+import structlog
+
+from banyanline.core.steering.silence import CheckResult
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from banyanline.core.steering.steering import DueCheck, Steering
+    from banyanline.core.types import Endpoint, Seconds
+
+ATTEMPT_S = 0.15
+ATTEMPTS = 2
+"""A connection's first packet may be lost like any other."""
+
+LATE_S = 0.1
+"""A timeout that is noticed this much late tells of this host, not of the upstream."""
+
+MAX_CHECKS = 16
+"""Checks under way at a time; an upstream beyond them is asked for again by its callers."""
+
+LOCAL_ERRORS = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+)
+"""Errors of an attempt that never left this host."""
+
+log = structlog.get_logger()
+
+
+class Checker:
+    """Carries out the checks that :class:`Steering` asks for."""
+
+    def __init__(self, steering: Steering, clock: Callable[[], Seconds]) -> None:
+        self._steering = steering
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start_due(self) -> None:
+        """Begin the checks that are due."""
+        for check in self._steering.take_due_checks():
+            if len(self._tasks) >= MAX_CHECKS:
+                log.info("check_left_out", upstream=check.upstream.name, under_way=len(self._tasks))
+                continue
+            task = asyncio.create_task(self._run(check))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def close(self) -> None:
+        """Give up the checks under way."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def _run(self, check: DueCheck) -> None:
+        endpoint = check.upstream.entry.endpoint
+        result = CheckResult.UNANSWERED
+        for _ in range(ATTEMPTS):
+            result = await try_connection(endpoint, ATTEMPT_S, self._clock)
+            if result is not CheckResult.UNANSWERED:
+                break
+        now = self._clock()
+        self._steering.on_check(check, result, now)
+        log.info(
+            "upstream_checked",
+            upstream=check.upstream.name,
+            result=result.value,
+            took_s=round(now - check.began_at, 3),
+            revision=check.upstream.revision,
+        )
+
+
+async def try_connection(
+    endpoint: Endpoint, timeout_s: Seconds, clock: Callable[[], Seconds]
+) -> CheckResult:
+    """Return whether something at the endpoint takes a TCP connection within ``timeout_s``."""
+    began_at = clock()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(endpoint.ip, endpoint.port)
+    except TimeoutError:
+        is_late = clock() - began_at > timeout_s + LATE_S
+        return CheckResult.UNKNOWN if is_late else CheckResult.UNANSWERED
+    except OSError as error:
+        is_local = error.errno in LOCAL_ERRORS
+        return CheckResult.UNKNOWN if is_local else CheckResult.UNANSWERED
+    writer.close()
+    return CheckResult.ANSWERED
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -45,6 +45,7 @@
         self._copies = self._counter("opening_copies_total", "Repeated opening packets sent on.")
         self._resets = self._counter("resets_total", "Flows that callers were told to give up.")
         self._drops = self._counter("drops_total", "Packets dropped without an answer.")
+        self._checks = self._counter("checks_total", "Connections tried to silent upstreams.")
         self._store_calls = self._counter("store_calls_total", "Calls of the platform's store.")
         self._store_failures = self._counter(
             "store_failures_total", "Calls of the platform's store that brought nothing."
@@ -92,6 +93,7 @@
         copy_counts(self._copies, "service", counters.copies)
         copy_counts(self._resets, "reason", counters.resets)
         copy_counts(self._drops, "reason", counters.drops)
+        copy_counts(self._checks, "result", counters.checks)
         for service, histogram in counters.responses.items():
             self._latency.set_value({"service": service}, bucket_counts(histogram))
 
--- a/banyanline/net/steering/path.py
+++ b/banyanline/net/steering/path.py
@@ -10,6 +10,7 @@
 from banyanline.core.steering.outcomes import Drop, DropReason, Forward, Reset
 from banyanline.core.types import Endpoint
 from banyanline.net.datagram import DatagramSocket
+from banyanline.net.steering.checks import Checker
 from banyanline.platform.packets import (
     MAX_PACKET_BYTES,
     MalformedPacket,
@@ -56,6 +57,7 @@
         bound: socket.socket | None = None,
     ) -> None:
         self._loop = loop
+        self._checker = Checker(steering, loop.time)
         self._port = endpoint.port
         self._steering = steering
         self._held: deque[_HeldPacket] = deque(maxlen=MAX_HELD_PACKETS)
@@ -71,6 +73,7 @@
 
     def close(self) -> None:
         """Take no more packets."""
+        self._checker.close()
         self._socket.close()
 
     def release_held(self) -> None:
@@ -95,6 +98,7 @@
 
     def _steer(self, data: bytes, packet: CallerPacket, now: Seconds) -> None:
         outcome = self._steering.on_packet(packet, now)
+        self._checker.start_due()
         if isinstance(outcome, Forward):
             self._forward(data, packet, outcome)
         elif isinstance(outcome, Reset):
--- a/bench/steering/soak.py
+++ b/bench/steering/soak.py
@@ -31,6 +31,7 @@
 from bench.steering.proxy import FaultyLink, LinkFault
 from bench.steering.router import Router
 from bench.steering.store import Fault
+from bench.steering.upstream import PacketUpstream
 
 FLAGS = flags.FLAGS
 HOSTS = 3
@@ -284,6 +285,18 @@
     soak.crash_upstream()
 
 
+async def _stall_upstream(soak: Soak) -> None:
+    """Let a living upstream answer nothing for a while; its flows must outlast that."""
+    name = soak.rng.choice(soak.living)
+    upstream = soak.fleet.upstreams[name]
+    upstream.silent = True
+    soak.later(soak.rng.uniform(0.3, 2.0), lambda: _resume_upstream(upstream))
+
+
+async def _resume_upstream(upstream: PacketUpstream) -> None:
+    upstream.silent = False
+
+
 async def _restart_upstream(soak: Soak) -> None:
     await soak.restart_upstream()
 
@@ -311,6 +324,7 @@
     _forget_history,
     _link_fault,
     _crash_upstream,
+    _stall_upstream,
     _restart_upstream,
     _add_upstream,
     _configure,
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -98,6 +98,27 @@
             flow.end(host)
 
 
+async def test_flows_of_a_dead_upstream_are_reset_and_those_of_a_stalled_one_are_not(tmp_path):
+    async with fleet(tmp_path, upstreams=1) as running:
+        host = running.hosts[0].plan.packets
+        upstream = running.upstreams["i-a0"]
+        callers = [running.caller() for _ in range(3)]
+        flows = [await caller.open(host) for caller in callers]
+        upstream.silent = True
+        asks = [asyncio.create_task(flow.ask(b"x", host)) for flow in flows]
+        await until_logged(running, "result=answered")
+        upstream.silent = False
+        for answer in await asyncio.gather(*asks):
+            assert answer == b"i-a0:x"
+        assert upstream.checks > 0
+        upstream.close()
+        for flow in flows:
+            with pytest.raises(FlowRefusedError):
+                await flow.ask(b"y", host)
+        await until_logged(running, "result=unanswered")
+        assert "reason=upstream_lost upstream=i-a0" in running.hosts[0].log_text
+
+
 async def test_changes_of_the_platform_take_effect(tmp_path):
     async with fleet(tmp_path) as running:
         host = running.hosts[0].plan.packets
