Place new flows by how late an upstream answers

Flows that had moved to another host stayed counted as work for up to 60 s.

Change: each upstream keeps a moving average of its answer times and its requests under way by age; the service keeps a running median. An upstream that answers twice as late as usual or later weighs that many times; requests that wait 3 s are no work of this host any more.

--- a/banyanline/core/steering/flows.py
+++ b/banyanline/core/steering/flows.py
@@ -6,14 +6,17 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
+from banyanline.core.steering.responses import RunningMedian
+
 if TYPE_CHECKING:
     from banyanline.core.steering.counters import SteeringCounters
     from banyanline.core.steering.packet import CallerPacket, FlowId
     from banyanline.core.steering.upstreams import Upstream
-    from banyanline.core.types import Seconds
+    from banyanline.core.types import Seconds, ServiceName
 
 SEQUENCE_MODULUS = 1 << 32
 _HALF = SEQUENCE_MODULUS // 2
@@ -34,13 +37,11 @@
     """One flow: where it went, and how far it has come.
 
     ``tried`` are the upstreams that got its opening packet, the last one last.
-    ``asked_at`` is when a request was sent that has had no answer yet, and
-    ``sent_at`` when the last new packet was sent that its upstream has to answer.
+    ``sent_at`` is when the last new packet was sent that its upstream has to answer.
     """
 
     __slots__ = (
         "ack",
-        "asked_at",
         "is_open",
         "next_seq",
         "seen_at",
@@ -57,7 +58,6 @@
         self.seen_at = now
         self.next_seq: int | None = None
         self.ack = 0
-        self.asked_at: Seconds | None = None
 
 
 class FlowTable:
@@ -67,11 +67,16 @@
         self._flows: dict[FlowId, Flow] = {}
         self._counters = counters
         self._max_flows = max_flows
+        self._usual: defaultdict[ServiceName, RunningMedian] = defaultdict(RunningMedian)
 
     def __len__(self) -> int:
         """Return the number of flows."""
         return len(self._flows)
 
+    def usual_s(self, service: ServiceName) -> Seconds | None:
+        """Return how long answers of a service usually take, or None before the first one."""
+        return self._usual[service].value
+
     def get(self, flow_id: FlowId) -> Flow | None:
         """Return a flow that was seen before."""
         return self._flows.get(flow_id)
@@ -145,12 +150,10 @@
     def _answer(self, flow: Flow, now: Seconds) -> None:
         upstream = flow.upstream
         upstream.silence.on_sign(now)
-        if flow.asked_at is None:
-            return
-        took_s = now - flow.asked_at
-        flow.asked_at = None
-        upstream.in_flight -= 1
-        self._counters.responses[upstream.entry.service].observe(took_s)
+        took_s = upstream.responses.finish(flow, now)
+        if took_s is not None:
+            self._counters.responses[upstream.entry.service].observe(took_s)
+            self._usual[upstream.entry.service].add(took_s)
 
     def _take_data(self, flow: Flow, packet: CallerPacket, now: Seconds) -> bool:
         """Note a request that begins; return whether the packet was sent before."""
@@ -163,9 +166,7 @@
             return True
         flow.next_seq = end
         flow.sent_at = now
-        if flow.asked_at is None:
-            flow.asked_at = now
-            flow.upstream.in_flight += 1
+        flow.upstream.responses.begin(flow, now)
         return False
 
 
@@ -180,6 +181,4 @@
     upstream.open_flows -= 1
     if not flow.is_open:
         upstream.pending_opens -= 1
-    if flow.asked_at is not None:
-        upstream.in_flight -= 1
-        flow.asked_at = None
+    upstream.responses.give_up(flow)
--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -23,6 +23,10 @@
 """Spreads the choices of hosts that know the same, in requests under way."""
 
 
+SLOW_RATIO = 2.0
+"""An upstream is slow if it answers this many times as late as is usual for its service."""
+
+
 class PlacementPolicy(NamedTuple):
     """Weights of the choice among upstreams, in requests under way."""
 
@@ -49,21 +53,42 @@
         self._policy = policy or PlacementPolicy()
 
     def choose(
-        self, upstreams: Sequence[Upstream], tried: Collection[Upstream], now: Seconds
+        self,
+        upstreams: Sequence[Upstream],
+        tried: Collection[Upstream],
+        usual_s: Seconds | None,
+        now: Seconds,
     ) -> Upstream | None:
-        """Return the upstream for a flow, one that was not tried if there is any."""
+        """Return the upstream for a flow, one that was not tried if there is any.
+
+        ``usual_s`` is how long answers of the service usually take, if that is known.
+        """
         if not upstreams:
             return None
         fresh = [upstream for upstream in upstreams if upstream not in tried]
-        return min(fresh or upstreams, key=lambda upstream: self._rank(upstream, now))
+        return min(fresh or upstreams, key=lambda upstream: self._rank(upstream, usual_s, now))
 
-    def _rank(self, upstream: Upstream, now: Seconds) -> tuple[bool, bool, float]:
-        return (upstream.is_cold(now), is_suspect(upstream, now), self._load(upstream))
+    def _rank(
+        self, upstream: Upstream, usual_s: Seconds | None, now: Seconds
+    ) -> tuple[bool, bool, float]:
+        cost = self._cost(upstream, _slowness(upstream, usual_s, now), now)
+        return (upstream.is_cold(now), is_suspect(upstream, now), cost)
 
-    def _load(self, upstream: Upstream) -> float:
+    def _cost(self, upstream: Upstream, slowness: float, now: Seconds) -> float:
+        """Return the expected wait, in usual requests at one slot, and what distance adds."""
         policy = self._policy
         entry = upstream.entry
-        load = upstream.in_flight + upstream.pending_opens + policy.flow * upstream.open_flows
+        load = float(upstream.responses.under_way(now) + upstream.pending_opens)
+        load += policy.flow * upstream.open_flows + policy.jitter * self._rng.random()
+        cost = (1.0 + load / entry.slots) * slowness
         if entry.data_centre != self._data_centre:
-            load += policy.remote * entry.slots
-        return (load + policy.jitter * self._rng.random()) / entry.slots
+            cost += policy.remote
+        return cost
+
+
+def _slowness(upstream: Upstream, usual_s: Seconds | None, now: Seconds) -> float:
+    """Return how many times as late as usual an upstream answers, 1 for about as usual."""
+    expected_s = upstream.responses.expected_s(now)
+    if not usual_s or expected_s is None or expected_s < SLOW_RATIO * usual_s:
+        return 1.0
+    return expected_s / usual_s
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -140,7 +140,7 @@
     def _choose(self, route: Route, tried: Collection[Upstream], now: Seconds) -> Upstream | None:
         for service in self._services_by_chance(route):
             usable = self._catalog.usable(service)
-            chosen = self._placement.choose(usable, tried, now)
+            chosen = self._placement.choose(usable, tried, self._flows.usual_s(service), now)
             if chosen is not None:
                 return chosen
         return None
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from banyanline.core.steering.responses import Responses
 from banyanline.core.steering.silence import Silence
 
 if TYPE_CHECKING:
@@ -42,10 +43,10 @@
         "cold_until",
         "created",
         "entry",
-        "in_flight",
         "open_flows",
         "pending_opens",
         "removed_at",
+        "responses",
         "revision",
         "silence",
     )
@@ -58,7 +59,7 @@
         self.cold_until: Seconds = NEVER
         self.open_flows = 0
         self.pending_opens = 0
-        self.in_flight = 0
+        self.responses = Responses()
         self.silence = Silence()
 
     @property
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -100,13 +100,16 @@
     def _copy_state(self) -> None:
         steering = self._sources.steering
         catalog = steering.catalog
+        now = self._sources.clock()
         self._version.set({}, catalog.version)
         self._flows.set({}, len(steering.flows))
         states: Counter[tuple[str, UpstreamStanding]] = Counter()
         for upstream in catalog.upstreams:
-            states[upstream.entry.service, catalog.standing(upstream, self._sources.clock())] += 1
+            states[upstream.entry.service, catalog.standing(upstream, now)] += 1
         for service in {upstream.entry.service for upstream in catalog.upstreams}:
             for standing in UpstreamStanding:
                 labels = {"service": service, "state": standing.value}
                 self._upstreams.set(labels, states[service, standing])
-        self._in_flight.set({}, sum(upstream.in_flight for upstream in catalog.upstreams))
+        self._in_flight.set(
+            {}, sum(upstream.responses.under_way(now) for upstream in catalog.upstreams)
+        )
--- a/banyanline/tests/test_steering.py
+++ b/banyanline/tests/test_steering.py
@@ -319,7 +319,11 @@
     host.wait(OPENING_LIFETIME_S + 1)
     assert len(host.steering.flows) == 0
     for upstream in host.catalog.upstreams:
-        assert (upstream.open_flows, upstream.pending_opens, upstream.in_flight) == (0, 0, 0)
+        assert (
+            upstream.open_flows,
+            upstream.pending_opens,
+            upstream.responses.under_way(host.now),
+        ) == (0, 0, 0)
 
 
 def test_thousands_of_entries_are_taken_in_without_indexing_each(monkeypatch):
