Read large stores cheaply at the start, and ask seeds of the own data centre

Each host reads 3,000 entries in seven counted calls, and as that takes longer than 50 ms, it asks a seed for everything as well. Two thirds of the seeds asked are in other data centres.

Change: pages after the first may be stale (they do not count towards the store's rate; the watch begins at the oldest page and tells the rest). A store that answers pages is not taken for lost. A seed says where it is, and hosts ask one of their own data centre.

--- a/banyanline/core/steering/model.py
+++ b/banyanline/core/steering/model.py
@@ -131,6 +131,7 @@
 
     ``age_s`` is the time since the teller heard of the store. ``table`` is None if it
     has not changed, or is too large to tell; ``table_version`` shows which.
+    ``data_centre`` is the teller's.
     """
 
     revision: Revision
@@ -139,3 +140,4 @@
     table: RoutingTable | None
     upstreams: tuple[KnownUpstream, ...]
     data_centres: tuple[DataCentreOut, ...]
+    data_centre: DataCentreName = ""
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -87,9 +87,15 @@
 
     @property
     def heard_at(self) -> Seconds | None:
-        """When the store answered last, or None before the first answer."""
+        """As of when this host knows the store, or None before the first whole answer."""
         return self._heard_at
 
+    @property
+    def contact_at(self) -> Seconds | None:
+        """When the store answered any call, perhaps with one page of many, or a seed did."""
+        known = [at for at in (self._heard_at, self._client.answered_at) if at is not None]
+        return max(known, default=None)
+
     def set_source(self, store: Endpoint, contact_s: Seconds, bound_s: Seconds) -> None:
         """Make the calls to come to this store.
 
@@ -137,7 +143,7 @@
         """Return the seed to ask instead of the store, or None to ask the store."""
         if not self._relays or self._seeds.has_own or self._clock() < self._direct_until:
             return None
-        return self._seeds.choose()
+        return self._seeds.choose_near()
 
     async def _follow_seed(self, seed: Endpoint, as_of: int) -> int:
         """Apply what a seed tells; return up to which revision that goes.
@@ -148,8 +154,10 @@
         query = ViewQuery(as_of, RELAY_WAIT_S, whole=False)
         view = await fetch_view(seed, query)
         if view is None or view.age_s > RELAY_AGE_S or view.revision < as_of:
+            self._seeds.on_failure(seed)
             self._direct_until = self._clock() + DIRECT_S
             return as_of
+        self._seeds.on_answer(seed, view.data_centre)
         self._note_answer(view.age_s)
         for change in self._catalog.on_view(view, self._clock()):
             log_change(change)
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -57,9 +57,9 @@
         self._catalog = Catalog()
         self._steering = Steering(self._catalog, settings.data_centre, rng)
         self._path = PacketPath(loop, settings.packets, self._steering, packets)
-        self._seeds = Seeds(settings.control, rng)
+        self._seeds = Seeds(settings.control, rng, settings.data_centre)
         self._feed = StoreFeed(
-            StoreClient(settings.store),
+            StoreClient(settings.store, self._clock),
             self._catalog,
             self._clock,
             rng,
@@ -71,10 +71,10 @@
             self._seeds,
             self._clock,
             rng,
-            lambda: self._feed.heard_at,
+            lambda: self._feed.contact_at,
             self._on_change,
         )
-        self._board = ViewBoard(self._catalog, self._clock, self._store_age_s)
+        self._board = ViewBoard(self._catalog, self._clock, self._store_age_s, settings.data_centre)
         self._follow_settings(settings)
         self._standings = StandingLog(self._catalog)
         self._departure: Departure | None = None
--- a/banyanline/net/steering/views.py
+++ b/banyanline/net/steering/views.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable
 
     from banyanline.core.steering.catalog import Catalog
-    from banyanline.core.types import Endpoint, Seconds
+    from banyanline.core.types import DataCentreName, Endpoint, Seconds
 
 VIEW_PATH = "/view"
 MAX_VIEW_BYTES = 4 * 1024 * 1024
@@ -85,9 +85,14 @@
     """The page on which a host tells what it knows, at once or when it hears something new."""
 
     def __init__(
-        self, catalog: Catalog, clock: Callable[[], Seconds], age_s: Callable[[], Seconds]
+        self,
+        catalog: Catalog,
+        clock: Callable[[], Seconds],
+        age_s: Callable[[], Seconds],
+        data_centre: DataCentreName = "",
     ) -> None:
         self._catalog = catalog
+        self._data_centre = data_centre
         self._clock = clock
         self._age_s = age_s
         self._news = asyncio.Event()
@@ -107,7 +112,8 @@
         if query.have >= self._catalog.revision and query.wait_s > 0:
             await self._wait(query.wait_s)
         view = self._catalog.view(self._clock(), query.have, self._age_s(), whole=query.whole)
-        return PageResponse(200, encode_view(view), _CONTENT_TYPE)
+        told = view._replace(data_centre=self._data_centre)
+        return PageResponse(200, encode_view(told), _CONTENT_TYPE)
 
     async def _wait(self, wait_s: Seconds) -> None:
         try:
--- a/banyanline/platform/store.py
+++ b/banyanline/platform/store.py
@@ -13,6 +13,8 @@
 from banyanline.platform.entries import StoreItem
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from banyanline.core.types import Endpoint, Seconds
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -84,8 +86,10 @@
 class StoreClient:
     """Calls the store at one endpoint; each fault is a value."""
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, clock: Callable[[], Seconds]) -> None:
         self._endpoint = endpoint
+        self._clock = clock
+        self._answered_at: Seconds | None = None
         self._calls = 0
         self._failures: Counter[StoreFailure] = Counter()
 
@@ -108,17 +112,23 @@
         """Number of calls that brought nothing, by reason."""
         return self._failures
 
+    @property
+    def answered_at(self) -> Seconds | None:
+        """When a call was last answered with 200, or None before the first time."""
+        return self._answered_at
+
     async def read_all(self, prefix: str) -> SnapshotResult:
         """Read all items below ``prefix``, page after page.
 
-        ``as_of`` is that of the first page: changes made since then are told by
-        :meth:`wait_for_changes` again, whichever page they fell into.
+        Pages after the first may be seconds old: those calls do not count towards the
+        rate that the store allows. ``as_of`` is that of the oldest page, and changes made
+        since then are told by :meth:`wait_for_changes`, whichever page they fell into.
         """
         items: list[StoreItem] = []
         as_of: int | None = None
         after = ""
         while True:
-            query = {"prefix": prefix, "after": after} if after else {"prefix": prefix}
+            query = {"prefix": prefix} | (_later_page(after) if after else {})
             body = await self._get("/kv-range", query, 0.0)
             if isinstance(body, StoreFailed):
                 return body
@@ -126,7 +136,7 @@
             if isinstance(page, StoreFailed):
                 return page
             items += page.items
-            as_of = page.as_of if as_of is None else as_of
+            as_of = page.as_of if as_of is None else min(as_of, page.as_of)
             if not page.truncated:
                 return Snapshot(tuple(items), as_of)
             if not page.items or page.items[-1].key <= after:
@@ -161,6 +171,7 @@
         if isinstance(response, HttpFailed):
             return StoreFailed(StoreFailure(response.reason.value), response.detail)
         if response.status == _HTTP_OK:
+            self._answered_at = self._clock()
             return response.body
         if response.status == _HTTP_GONE:
             return StoreFailed(StoreFailure.HISTORY_GONE)
@@ -169,6 +180,10 @@
         return StoreFailed(StoreFailure.BAD_STATUS, str(response.status))
 
 
+def _later_page(after: str) -> dict[str, str]:
+    return {"after": after, "allow_stale": "1"}
+
+
 def parse_page(body: bytes) -> Page | StoreFailed:
     """Return the page that the store sent."""
     try:
--- a/banyanline/tests/test_feed.py
+++ b/banyanline/tests/test_feed.py
@@ -33,6 +33,7 @@
         self.asked: list[str] = []
         self.endpoint = STORE
         self.calls = 0
+        self.answered_at: float | None = None
         self._watches = watches
         self._views = views
         self._done = asyncio.Event()
--- a/banyanline/tests/test_steering_peers.py
+++ b/banyanline/tests/test_steering_peers.py
@@ -235,3 +235,37 @@
     assert {seeds.choose() for _ in range(10)} == {other}
     seeds.set([])
     assert seeds.choose() is None
+    assert seeds.choose_near() is None
+
+
+NEAR, FAR, OTHER = (Endpoint(f"192.0.2.{number}", 1) for number in (3, 4, 5))
+
+
+@pytest.mark.parametrize(
+    ("answers", "failures", "expected"),
+    [
+        pytest.param({}, [], {NEAR, FAR, OTHER}, id="none is known"),
+        pytest.param({FAR: "south"}, [], {NEAR, OTHER}, id="the known one is elsewhere"),
+        pytest.param({FAR: "south", NEAR: "north"}, [], {NEAR}, id="one is here"),
+        pytest.param({FAR: "south", NEAR: "north"}, [NEAR], {NEAR, OTHER}, id="it failed"),
+        pytest.param(
+            {FAR: "south", NEAR: "west", OTHER: "east"}, [], {NEAR, FAR, OTHER}, id="none is here"
+        ),
+    ],
+)
+def test_a_seed_of_the_same_data_centre_is_asked_first(answers, failures, expected):
+    seeds = Seeds(None, random.Random(1), "north")
+    seeds.set([NEAR, FAR, OTHER])
+    for seed, data_centre in answers.items():
+        seeds.on_answer(seed, data_centre)
+    for seed in failures:
+        seeds.on_failure(seed)
+    assert {seeds.choose_near() for _ in range(40)} == expected
+
+
+def test_a_seed_that_is_no_longer_named_is_forgotten():
+    seeds = Seeds(None, random.Random(1), "north")
+    seeds.set([NEAR, FAR])
+    seeds.on_answer(NEAR, "north")
+    seeds.set([FAR])
+    assert seeds.choose_near() == FAR
--- a/bench/steering/store.py
+++ b/bench/steering/store.py
@@ -39,8 +39,10 @@
     def __init__(self) -> None:
         self.fault = Fault.NONE
         self.calls = 0
+        self.counted_reads = 0
         self.revision = 10
         self._floor = 10
+        self._frozen: tuple[int, dict[str, _Item]] | None = None
         self._items: dict[str, _Item] = {}
         self._events: deque[dict[str, Any]] = deque(maxlen=HISTORY_EVENTS)
         self._changed = asyncio.Condition()
@@ -78,6 +80,10 @@
         await self._tell({"key": key, "revision": self.revision, "deleted": True})
         return self.revision
 
+    def freeze_stale_reads(self) -> None:
+        """Answer reads that may be stale as of now from here on."""
+        self._frozen = (self.revision, dict(self._items))
+
     def forget_history(self) -> None:
         """Answer watches from before now with 410."""
         self._events.clear()
@@ -125,15 +131,20 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         prefix = query.get("prefix", "")
         if parts.path == "/kv-range":
-            return 200, self._page(prefix, query.get("after", ""))
+            may_be_stale = query.get("allow_stale") == "1"
+            self.counted_reads += not may_be_stale
+            return 200, self._page(prefix, query.get("after", ""), may_be_stale=may_be_stale)
         if parts.path == "/kv-watch":
             return await self._watch(prefix, int(query["after"]), int(query["wait_ms"]) / 1000.0)
         return 404, {}
 
-    def _page(self, prefix: str, after: str) -> dict[str, Any]:
-        keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
-        items = [_event(key, self._items[key]) for key in keys[:PAGE_ITEMS]]
-        return {"items": items, "truncated": len(keys) > PAGE_ITEMS, "as_of": self.revision}
+    def _page(self, prefix: str, after: str, *, may_be_stale: bool) -> dict[str, Any]:
+        revision, known = self.revision, self._items
+        if may_be_stale and self._frozen is not None:
+            revision, known = self._frozen
+        keys = sorted(key for key in known if key.startswith(prefix) and key > after)
+        items = [_event(key, known[key]) for key in keys[:PAGE_ITEMS]]
+        return {"items": items, "truncated": len(keys) > PAGE_ITEMS, "as_of": revision}
 
     async def _watch(self, prefix: str, after: int, wait_s: float) -> tuple[int, dict[str, Any]]:
         if after < self._floor:
--- /dev/null
+++ b/bench/tests/test_steering_store.py
@@ -0,0 +1,74 @@
+"""The client of the platform's store against the stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from banyanline.core.types import Endpoint
+from banyanline.platform.store import Changes, Snapshot, StoreClient, StoreFailed, StoreFailure
+from bench.steering.store import PAGE_ITEMS, Fault, StandInStore
+
+ENTRIES = 3 * PAGE_ITEMS - 1
+
+
+@contextlib.asynccontextmanager
+async def stores() -> AsyncIterator[tuple[StandInStore, StoreClient]]:
+    """Start a store with several pages of entries, and a client of it."""
+    store = StandInStore()
+    address = await store.start("127.0.0.1")
+    try:
+        for number in range(ENTRIES):
+            await store.put(f"servers/i-{number:02}", {"number": number})
+        yield store, StoreClient(Endpoint(*address), asyncio.get_running_loop().time)
+    finally:
+        await store.close()
+
+
+async def test_only_the_first_page_counts_towards_the_rate_of_the_store():
+    async with stores() as (store, client):
+        snapshot = await client.read_all("")
+        assert isinstance(snapshot, Snapshot)
+        assert [item.key for item in snapshot.items] == [
+            f"servers/i-{number:02}" for number in range(ENTRIES)
+        ]
+        assert snapshot.as_of == store.revision
+        assert (client.calls, store.counted_reads) == (3, 1)
+
+
+async def test_what_changed_since_a_stale_page_is_told_by_the_watch():
+    async with stores() as (store, client):
+        store.freeze_stale_reads()
+        frozen = store.revision
+        await store.delete(f"servers/i-{ENTRIES - 1:02}")
+        await store.put("servers/i-99", {"number": 99})
+        snapshot = await client.read_all("")
+        assert isinstance(snapshot, Snapshot)
+        assert snapshot.as_of == frozen
+        changes = await client.wait_for_changes("", snapshot.as_of, 0.0)
+        assert isinstance(changes, Changes)
+        assert [event.key for event in changes.events] == [
+            f"servers/i-{ENTRIES - 1:02}",
+            "servers/i-99",
+        ]
+
+
+@pytest.mark.parametrize(
+    ("fault", "reason"),
+    [
+        pytest.param(Fault.BUSY, StoreFailure.BAD_STATUS, id="busy"),
+        pytest.param(Fault.RESET, StoreFailure.CLOSED_EARLY, id="reset"),
+        pytest.param(Fault.RUBBISH, StoreFailure.MALFORMED, id="rubbish"),
+    ],
+)
+async def test_a_failed_read_says_why_and_is_no_answer(fault, reason):
+    async with stores() as (store, client):
+        store.fault = fault
+        result = await client.read_all("")
+        assert isinstance(result, StoreFailed)
+        assert result.reason is reason
+        assert client.failures[reason] >= (fault is not Fault.RUBBISH)
+        assert (client.answered_at is not None) == (fault is Fault.RUBBISH)
