Show what a host on the platform believes, and why a flow goes where it goes

Cause: banyanline-status knew the project's own interface only; on the platform an operator had logs and counters, but no view of one host's upstreams now.

Change: the metrics address answers /status and /why as the admin pages of the own interface do (the same responder); banyanline-status tells the two apart by their answers. Rows are built by core/steering/report.py without side effects; the modules are loaded with the first question.

Tests: rows, pages and the program against a real process.

--- a/banyanline/cli/status.py
+++ b/banyanline/cli/status.py
@@ -23,6 +23,7 @@
 from banyanline.net.admin import parse_endpoint
 from banyanline.net.http import HttpFailed, http_get
 from banyanline.net.status import Explanation, Status
+from banyanline.net.steering.status import FlowExplanation, SteeringStatus
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -30,8 +31,24 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_SHOWN_CHARACTERS = 200
 HTTP_OK = 200
+_STEERING_FIELDS = frozenset({"configuration_version", "new_flow"})
+"""One of these is in each answer of a host on the operators' platform, and in no other."""
+
 _UPSTREAM_COLUMNS = ("upstream", "stage", "in_flight", "slots", "queued", "connections", "ramp")
 
+_STEERING_COLUMNS = (
+    "upstream",
+    "service",
+    "data_centre",
+    "standing",
+    "open_flows",
+    "under_way",
+    "expected_ms",
+    "sign_age_s",
+    "doubt_age_s",
+    "failed_check_age_s",
+)
+
 PROGRAM = new_program(
     "banyanline-status",
     """
@@ -46,8 +63,14 @@
     roles, flows and queues, and what it refused, retried and dropped. The second one
     tells through which home and owner a caller's flow goes to which upstream, and why.
 
+    On the operators' platform ADMIN_ADDR is the address of the metrics, and SERVICE the
+    service address of the flow, ip:port. The first form shows the upstreams as the host
+    regards them, with the evidence and its age; the second one what the host knows of
+    the flow, and where a new one would go.
+
     Example:
       banyanline-status 127.0.0.1:7102 --why 192.0.2.7:40000 orders
+      banyanline-status 10.1.0.10:9102 --why 100.64.0.7:40001 198.18.0.1:443
 
     Exit status: 0 if the balancer is healthy (it has a configuration and hears from its
     peers), 1 if it is not or gives no answer, 2 for a wrong command line.
@@ -139,13 +162,7 @@
 def render_reply(question: Question, body: bytes) -> Reply:
     """Return the reply for the JSON that a balancer answered."""
     try:
-        if question.caller is not None:
-            text = _render_fields(msgspec.json.decode(body, type=Explanation))
-            code = ExitCode.OK
-        else:
-            status = msgspec.json.decode(body, type=Status)
-            text = render_status(status)
-            code = ExitCode.OK if is_healthy(status) else ExitCode.PROBLEM
+        code, text = _render_body(question, body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         message = f"{question.admin} sent an unknown answer: {error}"
         return Reply(ExitCode.PROBLEM, error=message)
@@ -154,6 +171,45 @@
     return Reply(code, text)
 
 
+def _render_body(question: Question, body: bytes) -> tuple[ExitCode, str]:
+    """Return the exit code and text of an answer; raises msgspec.MsgspecError if unknown."""
+    is_steering = bool(_STEERING_FIELDS & msgspec.json.decode(body, type=dict).keys())
+    if question.caller is not None:
+        explained = msgspec.json.decode(body, type=FlowExplanation if is_steering else Explanation)
+        return ExitCode.OK, _render_fields(explained)
+    if is_steering:
+        steering = msgspec.json.decode(body, type=SteeringStatus)
+        is_ready = steering["state"] == "ready"
+        return ExitCode.OK if is_ready else ExitCode.PROBLEM, render_steering(steering)
+    status = msgspec.json.decode(body, type=Status)
+    return ExitCode.OK if is_healthy(status) else ExitCode.PROBLEM, render_status(status)
+
+
+def render_steering(status: SteeringStatus) -> str:
+    """Return the tables that show a status page of a host on the operators' platform."""
+    counts = [
+        (kind, reason, total)
+        for kind, totals in (
+            ("reset", status["resets"]),
+            ("drop", status["drops"]),
+            ("check", status["checks"]),
+        )
+        for reason, total in sorted(totals.items())
+    ]
+    age_s = status["store_age_s"]
+    out = ", ".join(status["data_centres_out"]) or "none"
+    parts = [
+        f"{status['host']} ({status['data_centre']}): {status['state']}\n"
+        f"configuration {status['configuration_version']} with {status['routes']} routes, platform "
+        f"revision {status['platform_revision']}, "
+        f"known {'not at all' if age_s is None else f'as of {age_s:.1f} s ago'}\n"
+        f"{status['flows']} flows remembered, data centres out of service: {out}",
+        _section("Upstreams", status["upstreams"], _STEERING_COLUMNS),
+        "Counts\n" + render_table(("count", "reason", "total"), counts),
+    ]
+    return "\n\n".join(parts)
+
+
 def is_healthy(status: Status) -> bool:
     """Whether the balancer has a configuration and hears from its peers."""
     return status["revision"] > 0 and status["lease_fresh"]
@@ -194,6 +250,8 @@
 
 
 def _cell(value: object) -> str:
+    if value is None:
+        return "-"
     if isinstance(value, bool):
         return "yes" if value else "no"
     return f"{value:.2f}" if isinstance(value, float) else str(value)
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -131,7 +131,7 @@
             return Forward(flow.upstream)
         if flow is not None:
             self._on_repeat(flow, now)
-        upstream = self._choose(route, flow.tried if flow else (), now)
+        upstream = self.choose(route, flow.tried if flow else (), now)
         if upstream is None:
             return self._without_choice(route, flow)
         if upstream.is_cold(now):
@@ -139,7 +139,8 @@
         self._flows.open(packet.flow, upstream, now)
         return Forward(upstream)
 
-    def _choose(self, route: Route, tried: Collection[Upstream], now: Seconds) -> Upstream | None:
+    def choose(self, route: Route, tried: Collection[Upstream], now: Seconds) -> Upstream | None:
+        """Return where a new flow of a route should go; nothing is noted by asking."""
         for service in self._services_by_chance(route):
             usable = self._catalog.usable(service)
             if self._catalog.limits_cold(service):
@@ -151,9 +152,15 @@
 
     def _without_choice(self, route: Route, flow: Flow | None) -> Outcome:
         """Refuse a flow; a copy goes where the opening packet went, which may be answering."""
-        if not any(self._catalog.usable(share.service) for share in route.shares):
-            return Reset(ResetReason.NO_UPSTREAM)
-        return Reset(ResetReason.COLD_UPSTREAMS) if flow is None else Forward(flow.upstream)
+        reason = self.refusal(route)
+        if flow is not None and reason is ResetReason.COLD_UPSTREAMS:
+            return Forward(flow.upstream)
+        return Reset(reason)
+
+    def refusal(self, route: Route) -> ResetReason:
+        """Return why no upstream of a route can be chosen."""
+        is_usable = any(self._catalog.usable(share.service) for share in route.shares)
+        return ResetReason.COLD_UPSTREAMS if is_usable else ResetReason.NO_UPSTREAM
 
     def _services_by_chance(self, route: Route) -> Iterable[ServiceName]:
         """Order the services of a route at random by their weights."""
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -21,7 +21,7 @@
 from banyanline.net.steering.seeds import Seeds
 from banyanline.net.steering.views import MAX_CONNECTIONS, ViewBoard
 from banyanline.platform.boot import SettingsFault, SettingsFile
-from banyanline.platform.served import METRICS_PORT, METRICS_TARGET, READY_TARGET
+from banyanline.platform.served import METRICS_PORT, READY_TARGET
 from banyanline.platform.store import StoreClient
 
 if TYPE_CHECKING:
@@ -29,8 +29,10 @@
     from collections.abc import Callable, Sequence
     from pathlib import Path
 
+    from banyanline.net.admin import AdminPages
     from banyanline.net.output import NonBlockingOutput
     from banyanline.net.steering.metrics import SteeringMetrics
+    from banyanline.net.steering.status import FlowExplanation, SteeringStatus
     from banyanline.platform.boot import HostSettings
 
 TICK_S = 1.0
@@ -84,9 +86,9 @@
                 PageServer(settings.control, self._respond_control, MAX_CONNECTIONS)
             )
         self._output = output
-        self._metrics: SteeringMetrics | None = None
+        self._admin: AdminPages | None = None
         metrics = Endpoint(settings.packets.ip, METRICS_PORT)
-        self._metrics_server = PageServer(metrics, self._respond_metrics)
+        self._admin_server = PageServer(metrics, self._respond_admin)
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -111,7 +113,7 @@
         for server in self._servers:
             await server.start()
         try:
-            await self._metrics_server.start()
+            await self._admin_server.start()
         except OSError as error:
             log.warning("metrics_not_served", port=METRICS_PORT, detail=str(error))
 
@@ -171,13 +173,32 @@
             self._departure.on_check(self._clock())
         return PageResponse(503, b"not ready\n")
 
-    def _respond_metrics(self, target: str, accepts: Sequence[str]) -> PageResponse:
-        if target != METRICS_TARGET:
-            return PageResponse(404, b"no such page\n")
-        if self._metrics is None:
-            self._metrics = self._load_metrics()
-        body, headers = self._metrics.render(accepts)
-        return PageResponse(200, body, headers)
+    def _respond_admin(self, target: str, accepts: Sequence[str]) -> PageResponse:
+        from banyanline.net.admin import AdminPages, respond
+
+        if self._admin is None:
+            self._admin = AdminPages(
+                self._load_metrics().render, self._status, lambda: self.is_ready, self._explain
+            )
+        return respond(self._admin, target, accepts)
+
+    def _status(self) -> SteeringStatus:
+        from banyanline.net.steering.status import steering_status
+
+        state = "ready" if self.is_ready else "not configured"
+        return steering_status(
+            self._steering,
+            host=self._settings.host,
+            data_centre=self._settings.data_centre,
+            state=state if self._departure is None else "leaving",
+            store_age_s=None if self._feed.heard_at is None else self._store_age_s(),
+            now=self._clock(),
+        )
+
+    def _explain(self, caller: Endpoint, service: str) -> FlowExplanation | None:
+        from banyanline.net.steering.status import explain_flow
+
+        return explain_flow(self._steering, caller, service, self._clock())
 
     def _load_metrics(self) -> SteeringMetrics:
         from banyanline.net.steering.metrics import SteeringMetrics, SteeringSources
--- /dev/null
+++ b/banyanline/net/steering/status.py
@@ -0,0 +1,161 @@
+"""What the admin pages of a host on the operators' platform show, as they are written in JSON.
+
+This module is loaded with the first question, as few hosts are ever asked.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypedDict
+
+from banyanline.core.steering.report import report_flow, report_upstream
+from banyanline.net.admin import parse_endpoint
+from banyanline.platform.packets import describe_endpoint, service_address
+
+if TYPE_CHECKING:
+    from banyanline.core.steering.report import FlowReport, UpstreamReport
+    from banyanline.core.steering.steering import Steering
+    from banyanline.core.types import Endpoint, Seconds
+
+
+class UpstreamRow(TypedDict):
+    """One upstream as this host regards it; ages in seconds, None for what never was."""
+
+    upstream: str
+    service: str
+    data_centre: str
+    standing: str
+    open_flows: int
+    under_way: int
+    expected_ms: float | None
+    sign_age_s: float | None
+    doubt_age_s: float | None
+    failed_check_age_s: float | None
+    revision: int
+
+
+class SteeringStatus(TypedDict):
+    """What ``/status`` shows."""
+
+    host: str
+    data_centre: str
+    state: str
+    configuration_version: int
+    platform_revision: int
+    store_age_s: float | None
+    routes: int
+    flows: int
+    data_centres_out: list[str]
+    upstreams: list[UpstreamRow]
+    resets: dict[str, int]
+    drops: dict[str, int]
+    checks: dict[str, int]
+
+
+class FlowExplanation(TypedDict):
+    """What ``/why`` shows: what this host knows of a flow, and where a new one would go."""
+
+    caller: str
+    service: str
+    route: str | None
+    requests: str | None
+    flow: str
+    upstream: str | None
+    tried: str | None
+    standing: str | None
+    seen_age_s: float | None
+    new_flow: str
+
+
+def upstream_row(report: UpstreamReport) -> UpstreamRow:
+    """Return a report on an upstream as the page shows it."""
+    upstream = report.upstream
+    expected_s = report.expected_s
+    return UpstreamRow(
+        upstream=upstream.name,
+        service=upstream.entry.service,
+        data_centre=upstream.entry.data_centre,
+        standing=report.standing.value,
+        open_flows=upstream.open_flows,
+        under_way=report.under_way,
+        expected_ms=None if expected_s is None else round(expected_s * 1000.0, 1),
+        sign_age_s=report.sign_age_s,
+        doubt_age_s=report.doubt_age_s,
+        failed_check_age_s=report.failed_check_age_s,
+        revision=upstream.revision,
+    )
+
+
+def steering_status(
+    steering: Steering,
+    *,
+    host: str,
+    data_centre: str,
+    state: str,
+    store_age_s: Seconds | None,
+    now: Seconds,
+) -> SteeringStatus:
+    """Return what a host holds and believes."""
+    catalog = steering.catalog
+    counters = steering.counters
+    upstreams = sorted(catalog.upstreams, key=lambda each: (each.entry.service, each.name))
+    return SteeringStatus(
+        host=host,
+        data_centre=data_centre,
+        state=state,
+        configuration_version=catalog.version,
+        platform_revision=catalog.revision,
+        store_age_s=None if store_age_s is None else round(store_age_s, 3),
+        routes=len(catalog.table.routes) if catalog.table else 0,
+        flows=len(steering.flows),
+        data_centres_out=sorted(catalog.data_centres_out),
+        upstreams=[upstream_row(report_upstream(catalog, each, now)) for each in upstreams],
+        resets={reason.value: count for reason, count in counters.resets.items()},
+        drops={reason.value: count for reason, count in counters.drops.items()},
+        checks={result.value: count for result, count in counters.checks.items()},
+    )
+
+
+def explain_flow(
+    steering: Steering, caller: Endpoint, service: str, now: Seconds
+) -> FlowExplanation | None:
+    """Return what a host knows of the flow of ``caller`` to ``service``, an ``ip:port``.
+
+    None stands for addresses that no packet can carry.
+    """
+    endpoint = parse_endpoint(service)
+    if endpoint is None:
+        return None
+    try:
+        source = service_address(*caller)
+        address = service_address(*endpoint)
+    except (OSError, ValueError):
+        return None
+    report = report_flow(steering, source + address, address, now)
+    return _explanation(steering, report, describe_endpoint(source), service, now)
+
+
+def _explanation(
+    steering: Steering, report: FlowReport, caller: str, service: str, now: Seconds
+) -> FlowExplanation:
+    flow, route = report.flow, report.route
+    standing = None if flow is None else steering.catalog.standing(flow.upstream, now).value
+    return FlowExplanation(
+        caller=caller,
+        service=service,
+        route=route.name if route else None,
+        requests=route.kind.value if route else None,
+        flow=_state_of(report),
+        upstream=flow.upstream.name if flow else None,
+        tried=", ".join(each.name for each in flow.tried) if flow else None,
+        standing=standing,
+        seen_age_s=report.seen_age_s,
+        new_flow=report.next_upstream.name
+        if report.next_upstream
+        else f"refused: {report.refusal}",
+    )
+
+
+def _state_of(report: FlowReport) -> str:
+    if report.flow is None:
+        return "not seen here"
+    return "open" if report.flow.is_open else "opening"
--- a/banyanline/tests/steering.py
+++ b/banyanline/tests/steering.py
@@ -54,7 +54,7 @@
     kind: RouteKind = RouteKind.IDEMPOTENT,
 ) -> Route:
     shares = tuple(ServiceShare(service, 1.0) for service in services)
-    return Route(address.decode(), address, kind, 1.2, 0.12, 1, shares)
+    return Route(address.decode("latin-1"), address, kind, 1.2, 0.12, 1, shares)
 
 
 def table(
--- /dev/null
+++ b/banyanline/tests/test_steering_status.py
@@ -0,0 +1,139 @@
+"""What a host on the operators' platform says of itself, and how banyanline-status shows it."""
+
+from __future__ import annotations
+
+import json
+import math
+
+import pytest
+
+from banyanline.cli.status import Question, render_reply
+from banyanline.core.steering.silence import CheckResult
+from banyanline.core.steering.upstreams import UpstreamStanding
+from banyanline.core.types import Endpoint
+from banyanline.net.steering.status import (
+    FlowExplanation,
+    SteeringStatus,
+    explain_flow,
+    steering_status,
+)
+from banyanline.platform.packets import service_address
+from banyanline.tests.steering import ORDERS, THERE, Host, entry, opening, packet, route, table
+
+CALLER = Endpoint("100.64.0.7", 40001)
+SERVICE = "198.18.0.1:443"
+ADDRESS = service_address("198.18.0.1", 443)
+FLOW = service_address(*CALLER) + ADDRESS
+ADMIN = Endpoint("127.0.0.1", 1)
+
+
+def started(*entries) -> Host:
+    host = Host(*entries)
+    host.configure(table(2, [route(ADDRESS), route(ORDERS)]))
+    return host
+
+
+def status_of(host: Host, state: str = "ready") -> SteeringStatus:
+    return steering_status(
+        host.steering,
+        host="front-1",
+        data_centre="here",
+        state=state,
+        store_age_s=0.5,
+        now=host.now,
+    )
+
+
+def explained(host: Host, service: str = SERVICE) -> FlowExplanation:
+    found = explain_flow(host.steering, CALLER, service, host.now)
+    assert found is not None
+    return found
+
+
+def rendered(page: object, caller: Endpoint | None = None) -> str:
+    question = Question(ADMIN, caller, SERVICE, False, 1.0)
+    reply = render_reply(question, json.dumps(page, allow_nan=False).encode())
+    assert reply.error == ""
+    return reply.output
+
+
+def test_each_upstream_is_shown_with_its_evidence():
+    host = started(entry("orders-1"), entry("orders-2", data_centre=THERE), entry("orders-3"))
+    host.put(entry("orders-3", is_leaving=True))
+    name = host.open(1)
+    host.send(packet(1, cookie=host.cookie(name), data=10))
+    host.wait(0.25)
+    host.send(packet(1, cookie=host.cookie(name), data=10))
+    for check in host.steering.take_due_checks():
+        host.steering.on_check(check, CheckResult.UNANSWERED, host.now)
+    rows = {row["upstream"]: row for row in status_of(host)["upstreams"]}
+    assert rows[name]["standing"] == UpstreamStanding.LOST
+    assert rows[name]["under_way"] == 1
+    assert rows[name]["doubt_age_s"] == 0.0
+    assert rows[name]["failed_check_age_s"] == 0.0
+    assert rows["orders-3"]["standing"] == UpstreamStanding.LEAVING
+    assert rows["orders-2"]["sign_age_s"] is None
+
+
+def test_a_page_holds_no_number_that_json_has_not():
+    page = status_of(started(entry("orders-1")))
+    text = json.dumps(page, allow_nan=False)
+    assert not any(isinstance(value, float) and math.isinf(value) for value in json.loads(text))
+
+
+@pytest.mark.parametrize(
+    ("steps", "expected"),
+    [
+        pytest.param([], ("not seen here", None), id="unknown"),
+        pytest.param(["open"], ("opening", "orders-1"), id="opening"),
+        pytest.param(["open", "confirm"], ("open", "orders-1"), id="open"),
+    ],
+)
+def test_why_tells_what_is_known_of_a_flow(steps, expected):
+    host = started(entry("orders-1"))
+    if "open" in steps:
+        host.send(opening()._replace(flow=FLOW, destination=ADDRESS))
+    if "confirm" in steps:
+        host.send(packet(cookie=host.cookie("orders-1"))._replace(flow=FLOW, destination=ADDRESS))
+    page = explained(host)
+    assert (page["flow"], page["upstream"]) == expected
+    assert page["new_flow"] == "orders-1"
+    assert page["caller"] == "100.64.0.7:40001"
+
+
+@pytest.mark.parametrize(
+    ("host", "service", "expected"),
+    [
+        pytest.param(started(), SERVICE, "refused: no_upstream", id="no upstream"),
+        pytest.param(started(entry()), "198.18.0.9:1", "refused: no_route", id="no route"),
+    ],
+)
+def test_why_tells_why_a_new_flow_would_be_refused(host, service, expected):
+    assert explained(host, service)["new_flow"] == expected
+
+
+@pytest.mark.parametrize("service", ["orders", "198.18.0.1", "[2001:db8::1]:443", "1.2.3.4:0"])
+def test_why_takes_only_addresses_that_packets_can_carry(service):
+    assert explain_flow(started().steering, CALLER, service, 0.0) is None
+
+
+def test_asking_changes_nothing():
+    host = started(entry("orders-1", cold_for_s=5.0))
+    before = status_of(host)
+    explained(host)
+    assert status_of(host) == before
+    assert host.place() == "orders-1"
+
+
+def test_the_program_shows_both_pages(snapshot):
+    host = started(entry("orders-1"), entry("orders-2", data_centre=THERE))
+    host.open(1)
+    host.send(opening(2, to=b"nobody"))
+    assert rendered(status_of(host)) == snapshot
+    assert rendered(explained(host), CALLER) == snapshot
+
+
+@pytest.mark.parametrize(("state", "code"), [("ready", 0), ("leaving", 1), ("not configured", 1)])
+def test_the_exit_status_says_whether_the_host_serves(state, code):
+    page = json.dumps(status_of(started(), state)).encode()
+    assert render_reply(Question(ADMIN, None, "", False, 1.0), page).code == code
--- a/bench/steering/caller.py
+++ b/bench/steering/caller.py
@@ -73,6 +73,11 @@
         self._body = b""
         self._news = asyncio.Event()
 
+    @property
+    def port(self) -> int:
+        """The caller's port."""
+        return self._port
+
     @property
     def echo(self) -> int:
         """What the flow's packets carry to name its upstream."""
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -13,6 +13,9 @@
 
 import pytest
 
+from banyanline.cli.status import Question, ask
+from banyanline.core.types import Endpoint
+from banyanline.platform.served import METRICS_PORT
 from bench.steering.caller import FlowRefusedError, PacketCaller
 from bench.steering.fleet import OTHER_SERVICE, SERVICE, BalancerProcess, Fleet
 from bench.steering.store import Fault
@@ -75,6 +78,24 @@
         assert not loaded & {"_ssl", "libssl", "libcrypto", "_hashlib", "_sqlite3", "cygrpc"}
 
 
+async def test_the_status_program_asks_a_running_host(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0].plan
+        caller = running.caller()
+        flow = await caller.open(host.packets)
+        name = (await flow.ask(b"x", host.packets)).partition(b":")[0].decode()
+        admin = Endpoint(host.ip, METRICS_PORT)
+        reply = await ask(Question(admin, None, "", False, 5.0))
+        assert reply.code == 0
+        assert "i-a0" in reply.output
+        assert "i-a1" in reply.output
+        service = f"{SERVICE[0]}:{SERVICE[1]}"
+        why = Question(admin, Endpoint(caller.ip, flow.port), service, False, 5.0)
+        reply = await ask(why)
+        assert re.search(rf"upstream +{name}", reply.output)
+        assert re.search(r"flow +open", reply.output)
+
+
 async def test_any_host_carries_a_flow_on(tmp_path):
     async with fleet(tmp_path, hosts=2) as running:
         first, second = (host.plan.packets for host in running.hosts)
