Serve with each page of the store as it comes

Change: each page counts at once; what none of them holds is taken for removed at the end, as before. A host that starts asks a seed of its own data centre if the store is silent.

--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from functools import partial
+from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
 
@@ -19,7 +20,7 @@
 
     from banyanline.core.steering.catalog import Catalog
     from banyanline.core.steering.model import Change
-    from banyanline.core.types import Endpoint, Seconds
+    from banyanline.core.types import DataCentreName, Endpoint, Seconds, UpstreamName
     from banyanline.net.steering.seeds import Seeds
     from banyanline.platform.entries import StoreItem
     from banyanline.platform.store import StoreClient
@@ -56,6 +57,13 @@
 log = structlog.get_logger()
 
 
+class _Listing(NamedTuple):
+    """What a read of all pages has found so far."""
+
+    upstreams: list[UpstreamName]
+    out: list[DataCentreName]
+
+
 class StoreFeed:
     """Reads everything once, then follows the changes, whatever befalls the store."""
 
@@ -110,11 +118,12 @@
     async def run(self) -> None:
         """Follow the store without end."""
         while True:
-            snapshot = await self._client.read_all(EVERYTHING)
+            listing = _Listing([], [])
+            snapshot = await self._client.read_all(EVERYTHING, partial(self._take_page, listing))
             if isinstance(snapshot, StoreFailed):
                 await self._pause_after(snapshot)
                 continue
-            self._take_snapshot(snapshot)
+            self._take_all(listing, snapshot)
             await self._follow(snapshot.as_of)
 
     async def _follow(self, as_of: int) -> None:
@@ -170,14 +179,20 @@
             await asyncio.sleep(RELAY_PAUSE_S * self._rng.random())
         return view.revision
 
-    def _take_snapshot(self, snapshot: Snapshot) -> None:
+    def _take_page(self, listing: _Listing, items: Sequence[StoreItem]) -> None:
+        """Serve with what one page holds; on a small link the others may take seconds."""
+        for change in self._apply(items):
+            if isinstance(change, UpstreamChanged):
+                listing.upstreams.append(change.entry.name)
+            elif isinstance(change, DataCentreOut):
+                listing.out.append(change.data_centre)
+        self._on_change()
+
+    def _take_all(self, listing: _Listing, snapshot: Snapshot) -> None:
         self._note_answer(0.0)
-        changes = self._apply(snapshot.items)
-        names = [change.entry.name for change in changes if isinstance(change, UpstreamChanged)]
-        out = [change.data_centre for change in changes if isinstance(change, DataCentreOut)]
-        self._catalog.retain(names, out, snapshot.as_of, self._clock())
+        self._catalog.retain(listing.upstreams, listing.out, snapshot.as_of, self._clock())
         self._on_change()
-        log.info("store_read", items=len(snapshot.items), as_of=snapshot.as_of)
+        log.info("store_read", items=snapshot.items, as_of=snapshot.as_of)
 
     def _apply(self, items: Sequence[StoreItem]) -> list[Change]:
         now = self._clock()
--- a/banyanline/net/steering/peers.py
+++ b/banyanline/net/steering/peers.py
@@ -52,12 +52,16 @@
         """Ask whenever it is needed, without end."""
         await asyncio.sleep(FIRST_ASK_S)
         while True:
-            seed = self._seeds.choose() if self._is_store_lost() else None
+            seed = self._choose() if self._is_store_lost() else None
             if seed is not None:
                 await self._ask(seed)
             interval_s = REFRESH_INTERVAL_S if self._catalog.is_configured else ASK_INTERVAL_S
             await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
 
+    def _choose(self) -> Endpoint | None:
+        """Return a near seed for a start; later any, as near ones may have lost the store too."""
+        return self._seeds.choose() if self._catalog.is_configured else self._seeds.choose_near()
+
     def _is_store_lost(self) -> bool:
         heard_at = self._heard_at()
         return heard_at is None or self._clock() - heard_at > STORE_LOST_S
--- a/banyanline/platform/store.py
+++ b/banyanline/platform/store.py
@@ -13,7 +13,7 @@
 from banyanline.platform.entries import StoreItem
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from banyanline.core.types import Endpoint, Seconds
 
@@ -49,9 +49,9 @@
 
 
 class Snapshot(NamedTuple):
-    """All items below a prefix, which together are not older than ``as_of``."""
+    """All items below a prefix were read; together they are not older than ``as_of``."""
 
-    items: tuple[StoreItem, ...]
+    items: int
     as_of: int
 
 
@@ -117,14 +117,16 @@
         """When a call was last answered with 200, or None before the first time."""
         return self._answered_at
 
-    async def read_all(self, prefix: str) -> SnapshotResult:
-        """Read all items below ``prefix``, page after page.
+    async def read_all(
+        self, prefix: str, on_page: Callable[[Sequence[StoreItem]], None]
+    ) -> SnapshotResult:
+        """Read all items below ``prefix``, page after page; each page is handed on at once.
 
         Pages after the first may be seconds old: those calls do not count towards the
         rate that the store allows. ``as_of`` is that of the oldest page, and changes made
         since then are told by :meth:`wait_for_changes`, whichever page they fell into.
         """
-        items: list[StoreItem] = []
+        items = 0
         as_of: int | None = None
         after = ""
         while True:
@@ -135,10 +137,11 @@
             page = parse_page(body)
             if isinstance(page, StoreFailed):
                 return page
-            items += page.items
+            items += len(page.items)
+            on_page(page.items)
             as_of = page.as_of if as_of is None else min(as_of, page.as_of)
             if not page.truncated:
-                return Snapshot(tuple(items), as_of)
+                return Snapshot(items, as_of)
             if not page.items or page.items[-1].key <= after:
                 return StoreFailed(StoreFailure.MALFORMED, "a page that does not go on")
             after = page.items[-1].key
--- a/banyanline/tests/test_feed.py
+++ b/banyanline/tests/test_feed.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -32,6 +33,8 @@
         self.now = 100.0
         self.asked: list[str] = []
         self.endpoint = STORE
+        self.pages: list[list[StoreItem]] = []
+        self.out: list[frozenset[str]] = []
         self.calls = 0
         self.answered_at: float | None = None
         self._watches = watches
@@ -56,9 +59,12 @@
         task.cancel()
         return self.asked
 
-    async def read_all(self, prefix: str) -> Snapshot:
+    async def read_all(self, prefix: str, on_page: Callable[[list[StoreItem]], None]) -> Snapshot:
         self.asked.append("all")
-        return Snapshot((), START)
+        for page in self.pages:
+            on_page(page)
+            self.out.append(self.catalog.data_centres_out)
+        return Snapshot(sum(map(len, self.pages)), START)
 
     async def wait_for_changes(self, prefix: str, after: int, wait_s: float) -> Any:
         self.asked.append(f"store {after}")
@@ -117,6 +123,16 @@
     assert asked == ["all", "seed 7", then]
 
 
+async def test_each_page_of_a_read_counts_at_once_and_what_none_holds_is_gone(monkeypatch):
+    """On a small link the pages of 3,000 upstreams take seconds."""
+    script = Script(monkeypatch, [], [])
+    script.catalog.on_change(DataCentreOut("west", True, 1), script.now)
+    script.pages = [[OUT], [StoreItem("op/evacuate/south", START - 1, "e30=")]]
+    await script.play(bound_s=RELAY_BOUND_S, seeds=[])
+    assert script.out == [{"west", "north"}, {"west", "north", "south"}]
+    assert script.catalog.data_centres_out == {"north", "south"}
+
+
 async def test_a_seed_is_asked_again_after_a_while(monkeypatch):
     script = Script(monkeypatch, [NOTHING, Changes((OUT,), START + 1)], [None])
     script._sleep = lambda seconds: _advance(script, DIRECT_S)  # type: ignore[method-assign]
--- a/bench/tests/test_steering_store.py
+++ b/bench/tests/test_steering_store.py
@@ -30,12 +30,15 @@
 
 async def test_only_the_first_page_counts_towards_the_rate_of_the_store():
     async with stores() as (store, client):
-        snapshot = await client.read_all("")
-        assert isinstance(snapshot, Snapshot)
-        assert [item.key for item in snapshot.items] == [
+        pages: list[list[str]] = []
+        snapshot = await client.read_all(
+            "", lambda items: pages.append([item.key for item in items])
+        )
+        assert [len(page) for page in pages] == [PAGE_ITEMS, PAGE_ITEMS, PAGE_ITEMS - 1]
+        assert [key for page in pages for key in page] == [
             f"servers/i-{number:02}" for number in range(ENTRIES)
         ]
-        assert snapshot.as_of == store.revision
+        assert snapshot == Snapshot(ENTRIES, store.revision)
         assert (client.calls, store.counted_reads) == (3, 1)
 
 
@@ -45,7 +48,7 @@
         frozen = store.revision
         await store.delete(f"servers/i-{ENTRIES - 1:02}")
         await store.put("servers/i-99", {"number": 99})
-        snapshot = await client.read_all("")
+        snapshot = await client.read_all("", lambda _items: None)
         assert isinstance(snapshot, Snapshot)
         assert snapshot.as_of == frozen
         changes = await client.wait_for_changes("", snapshot.as_of, 0.0)
@@ -67,7 +70,7 @@
 async def test_a_failed_read_says_why_and_is_no_answer(fault, reason):
     async with stores() as (store, client):
         store.fault = fault
-        result = await client.read_all("")
+        result = await client.read_all("", lambda _items: None)
         assert isinstance(result, StoreFailed)
         assert result.reason is reason
         assert client.failures[reason] >= (fault is not Fault.RUBBISH)
