Check configurations of the operators' platform before they are written

Cause: banyanline-config read the project's own configuration only; on the platform a wrong one showed first in a host's log.

Change: check tells a platform configuration by its routes and names every problem with its place, the value got and what is accepted, by the types that hosts decode with.

--- a/banyanline/cli/config.py
+++ b/banyanline/cli/config.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import msgspec
 from absl import flags
 
 from banyanline.cli.common import (
@@ -30,6 +31,7 @@
 from banyanline.config.load_module import ModuleError, load_module_configuration
 from banyanline.config.render import clock_time
 from banyanline.core.model import Configuration
+from banyanline.platform.check import check_configuration, is_platform_configuration
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -47,7 +49,8 @@
       banyanline-config diff OLD NEW    Say what going from OLD to NEW does.
       banyanline-config print MODULE    Run a Python module and print its configuration.
 
-    FILE is a JSON file as "print" writes it, or - for standard input. MODULE is the
+    FILE is a JSON file as "print" writes it, or - for standard input; "check" also
+    takes the configuration that operators write on their own platform. MODULE is the
     path of a Python file (examples/split.py) or the name of a module (examples.split)
     with a function configuration() or a value CONFIGURATION.
 
@@ -100,7 +103,13 @@
 
 
 def _check(path: str) -> ExitCode:
-    configuration = _load(path)
+    data = _read(path)
+    if isinstance(data, str):
+        print_error(PROGRAM, f"{path}: {data}")
+        return ExitCode.PROBLEM
+    if _is_of_platform(data):
+        return _check_platform(path, data)
+    configuration = _accept(path, parse_document(data))
     if configuration is None:
         return ExitCode.PROBLEM
     upstreams = sum(len(service.upstreams) for service in configuration.services)
@@ -113,6 +122,26 @@
     return ExitCode.OK
 
 
+def _is_of_platform(data: bytes) -> bool:
+    try:
+        return is_platform_configuration(msgspec.json.decode(data))
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return False
+
+
+def _check_platform(path: str, data: bytes) -> ExitCode:
+    checked = check_configuration(data)
+    for problem in checked.problems:
+        print_error(PROGRAM, f"{path}: {problem}")
+    if checked.problems:
+        return ExitCode.PROBLEM
+    print(
+        f"{path}: accepted: version {checked.version}, routes: {checked.routes}, "
+        f"services: {checked.services}"
+    )
+    return ExitCode.OK
+
+
 def _tables(configuration: Configuration) -> list[str]:
     data_centres = [(item.name, item.state.value) for item in configuration.data_centres]
     services = [
--- a/banyanline/platform/entries.py
+++ b/banyanline/platform/entries.py
@@ -21,7 +21,7 @@
     UpstreamEntry,
     UpstreamRemoved,
 )
-from banyanline.core.steering.packet import NO_COOKIE
+from banyanline.core.steering.packet import NO_COOKIE, ServiceAddress
 from banyanline.platform.boot import parse_endpoint
 from banyanline.platform.packets import service_address
 
@@ -85,7 +85,9 @@
     weight: float
 
 
-class _Route(msgspec.Struct):
+class RouteDocument(msgspec.Struct):
+    """A route as the operator writes it."""
+
     name: str
     hostname: str
     """An IPv4 number, not a name."""
@@ -109,15 +111,17 @@
     idle_timeout_ms: float = 60_000.0
 
 
-class _Configuration(msgspec.Struct):
+class ConfigurationDocument(msgspec.Struct):
+    """The configuration as the operator writes it."""
+
     version: int
-    routes: list[_Route]
+    routes: list[RouteDocument]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 _UPSTREAM_DECODER = msgspec.json.Decoder(_Upstream)
-_CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
+_CONFIGURATION_DECODER = msgspec.json.Decoder(ConfigurationDocument)
 
 
 def decode_item(item: StoreItem) -> Decoded:
@@ -138,13 +142,23 @@
     try:
         value = base64.b64decode(item.value, validate=True)
         if key == CONFIGURATION_KEY:
-            return TableChanged(_table(_CONFIGURATION_DECODER.decode(value)), item.revision)
+            return TableChanged(_table(read_configuration(value)), item.revision)
         entry = _upstream(key.removeprefix(UPSTREAM_PREFIX), _UPSTREAM_DECODER.decode(value))
     except (binascii.Error, msgspec.MsgspecError, ValueError, OSError, RecursionError) as error:
         return UnusableItem(key, str(error))
     return UpstreamChanged(entry, item.revision, item.created)
 
 
+def read_configuration(data: bytes) -> ConfigurationDocument:
+    """Return the operator's document; raises msgspec.MsgspecError if its types are wrong."""
+    return _CONFIGURATION_DECODER.decode(data)
+
+
+def route_address(document: RouteDocument) -> ServiceAddress:
+    """Return the service address of a route; raises OSError or ValueError if it is none."""
+    return service_address(document.hostname, int(document.prefix.strip("/")))
+
+
 def _upstream(name: str, document: _Upstream) -> UpstreamEntry:
     wire_id = wire_id_of(name)
     if document.slots < 1 or document.cold_remaining_ms < 0:
@@ -183,7 +197,7 @@
     return (wire_id ^ wire_id >> 32) % _COOKIE_MODULUS or NO_COOKIE + 1
 
 
-def _table(document: _Configuration) -> RoutingTable:
+def _table(document: ConfigurationDocument) -> RoutingTable:
     routes = [_route(route) for route in document.routes]
     return RoutingTable(
         version=document.version,
@@ -196,13 +210,13 @@
     )
 
 
-def _route(document: _Route) -> Route:
+def _route(document: RouteDocument) -> Route:
     shares = tuple(ServiceShare(share.service, share.weight) for share in document.traffic_split)
     if not shares and document.service is not None:
         shares = (ServiceShare(document.service, 1.0),)
     return Route(
         name=document.name,
-        address=service_address(document.hostname, int(document.prefix.strip("/"))),
+        address=route_address(document),
         kind=_ROUTE_KINDS[document.route_type],
         patience_s=document.timeout_ms / 1000.0,
         objective_s=document.aim_ms / 1000.0,
