Sort the bench into folders, and leave finished simulations to history

Cause: 54 modules lay flat in bench/, and 1,316 lines of simulations whose results are written in docs/design/overload.md were kept up with the rest.

Change: standins, network, scenarios, measure and reports, each with a line that says what it is for; the programs that are run stay on top. Nothing but imports, paths and names of modules changed.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins, load and experiments that run outside the package."""
+"""Stand-ins, load, scenarios and measurements that run outside the package."""
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,11 +12,11 @@
 
 from absl import app, flags
 
-from bench.deployments import SPLIT
-from bench.execute import Job, format_lag, format_table, run_job, write_output
-from bench.scenarios import Scenario
-from bench.stock_client import ask
-from bench.world import NotReadyError, World
+from bench.scenarios.catalog import Scenario
+from bench.scenarios.deployments import SPLIT
+from bench.scenarios.execute import Job, format_lag, format_table, run_job, write_output
+from bench.scenarios.world import NotReadyError, World
+from bench.standins.stock_client import ask
 
 FLAGS = flags.FLAGS
 DEMO_S = 18.0
--- a/bench/experiments/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Seeded experiments on the policies of the core, without sockets or clocks."""
--- /dev/null
+++ b/bench/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of what balancers cost, as slopes between sizes."""
--- a/bench/measure_configuration.py
+++ b/bench/measure/configuration.py
@@ -1,6 +1,6 @@
 """Measures what a configuration costs: bytes, processor time and memory, at three sizes.
 
-Run as ``python -m bench.measure_configuration``.
+Run as ``python -m bench.measure.configuration``.
 """
 
 from __future__ import annotations
--- a/bench/fit_slopes.py
+++ b/bench/measure/fit_slopes.py
@@ -1,7 +1,7 @@
 """Fits straight lines to the rows of the measurements and prints the slopes.
 
-    python -m bench.measure_state requests > requests.json
-    python -m bench.fit_slopes requests.json
+    python -m bench.measure.state requests > requests.json
+    python -m bench.measure.fit_slopes requests.json
 
 A row with ``bytes`` and ``us`` over ``held`` gives what one more flow, request or claim
 costs. The residue is the largest distance of a point from its line, as a share of the
--- a/bench/measure_hops.py
+++ b/bench/measure/hops.py
@@ -2,7 +2,7 @@
 
 The echo is a bare stdlib UDP socket with the same bounded drain as the balancer's
 sockets, so it is what no hop can cost less than. Run it as
-``python -m bench.measure_hops --json FILE``.
+``python -m bench.measure.hops --json FILE``.
 """
 
 from __future__ import annotations
--- a/bench/measure_mass_events.py
+++ b/bench/measure/mass_events.py
@@ -1,15 +1,15 @@
 """What the loss of a rack, a data centre or a region does to the membership of 440 hosts.
 
-    python -m bench.measure_mass_events crash --lost 1,12,73
-    python -m bench.measure_mass_events cut --lost 220 --seconds 40
-    python -m bench.measure_mass_events replace --lost 12
-    python -m bench.measure_mass_events revision --hosts 440
+    python -m bench.measure.mass_events crash --lost 1,12,73
+    python -m bench.measure.mass_events cut --lost 220 --seconds 40
+    python -m bench.measure.mass_events replace --lost 12
+    python -m bench.measure.mass_events revision --hosts 440
 
 Two regions of three data centres; only the detectors run, on a bus in memory. Printed for
 each event: when the last running host had dropped the last lost one (or, after a cut or a
 replacement, had all of them back), how many changes of its view a host saw, and messages
 and bytes that a host sent meanwhile. Each change of the view makes a balancer compute homes
-and owners anew and walk over its flows: see ``bench.measure_view_changes``.
+and owners anew and walk over its flows: see ``bench.measure.view_changes``.
 """
 
 from __future__ import annotations
@@ -27,7 +27,7 @@
 from banyanline.core.membership import MembershipEffect, ViewChanged
 from banyanline.core.types import HostName
 from banyanline.tests.fleet import Datagram, Fleet
-from bench.measure_membership import DATAGRAM_OVERHEAD_BYTES, MeteredMembership, hosts_of
+from bench.measure.membership import DATAGRAM_OVERHEAD_BYTES, MeteredMembership, hosts_of
 
 SETTLE_S = 6.0
 WINDOW_S = 0.5
--- a/bench/measure_membership.py
+++ b/bench/measure/membership.py
@@ -3,9 +3,9 @@
 Drives many detectors in one process over a bus in memory. Sizes are those of the encoded
 messages; what the datagram adds to them is counted as a constant.
 
-    python -m bench.measure_membership cost --sizes 9,73,220,440
-    python -m bench.measure_membership detection --seeds 100
-    python -m bench.measure_membership false --seeds 20 --seconds 60
+    python -m bench.measure.membership cost --sizes 9,73,220,440
+    python -m bench.measure.membership detection --seeds 100
+    python -m bench.measure.membership false --seeds 20 --seconds 60
 """
 
 from __future__ import annotations
--- a/bench/measure_ownership.py
+++ b/bench/measure/ownership.py
@@ -3,7 +3,7 @@
 Prints one table for slots and one for upstreams. ``moved`` is the share of keys whose
 host changes when one host joins or leaves, as a multiple of the share that has to move.
 
-    python -m bench.measure_ownership [--trials N]
+    python -m bench.measure.ownership [--trials N]
 """
 
 from __future__ import annotations
--- a/bench/measure_roles.py
+++ b/bench/measure/roles.py
@@ -5,11 +5,11 @@
 
     caller -> ingress -> home -> owner -> upstream -> owner -> caller
 
-The upstream is the bare echo of :mod:`bench.measure_hops`. Two units are given: what
+The upstream is the bare echo of :mod:`bench.measure.hops`. Two units are given: what
 it spends on a datagram as upstream, where datagrams reach it as one by one as they
 reach the balancers, and what it spends when callers send to it directly in batches,
 just before, so that one wake-up reads many. An ingress and a home handle one datagram
-in each round trip, an owner two. Run it as ``python -m bench.measure_roles``.
+in each round trip, an owner two. Run it as ``python -m bench.measure.roles``.
 """
 
 from __future__ import annotations
@@ -30,10 +30,10 @@
 
 from banyanline.core.types import Endpoint
 from banyanline.net.http import HttpFailed, http_get
-from bench.addresses import ADMIN_PORT, CONTROL_PORT, PEER_PORT, PLATFORM_PORT, AddressPlan
-from bench.fleet import CONFIGURATION_KEY, HOSTS_KEY, REPOSITORY
-from bench.measure_hops import US_PER_S, serve_echo
-from bench.platform import Platform
+from bench.measure.hops import US_PER_S, serve_echo
+from bench.network.addresses import ADMIN_PORT, CONTROL_PORT, PEER_PORT, PLATFORM_PORT, AddressPlan
+from bench.scenarios.fleet import CONFIGURATION_KEY, HOSTS_KEY, REPOSITORY
+from bench.standins.platform import Platform
 
 HOSTS = ("north-1", "north-2", "north-3")
 SERVICE = "telemetry"
--- a/bench/measure_state.py
+++ b/bench/measure/state.py
@@ -1,9 +1,9 @@
 """State and processor time of one balancer by role: slopes over the number of things held.
 
 Each row is one JSON object: what was done, the role, how many, bytes held and processor
-time for one. Run as ``python -m bench.measure_state KIND --sizes 10000,50000``; KIND is
+time for one. Run as ``python -m bench.measure.state KIND --sizes 10000,50000``; KIND is
 one of ``home-flows``, ``owner-flows``, ``requests``, ``streams``,
-``claims``, ``lookups``, ``handover``, ``stream-handover``. ``bench.fit_slopes`` reads
+``claims``, ``lookups``, ``handover``, ``stream-handover``. ``bench.measure.fit_slopes`` reads
 the rows.
 """
 
@@ -30,7 +30,7 @@
     ToHome,
 )
 from banyanline.core.types import Endpoint
-from bench.replay_world import (
+from bench.measure.replay_world import (
     FLOW_IDLE_S,
     HOME,
     INGRESS,
--- a/bench/measure_view_changes.py
+++ b/bench/measure/view_changes.py
@@ -1,9 +1,9 @@
 """What a change of the view costs one balancer, and what an owner hands over.
 
-    python -m bench.measure_view_changes tables --sizes 9,73,220,440
-    python -m bench.measure_view_changes memory --sizes 9,73,220,440
-    python -m bench.measure_view_changes cede-flows --sizes 5000,10000,20000
-    python -m bench.measure_view_changes cede-keys --sizes 1000,2000,4000
+    python -m bench.measure.view_changes tables --sizes 9,73,220,440
+    python -m bench.measure.view_changes memory --sizes 9,73,220,440
+    python -m bench.measure.view_changes cede-flows --sizes 5000,10000,20000
+    python -m bench.measure.view_changes cede-keys --sizes 1000,2000,4000
 
 ``tables`` brings the table of homes and that of owners up to date after one host of the
 fabric group was lost and after it came back, with 3,300 upstreams in six data centres, and
@@ -31,8 +31,7 @@
 from banyanline.core.messages import Cede
 from banyanline.core.model import Configuration
 from banyanline.core.types import Host
-from bench.measure_state import give_flows, give_requests
-from bench.replay_world import (
+from bench.measure.replay_world import (
     HOME,
     HOSTS,
     INGRESS,
@@ -43,6 +42,7 @@
     encode,
     make_node,
 )
+from bench.measure.state import give_flows, give_requests
 from examples import large
 
 REPEATS = 5
--- /dev/null
+++ b/bench/network/__init__.py
@@ -0,0 +1,1 @@
+"""Addresses and the network of a run: the fabric, faulty links, the relay between balancers."""
--- a/bench/fabric.py
+++ b/bench/network/fabric.py
@@ -11,9 +11,9 @@
 from functools import partial
 from typing import NamedTuple
 
-from bench.addresses import CALLER_PORT, AddressPlan
-from bench.link import Cuts, Link
-from bench.sockets import Address, UdpSocket
+from bench.network.addresses import CALLER_PORT, AddressPlan
+from bench.network.link import Cuts, Link
+from bench.standins.sockets import Address, UdpSocket
 
 
 class ServiceRoute(NamedTuple):
--- a/bench/relay.py
+++ b/bench/network/relay.py
@@ -13,11 +13,11 @@
 from contextlib import suppress
 from functools import partial
 
-from bench.addresses import CONTROL_PORT, PEER_PORT
-from bench.fleet import Balancer
-from bench.link import Cuts, Link
-from bench.procnet import owners_by_port
-from bench.sockets import Address, UdpSocket
+from bench.network.addresses import CONTROL_PORT, PEER_PORT
+from bench.network.link import Cuts, Link
+from bench.network.procnet import owners_by_port
+from bench.scenarios.fleet import Balancer
+from bench.standins.sockets import Address, UdpSocket
 
 READ_BYTES = 65536
 IP_UDP_HEADER_BYTES = 28
--- /dev/null
+++ b/bench/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Tables and plots of results."""
--- a/bench/pages.py
+++ b/bench/reports/pages.py
@@ -5,8 +5,8 @@
 import asyncio
 from pathlib import Path
 
-from bench.addresses import ADMIN_PORT
-from bench.fleet import Balancer
+from bench.network.addresses import ADMIN_PORT
+from bench.scenarios.fleet import Balancer
 
 PAGE_WAIT_S = 2.0
 PAGES = {"/status": "status.json", "/metrics": "metrics.txt"}
--- a/bench/run.py
+++ b/bench/run.py
@@ -7,10 +7,10 @@
 
 from absl import app, flags
 
-from bench.deployments import DEPLOYMENTS
-from bench.execute import Job, format_lag, format_table, run_job, write_output
-from bench.scenarios import SCENARIOS
-from bench.world import NotReadyError
+from bench.scenarios.catalog import SCENARIOS
+from bench.scenarios.deployments import DEPLOYMENTS
+from bench.scenarios.execute import Job, format_lag, format_table, run_job, write_output
+from bench.scenarios.world import NotReadyError
 
 FLAGS = flags.FLAGS
 MOST_LINES = 20
--- a/bench/scenarios.py
+++ b/bench/scenarios/catalog.py
@@ -6,12 +6,12 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
-from bench import faults
-from bench.health import HealthFault
-from bench.link import Faults
-from bench.mixture import all_at_once
-from bench.platform import ReaderView
-from bench.world import World
+from bench.network.link import Faults
+from bench.scenarios import faults
+from bench.scenarios.mixture import all_at_once
+from bench.scenarios.world import World
+from bench.standins.health import HealthFault
+from bench.standins.platform import ReaderView
 
 PAUSE_S = 10.0
 CHURN_INTERVAL_S = 0.5
--- a/bench/configuration.py
+++ b/bench/scenarios/configuration.py
@@ -4,9 +4,15 @@
 
 from banyanline import config
 from banyanline.core.model import Configuration
-from bench.addresses import AddressPlan
-from bench.deployments import CONNECTIONS, Deployment, ServiceSize, ramp_of, service_routes
-from bench.upstream import UpstreamSpec
+from bench.network.addresses import AddressPlan
+from bench.scenarios.deployments import (
+    CONNECTIONS,
+    Deployment,
+    ServiceSize,
+    ramp_of,
+    service_routes,
+)
+from bench.standins.upstream import UpstreamSpec
 
 IDLE_TIMEOUT_S = 300.0
 
--- a/bench/deployments.py
+++ b/bench/scenarios/deployments.py
@@ -4,10 +4,10 @@
 
 from typing import NamedTuple
 
-from bench.addresses import FIRST_HOST_PORT, SERVICE_PORT, UPSTREAM_PORT, AddressPlan
-from bench.capacity import Ramp
-from bench.fabric import ServiceRoute
-from bench.upstream import UpstreamSpec
+from bench.network.addresses import FIRST_HOST_PORT, SERVICE_PORT, UPSTREAM_PORT, AddressPlan
+from bench.network.fabric import ServiceRoute
+from bench.standins.capacity import Ramp
+from bench.standins.upstream import UpstreamSpec
 
 SLOTS = 2
 CONNECTIONS = 2000
--- a/bench/evidence.py
+++ b/bench/scenarios/evidence.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from bench.judge import is_cut_by_stop, is_given_up
-from bench.observations import FlowEnd, Outcome
+from bench.scenarios.judge import is_cut_by_stop, is_given_up
+from bench.scenarios.observations import FlowEnd, Outcome
 
 if TYPE_CHECKING:
-    from bench.world import World
+    from bench.scenarios.world import World
 
 MOST_LINES = 200
 
--- a/bench/execute.py
+++ b/bench/scenarios/execute.py
@@ -11,15 +11,15 @@
 from pathlib import Path
 from typing import NamedTuple, TypedDict
 
-from bench.deployments import Deployment
-from bench.evidence import collect
-from bench.judge import Footprint, Result, judge, violations
-from bench.looplag import LoopLag
-from bench.pages import write_pages
-from bench.resources import snapshots, usage
-from bench.scenarios import Scenario
-from bench.streams import GAP_S
-from bench.world import Options, World
+from bench.reports.pages import write_pages
+from bench.scenarios.catalog import Scenario
+from bench.scenarios.deployments import Deployment
+from bench.scenarios.evidence import collect
+from bench.scenarios.judge import Footprint, Result, judge, violations
+from bench.scenarios.looplag import LoopLag
+from bench.scenarios.resources import snapshots, usage
+from bench.scenarios.world import Options, World
+from bench.standins.streams import GAP_S
 
 IDLE_WINDOW_S = 2.0
 WARM_UP_S = 2.0
--- a/bench/faults.py
+++ b/bench/scenarios/faults.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-from bench.fleet import Balancer
-from bench.world import World
+from bench.scenarios.fleet import Balancer
+from bench.scenarios.world import World
 
 UPSTREAM_DOWN_S = 1.5
 
--- a/bench/fleet.py
+++ b/bench/scenarios/fleet.py
@@ -12,9 +12,9 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from bench.addresses import ADMIN_PORT, CONTROL_PORT, PEER_PORT, PLATFORM_PORT, AddressPlan
-from bench.fabric import Fabric, Member
-from bench.platform import Platform
+from bench.network.addresses import ADMIN_PORT, CONTROL_PORT, PEER_PORT, PLATFORM_PORT, AddressPlan
+from bench.network.fabric import Fabric, Member
+from bench.standins.platform import Platform
 
 CONFIGURATION_KEY = "banyanline/configuration"
 HOSTS_KEY = "banyanline/hosts"
@@ -22,7 +22,7 @@
 FABRIC_LAG_S = 0.5
 STOP_GRACE_S = 10.0
 STOP_LIMIT_S = 20.0
-REPOSITORY = Path(__file__).resolve().parent.parent
+REPOSITORY = Path(__file__).resolve().parent.parent.parent
 
 
 class StopRecord(NamedTuple):
--- a/bench/judge.py
+++ b/bench/scenarios/judge.py
@@ -5,12 +5,12 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple, TypedDict
 
-from bench.chronicle import Span
-from bench.observations import FlowEnd, FlowRecord, Outcome, RequestRecord
+from bench.scenarios.chronicle import Span
+from bench.scenarios.observations import FlowEnd, FlowRecord, Outcome, RequestRecord
 
 if TYPE_CHECKING:
-    from bench.upstream import Upstream
-    from bench.world import World
+    from bench.scenarios.world import World
+    from bench.standins.upstream import Upstream
 
 SETTLING_S = 3.0
 """How long after a change its effects may still be seen."""
--- a/bench/load.py
+++ b/bench/scenarios/load.py
@@ -7,10 +7,10 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from bench.caller import Caller
-from bench.deployments import Deployment, ServiceSize, full_rate
-from bench.streams import Stream
-from bench.udp_flow import UdpFlow
+from bench.scenarios.deployments import Deployment, ServiceSize, full_rate
+from bench.standins.caller import Caller
+from bench.standins.streams import Stream
+from bench.standins.udp_flow import UdpFlow
 
 BLOCKS_OF_A_SHEET = 5
 
--- a/bench/mixture.py
+++ b/bench/scenarios/mixture.py
@@ -6,11 +6,11 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from bench import faults
-from bench.fleet import Balancer
-from bench.health import HealthFault
-from bench.platform import ReaderView
-from bench.world import NotReadyError, World
+from bench.scenarios import faults
+from bench.scenarios.fleet import Balancer
+from bench.scenarios.world import NotReadyError, World
+from bench.standins.health import HealthFault
+from bench.standins.platform import ReaderView
 
 MEAN_PAUSE_S = 1.5
 LONGEST_FREEZE_S = 6.0
--- a/bench/resources.py
+++ b/bench/scenarios/resources.py
@@ -8,7 +8,7 @@
 
 import psutil
 
-from bench.fleet import Balancer
+from bench.scenarios.fleet import Balancer
 
 BYTES_PER_MB = 1_000_000
 
--- a/bench/world.py
+++ b/bench/scenarios/world.py
@@ -9,29 +9,29 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from bench.addresses import CALLER_PORT, AddressPlan
-from bench.caller import Caller, CallerTimes
-from bench.chronicle import Chronicle
-from bench.coap_upstream import CoapUpstream
-from bench.configuration import ConfigurationDocument
-from bench.deployments import (
+from bench.network.addresses import CALLER_PORT, AddressPlan
+from bench.network.fabric import Fabric, ServiceRoute
+from bench.network.link import Cuts, Faults, Link
+from bench.network.relay import PeerRelay
+from bench.scenarios.chronicle import Chronicle
+from bench.scenarios.configuration import ConfigurationDocument
+from bench.scenarios.deployments import (
     Deployment,
     service_routes,
     upstream_spec,
     upstream_specs,
 )
-from bench.fabric import Fabric, ServiceRoute
-from bench.fleet import CONFIGURATION_KEY, HOSTS_KEY, Balancer, Fleet
-from bench.link import Cuts, Faults, Link
-from bench.load import Load
-from bench.observations import Observations
-from bench.platform import Platform
-from bench.prober import Prober
-from bench.relay import PeerRelay
-from bench.runlog import RunLog
-from bench.udp_flow import UdpFlow
-from bench.udp_upstream import UdpUpstream
-from bench.upstream import Upstream, UpstreamSpec
+from bench.scenarios.fleet import CONFIGURATION_KEY, HOSTS_KEY, Balancer, Fleet
+from bench.scenarios.load import Load
+from bench.scenarios.observations import Observations
+from bench.standins.caller import Caller, CallerTimes
+from bench.standins.coap_upstream import CoapUpstream
+from bench.standins.platform import Platform
+from bench.standins.prober import Prober
+from bench.standins.runlog import RunLog
+from bench.standins.udp_flow import UdpFlow
+from bench.standins.udp_upstream import UdpUpstream
+from bench.standins.upstream import Upstream, UpstreamSpec
 
 CALLERS = 60
 HOSTS_LAG_S = 0.5
@@ -40,7 +40,7 @@
 ADMIT_LIMIT_S = 8.0
 READY_PAUSE_S = 0.2
 BALANCER_MODULE = "banyanline.cli.balancer"
-BASELINE_MODULE = "bench.baseline"
+BASELINE_MODULE = "bench.standins.baseline"
 
 
 class Options(NamedTuple):
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -13,10 +13,10 @@
 
 from absl import app, flags
 
-from bench.deployments import DEPLOYMENTS
-from bench.execute import Job, run_job, write_output
-from bench.scenarios import SCENARIOS
-from bench.world import NotReadyError
+from bench.scenarios.catalog import SCENARIOS
+from bench.scenarios.deployments import DEPLOYMENTS
+from bench.scenarios.execute import Job, run_job, write_output
+from bench.scenarios.world import NotReadyError
 from properties.chaos import Chaos
 
 FLAGS = flags.FLAGS
--- a/bench/answer.py
+++ b/bench/standins/answer.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from bench import coap
-from bench.observations import Outcome, parse_echo
+from bench.scenarios.observations import Outcome, parse_echo
+from bench.standins import coap
 
 
 def judge_status(message: Any) -> tuple[Outcome, str]:
--- a/bench/baseline.py
+++ b/bench/standins/baseline.py
@@ -20,7 +20,7 @@
 from banyanline.config import parse_document
 from banyanline.core.model import Configuration
 from banyanline.core.types import UpstreamState
-from bench.sockets import Address, UdpSocket
+from bench.standins.sockets import Address, UdpSocket
 
 FLAGS = flags.FLAGS
 READ_RETRY_S = 0.5
--- a/bench/caller.py
+++ b/bench/standins/caller.py
@@ -7,12 +7,12 @@
 import time
 from typing import Any, NamedTuple, Protocol
 
-from bench import coap
-from bench.answer import judge_echo, judge_status
-from bench.fabric import ServiceRoute
-from bench.observations import Observations, Outcome, RequestRecord
-from bench.sheet import BLOCK_EXPONENT, is_sheet_whole
-from bench.sockets import Address, UdpSocket
+from bench.network.fabric import ServiceRoute
+from bench.scenarios.observations import Observations, Outcome, RequestRecord
+from bench.standins import coap
+from bench.standins.answer import judge_echo, judge_status
+from bench.standins.sheet import BLOCK_EXPONENT, is_sheet_whole
+from bench.standins.sockets import Address, UdpSocket
 
 ACK_RANDOM_FACTOR = 1.5
 MAX_RETRANSMIT = 4
--- a/bench/coap_upstream.py
+++ b/bench/standins/coap_upstream.py
@@ -2,7 +2,7 @@
 
 It has a few slots, starts cold, sheds, honours cancellation and serves Observe
 streams, orders, readings and block-wise sheets. It records every execution in a
-:class:`~bench.runlog.RunLog`.
+:class:`~bench.standins.runlog.RunLog`.
 """
 
 from __future__ import annotations
@@ -12,10 +12,10 @@
 from collections import OrderedDict
 from typing import Any, NamedTuple
 
-from bench import coap
-from bench.sheet import BLOCK_EXPONENT, sheet_content, sheet_etag
-from bench.sockets import Address
-from bench.upstream import Upstream, is_health_request
+from bench.standins import coap
+from bench.standins.sheet import BLOCK_EXPONENT, sheet_content, sheet_etag
+from bench.standins.sockets import Address
+from bench.standins.upstream import Upstream, is_health_request
 
 FALL_OVER_S = 3.0
 SHED_MAX_AGE_S = 1
--- a/bench/prober.py
+++ b/bench/standins/prober.py
@@ -6,9 +6,9 @@
 import random
 from typing import Any
 
-from bench import coap
-from bench.fabric import ServiceRoute
-from bench.sockets import Address, UdpSocket
+from bench.network.fabric import ServiceRoute
+from bench.standins import coap
+from bench.standins.sockets import Address, UdpSocket
 
 ANSWER_WAIT_S = 0.5
 
--- a/bench/stock_client.py
+++ b/bench/standins/stock_client.py
@@ -6,7 +6,7 @@
 import sys
 from typing import NamedTuple
 
-from bench.sockets import Address
+from bench.standins.sockets import Address
 
 TIMEOUT_S = 20.0
 
--- a/bench/streams.py
+++ b/bench/standins/streams.py
@@ -6,10 +6,10 @@
 import time
 from typing import Any
 
-from bench import coap
-from bench.answer import judge_echo
-from bench.caller import Caller
-from bench.observations import Echo, FlowEnd, FlowRecord, Outcome, parse_echo
+from bench.scenarios.observations import Echo, FlowEnd, FlowRecord, Outcome, parse_echo
+from bench.standins import coap
+from bench.standins.answer import judge_echo
+from bench.standins.caller import Caller
 
 GAP_S = 5.0
 """A stream whose caller hears nothing for this long is broken."""
--- a/bench/udp_flow.py
+++ b/bench/standins/udp_flow.py
@@ -5,11 +5,11 @@
 import asyncio
 import time
 
-from bench.fabric import ServiceRoute
-from bench.observations import Echo, FlowEnd, FlowRecord, Observations, parse_echo
-from bench.sockets import Address, UdpSocket
-from bench.streams import GAP_S, REOPEN_DELAY_S
-from bench.udp_upstream import MARK
+from bench.network.fabric import ServiceRoute
+from bench.scenarios.observations import Echo, FlowEnd, FlowRecord, Observations, parse_echo
+from bench.standins.sockets import Address, UdpSocket
+from bench.standins.streams import GAP_S, REOPEN_DELAY_S
+from bench.standins.udp_upstream import MARK
 
 SEND_INTERVAL_S = 0.25
 
--- a/bench/udp_upstream.py
+++ b/bench/standins/udp_upstream.py
@@ -1,7 +1,7 @@
 """The stand-in for an upstream of an opaque ``udp`` service: echoes each datagram.
 
 A datagram is ``#key service number``; the answer is the echo of
-:meth:`~bench.upstream.Upstream.echo`. The first character keeps datagrams apart
+:meth:`~bench.standins.upstream.Upstream.echo`. The first character keeps datagrams apart
 from CoAP health requests, whose first byte is at least 0x40.
 """
 
@@ -10,9 +10,9 @@
 import time
 from typing import Any
 
-from bench import coap
-from bench.sockets import Address
-from bench.upstream import Upstream, is_health_request
+from bench.standins import coap
+from bench.standins.sockets import Address
+from bench.standins.upstream import Upstream, is_health_request
 
 MARK = b"#"
 
--- a/bench/upstream.py
+++ b/bench/standins/upstream.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from bench import coap
-from bench.capacity import ColdCapacity, Ramp
-from bench.health import HealthEndpoint, HealthSample
-from bench.runlog import RunLog
-from bench.sockets import Address, UdpSocket
+from bench.standins import coap
+from bench.standins.capacity import ColdCapacity, Ramp
+from bench.standins.health import HealthEndpoint, HealthSample
+from bench.standins.runlog import RunLog
+from bench.standins.sockets import Address, UdpSocket
 
 TICK_S = 0.2
 
--- a/bench/steering/caller.py
+++ b/bench/steering/caller.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
-from bench.sockets import Address, UdpSocket
+from bench.standins.sockets import Address, UdpSocket
 from bench.steering.segments import Flag, Segment, decode, encode
 
 COPIES_AFTER_S = (0.2, 0.6)
--- a/bench/steering/fleet.py
+++ b/bench/steering/fleet.py
@@ -13,7 +13,7 @@
 from banyanline.core.types import Endpoint
 from banyanline.net.http import HttpResponse, http_get
 from banyanline.platform.served import METRICS_PORT, METRICS_TARGET, READY_TARGET
-from bench.addresses import AddressPlan
+from bench.network.addresses import AddressPlan
 from bench.steering.caller import PacketCaller
 from bench.steering.proxy import FaultyLink
 from bench.steering.store import StandInStore
--- a/bench/steering/measure.py
+++ b/bench/steering/measure.py
@@ -15,7 +15,7 @@
 
 import psutil
 
-from bench.sockets import UdpSocket
+from bench.standins.sockets import UdpSocket
 from bench.steering.fleet import SERVICE, BalancerProcess, Fleet
 from bench.steering.segments import Flag, Segment, encode
 
--- a/bench/steering/upstream.py
+++ b/bench/steering/upstream.py
@@ -5,7 +5,7 @@
 import itertools
 from typing import NamedTuple
 
-from bench.sockets import Address, Listener, UdpSocket
+from bench.standins.sockets import Address, Listener, UdpSocket
 from bench.steering.segments import UPSTREAM_PREFIX_BYTES, Flag, Segment, decode, encode
 
 _SEQUENCES = itertools.count(7_000, 100_000)
--- a/bench/tests/test_consul_reader.py
+++ b/bench/tests/test_consul_reader.py
@@ -5,8 +5,8 @@
 
 from banyanline.core.types import Endpoint
 from banyanline.platform.consul import ConsulReader, Watch
-from bench.addresses import AddressPlan
-from bench.platform import Platform
+from bench.network.addresses import AddressPlan
+from bench.standins.platform import Platform
 
 PORT = 8500
 TIMEOUT_S = 10.0
--- a/bench/tests/test_footprint.py
+++ b/bench/tests/test_footprint.py
@@ -4,8 +4,8 @@
 from contextlib import suppress
 from pathlib import Path
 
-from bench.addresses import AddressPlan
-from bench.measure_roles import HOSTS, Fleet
+from bench.measure.roles import HOSTS, Fleet
+from bench.network.addresses import AddressPlan
 
 MEMORY_BUDGET_KB = 64 * 1000
 
--- a/bench/tests/test_judge.py
+++ b/bench/tests/test_judge.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from bench.chronicle import Span
-from bench.deployments import SPLIT
-from bench.fleet import StopRecord
-from bench.judge import Footprint, Result, judge, violations
-from bench.observations import FlowEnd, FlowRecord, Outcome, RequestRecord
-from bench.world import Options, World
+from bench.scenarios.chronicle import Span
+from bench.scenarios.deployments import SPLIT
+from bench.scenarios.fleet import StopRecord
+from bench.scenarios.judge import Footprint, Result, judge, violations
+from bench.scenarios.observations import FlowEnd, FlowRecord, Outcome, RequestRecord
+from bench.scenarios.world import Options, World
 
 NAME = "stup-napajanje-1"
 DATA_CENTRE = "split-sjever"
--- a/bench/tests/test_relay.py
+++ b/bench/tests/test_relay.py
@@ -5,11 +5,11 @@
 
 import pytest
 
-from bench.addresses import CONTROL_PORT, PEER_PORT, AddressPlan
-from bench.fleet import Balancer
-from bench.link import Cuts, Link
-from bench.relay import PeerRelay
-from bench.sockets import UdpSocket
+from bench.network.addresses import CONTROL_PORT, PEER_PORT, AddressPlan
+from bench.network.link import Cuts, Link
+from bench.network.relay import PeerRelay
+from bench.scenarios.fleet import Balancer
+from bench.standins.sockets import UdpSocket
 
 
 @pytest.fixture
--- a/bench/tests/test_stand_ins.py
+++ b/bench/tests/test_stand_ins.py
@@ -7,19 +7,19 @@
 
 import pytest
 
-from bench import coap, streams
-from bench.addresses import PLATFORM_PORT, SERVICE_PORT, UPSTREAM_PORT, AddressPlan
-from bench.baseline import read_key
-from bench.caller import Caller, CallerTimes
-from bench.coap_upstream import CoapUpstream
-from bench.fabric import Fabric, Member, ServiceRoute
-from bench.health import HealthFault
-from bench.link import Cuts, Faults, Link
-from bench.observations import FlowEnd, Observations, Outcome
-from bench.platform import Platform, ReaderView
-from bench.runlog import RunLog
-from bench.sockets import UdpSocket
-from bench.upstream import UpstreamSpec
+from bench.network.addresses import PLATFORM_PORT, SERVICE_PORT, UPSTREAM_PORT, AddressPlan
+from bench.network.fabric import Fabric, Member, ServiceRoute
+from bench.network.link import Cuts, Faults, Link
+from bench.scenarios.observations import FlowEnd, Observations, Outcome
+from bench.standins import coap, streams
+from bench.standins.baseline import read_key
+from bench.standins.caller import Caller, CallerTimes
+from bench.standins.coap_upstream import CoapUpstream
+from bench.standins.health import HealthFault
+from bench.standins.platform import Platform, ReaderView
+from bench.standins.runlog import RunLog
+from bench.standins.sockets import UdpSocket
+from bench.standins.upstream import UpstreamSpec
 
 SERVICE = "orders"
 TIMES = CallerTimes(patience_s=1.0, ack_timeout_s=0.3)
