Put the HTTP client and the UDP sockets below the platform's adapter

Cause: platform/ imported net/http.py upwards, and early.py opened a socket of its own beside that of net/datagram.py, without the send buffer. Progress told three cases, of which one was used.

Change: both move to banyanline/transport/; early.py uses open_socket. observe() returns whether a packet repeats one without an answer. No behaviour changed but the send buffer.

--- a/banyanline/cli/status.py
+++ b/banyanline/cli/status.py
@@ -21,9 +21,9 @@
 from banyanline.cli.table import render_table
 from banyanline.core.types import Endpoint
 from banyanline.net.admin import parse_endpoint
-from banyanline.net.http import HttpFailed, http_get
 from banyanline.net.status import Explanation, Status
 from banyanline.net.steering.status import FlowExplanation, SteeringStatus
+from banyanline.transport.http import HttpFailed, http_get
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
--- a/banyanline/core/steering/flows.py
+++ b/banyanline/core/steering/flows.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from enum import Enum, auto
 from typing import TYPE_CHECKING
 
 from banyanline.core.steering.responses import RunningMedian
@@ -25,14 +24,6 @@
 """Flows beyond these are carried by their cookies alone; the oldest are forgotten first."""
 
 
-class Progress(Enum):
-    """What a packet of an open flow tells of its upstream."""
-
-    NOTHING = auto()
-    ANSWERED = auto()
-    REPEATED = auto()
-
-
 class Flow:
     """One flow: where it went, and how far it has come.
 
@@ -117,8 +108,8 @@
         upstream.open_flows += 1
         upstream.silence.on_sign(now)
 
-    def observe(self, flow: Flow, packet: CallerPacket, now: Seconds) -> Progress:
-        """Take in a packet of an open flow, and return what it tells of the upstream."""
+    def observe(self, flow: Flow, packet: CallerPacket, now: Seconds) -> bool:
+        """Take in a packet of an open flow; return whether it repeats one without an answer."""
         flow.seen_at = now
         answered = flow.next_seq is not None and _is_after(packet.ack, flow.ack)
         if flow.next_seq is None or answered:
@@ -126,9 +117,7 @@
         if answered:
             self._answer(flow, now)
         repeated = self._take_data(flow, packet, now)
-        if answered:
-            return Progress.ANSWERED
-        return Progress.REPEATED if repeated else Progress.NOTHING
+        return repeated and not answered
 
     def expire(self, idle_before: Seconds, pending_before: Seconds) -> None:
         """Forget flows that have been idle, and those that never opened."""
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from banyanline.core.steering.counters import SteeringCounters
-from banyanline.core.steering.flows import FlowTable, Progress
+from banyanline.core.steering.flows import FlowTable
 from banyanline.core.steering.model import RouteKind
 from banyanline.core.steering.outcomes import (
     HOLD,
@@ -213,8 +213,7 @@
         return flow
 
     def _observe(self, flow: Flow, packet: CallerPacket, now: Seconds) -> None:
-        progress = self._flows.observe(flow, packet, now)
-        if progress is Progress.REPEATED:
+        if self._flows.observe(flow, packet, now):
             self._on_repeat(flow, now)
 
     def _on_repeat(self, flow: Flow, now: Seconds) -> None:
--- a/banyanline/net/balancer.py
+++ b/banyanline/net/balancer.py
@@ -41,7 +41,6 @@
     FetchRequest,
 )
 from banyanline.net.control import ControlClient, ControlMethod, ControlServer
-from banyanline.net.datagram import DatagramSocket, SocketAddress
 from banyanline.net.frames import decode_frame, encode_frame
 from banyanline.net.metrics import ControlTraffic, IoCounts, Metrics, Sources
 from banyanline.net.node_settings import node_settings
@@ -56,6 +55,7 @@
 )
 from banyanline.platform.consul import ConsulReader, Watch
 from banyanline.settings import BalancerSettings
+from banyanline.transport.datagram import DatagramSocket, SocketAddress
 
 MEMBERSHIP_TYPES = (Probe, ProbeAck, ProbeRequest)
 MIN_TIMER_S = 0.001
--- a/banyanline/net/sockets.py
+++ b/banyanline/net/sockets.py
@@ -10,9 +10,9 @@
 from banyanline.core.messages import FlowKey
 from banyanline.core.model import Service
 from banyanline.core.types import Endpoint, ServiceName, UpstreamName
-from banyanline.net.datagram import DatagramSocket, SocketAddress
 from banyanline.net.metrics import DatagramTotals
 from banyanline.settings import Delivery
+from banyanline.transport.datagram import DatagramSocket, SocketAddress
 
 CallerHandler: TypeAlias = Callable[[ServiceName, Endpoint, bytes], None]
 UpstreamHandler: TypeAlias = Callable[[UpstreamName, bytes], None]
--- a/banyanline/net/steering/path.py
+++ b/banyanline/net/steering/path.py
@@ -9,7 +9,6 @@
 
 from banyanline.core.steering.outcomes import Drop, DropReason, Forward, Reset
 from banyanline.core.types import Endpoint
-from banyanline.net.datagram import DatagramSocket
 from banyanline.net.steering.checks import Checker
 from banyanline.platform.packets import (
     MAX_PACKET_BYTES,
@@ -20,6 +19,7 @@
     for_upstream,
     reset_for,
 )
+from banyanline.transport.datagram import DatagramSocket
 
 if TYPE_CHECKING:
     import asyncio
@@ -28,7 +28,7 @@
     from banyanline.core.steering.packet import CallerPacket
     from banyanline.core.steering.steering import Steering
     from banyanline.core.types import Seconds
-    from banyanline.net.datagram import SocketAddress
+    from banyanline.transport.datagram import SocketAddress
 
 MAX_HELD_PACKETS = 2_000
 HELD_LIFETIME_S = 1.0
--- a/banyanline/net/steering/views.py
+++ b/banyanline/net/steering/views.py
@@ -10,8 +10,8 @@
 import structlog
 
 from banyanline.core.steering.model import FleetView
-from banyanline.net.http import HttpFailed, http_get
 from banyanline.net.pages import PageResponse
+from banyanline.transport.http import HttpFailed, http_get
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/banyanline/platform/consul.py
+++ b/banyanline/platform/consul.py
@@ -12,7 +12,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 from urllib.parse import quote
 
-from banyanline.net.http import HttpFailed, HttpResponse, http_get
 from banyanline.platform.reader import (
     MAX_VALUE_BYTES,
     PlatformReader,
@@ -21,6 +20,7 @@
     ReadFailure,
     ReadResult,
 )
+from banyanline.transport.http import HttpFailed, HttpResponse, http_get
 
 if TYPE_CHECKING:
     import random
--- a/banyanline/platform/early.py
+++ b/banyanline/platform/early.py
@@ -10,11 +10,16 @@
 
 import os
 import signal
-import socket
 import tomllib
+from typing import TYPE_CHECKING
+
+from banyanline.core.types import Endpoint
+from banyanline.transport.datagram import open_socket
+
+if TYPE_CHECKING:
+    import socket
 
 PATH_VARIABLE = "BANYANLINE_BOOT"
-RECEIVE_BUFFER_BYTES = 4 * 1024 * 1024
 
 
 def ignore_reload() -> None:
@@ -31,18 +36,6 @@
         with open(os.environ[PATH_VARIABLE], "rb") as file:
             address = tomllib.load(file)["listen"]["datagram_address"]
         ip, _, port = address.rpartition(":")
-        return _bind(ip, int(port))
+        return open_socket(Endpoint(ip, int(port)))
     except (KeyError, TypeError, AttributeError, ValueError, OSError, OverflowError):
         return None
-
-
-def _bind(ip: str, port: int) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        sock.bind((ip, port))
-    except BaseException:
-        sock.close()
-        raise
-    return sock
--- a/banyanline/platform/store.py
+++ b/banyanline/platform/store.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from banyanline.net.http import HttpFailed, http_get
 from banyanline.platform.entries import StoreItem
+from banyanline.transport.http import HttpFailed, http_get
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/banyanline/tests/test_datagram.py
+++ b/banyanline/tests/test_datagram.py
@@ -7,7 +7,7 @@
 import pytest
 
 from banyanline.core.types import Endpoint
-from banyanline.net.datagram import DatagramSocket
+from banyanline.transport.datagram import DatagramSocket
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/banyanline/tests/test_http.py
+++ b/banyanline/tests/test_http.py
@@ -7,9 +7,9 @@
 import pytest
 
 from banyanline.core.types import Endpoint
-from banyanline.net.http import HttpFailed, HttpFailure, HttpResponse, http_get
 from banyanline.platform.consul import ConsulReader, Watch, parse_response
 from banyanline.platform.reader import PlatformValue, ReadFailed, ReadFailure
+from banyanline.transport.http import HttpFailed, HttpFailure, HttpResponse, http_get
 
 TIMEOUT_S = 10.0
 STALL = object()
--- /dev/null
+++ b/banyanline/transport/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP client and UDP sockets: below the adapter of the platform and all that serves."""
--- a/banyanline/net/datagram.py
+++ b/banyanline/transport/datagram.py
@@ -100,7 +100,7 @@
         self._send_drops = 0
         self._unreachable = 0
         self._closed = False
-        self._socket = bound or _open_socket(endpoint, connect_to, receive_buffer_bytes)
+        self._socket = bound or open_socket(endpoint, connect_to, receive_buffer_bytes)
         loop.add_reader(self._socket.fileno(), self._drain)
 
     @property
@@ -188,9 +188,16 @@
             self._on_unreachable()
 
 
-def _open_socket(
-    endpoint: Endpoint | None, connect_to: Endpoint | None, receive_buffer_bytes: int
+def open_socket(
+    endpoint: Endpoint | None,
+    connect_to: Endpoint | None = None,
+    receive_buffer_bytes: int = RECEIVE_BUFFER_BYTES,
 ) -> socket.socket:
+    """Return a non-blocking UDP socket that is bound to ``endpoint``, connected, or both.
+
+    Raises OSError if that fails, OverflowError for a port out of range, and ValueError
+    without any endpoint.
+    """
     named = endpoint or connect_to
     if named is None:
         raise ValueError("neither a local endpoint nor a peer was given")
@@ -206,7 +213,7 @@
             sock.bind((endpoint.ip, endpoint.port))
         if connect_to is not None:
             sock.connect((connect_to.ip, connect_to.port))
-    except OSError:
+    except (OSError, OverflowError):
         sock.close()
         raise
     return sock
--- a/bench/measure/hops.py
+++ b/bench/measure/hops.py
@@ -26,8 +26,8 @@
 from banyanline.core.keys import Key, KeyRing
 from banyanline.core.messages import DataMessage, FlowKey, ToHome
 from banyanline.core.types import Endpoint
-from banyanline.net.datagram import DRAIN_LIMIT, DatagramSocket
 from banyanline.net.seal import Sealer
+from banyanline.transport.datagram import DRAIN_LIMIT, DatagramSocket
 
 PACKETS = 40_000
 WINDOW = 32
--- a/bench/measure/roles.py
+++ b/bench/measure/roles.py
@@ -29,7 +29,7 @@
 from typing import Any, NamedTuple
 
 from banyanline.core.types import Endpoint
-from banyanline.net.http import HttpFailed, http_get
+from banyanline.transport.http import HttpFailed, http_get
 from bench.measure.hops import US_PER_S, serve_echo
 from bench.network.addresses import ADMIN_PORT, CONTROL_PORT, PEER_PORT, PLATFORM_PORT, AddressPlan
 from bench.scenarios.fleet import CONFIGURATION_KEY, HOSTS_KEY, REPOSITORY
--- a/properties/test_decoders.py
+++ b/properties/test_decoders.py
@@ -14,11 +14,11 @@
 from banyanline.core.types import Endpoint
 from banyanline.net.admin import AdminPages, AdminServer, parse_endpoint, respond
 from banyanline.net.control import ControlMethod, ControlServer
-from banyanline.net.http import HttpFailed, HttpFailure, HttpResponse, exchange
 from banyanline.net.replay import WINDOW_FRAMES
 from banyanline.net.seal import MAC_BYTES, Opened, Rejected, Sealer
 from banyanline.platform.consul import parse_response
 from banyanline.platform.reader import PlatformValue, ReadFailed
+from banyanline.transport.http import HttpFailed, HttpFailure, HttpResponse, exchange
 from properties.mutations import damaged
 
 NOW_S = 1_000_000.0
