--- a/banyanline/net/steering/views.py
+++ b/banyanline/net/steering/views.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import zlib
 from typing import TYPE_CHECKING, NamedTuple
 from urllib.parse import parse_qs, urlencode, urlsplit
 
@@ -26,7 +27,13 @@
 MAX_CONNECTIONS = 600
 """Hosts that wait for one host's words at a time."""
 
+DEFLATE_LEVEL = 1
+DEFLATE_FROM_BYTES = 512
+"""Shorter answers fit into one packet as they are."""
+
+_ENCODING = "deflate"
 _CONTENT_TYPE = {"Content-Type": "application/vnd.msgpack"}
+_DEFLATED = _CONTENT_TYPE | {"Content-Encoding": _ENCODING}
 _MAX_DIGITS = 19
 _HTTP_OK = 200
 _ENCODER = msgspec.msgpack.Encoder()
@@ -36,11 +43,15 @@
 
 
 class ViewQuery(NamedTuple):
-    """Asks for what changed after the revision ``have``, within ``wait_s``."""
+    """Asks for what changed after the revision ``have``, within ``wait_s``.
+
+    With ``deflate`` the answer may be compressed.
+    """
 
     have: int
     wait_s: Seconds = 0.0
     whole: bool = True
+    deflate: bool = False
 
 
 def encode_view(view: FleetView) -> bytes:
@@ -57,11 +68,25 @@
         return None
 
 
+def decode_deflated_view(data: bytes) -> FleetView | None:
+    """Return the view that another host sent compressed, or None if it cannot be read."""
+    inflater = zlib.decompressobj()
+    try:
+        view = inflater.decompress(data, MAX_VIEW_BYTES)
+    except zlib.error as error:
+        log.warning("view_unreadable", detail=str(error))
+        return None
+    if not inflater.eof:
+        log.warning("view_unreadable", detail=f"cut short, or above {MAX_VIEW_BYTES} bytes")
+        return None
+    return decode_view(view)
+
+
 def parse_query(target: str) -> ViewQuery | PageResponse:
     """Return what a target asks for, or the answer that says what is wrong with it.
 
     >>> parse_query("/view?have=7&wait_ms=500&whole=0")
-    ViewQuery(have=7, wait_s=0.5, whole=False)
+    ViewQuery(have=7, wait_s=0.5, whole=False, deflate=False)
     """
     parts = urlsplit(target)
     if parts.path != VIEW_PATH:
@@ -69,12 +94,12 @@
     fields = {name: values[0] for name, values in parse_qs(parts.query).items()}
     numbers = [fields.get(name, default) for name, default in _FIELDS]
     if not all(_is_number(number) for number in numbers):
-        return PageResponse(400, b"have, wait_ms and whole are whole numbers\n")
-    have, wait_ms, whole = (int(number) for number in numbers)
-    return ViewQuery(have, min(MAX_WAIT_S, wait_ms / 1000.0), whole != 0)
+        return PageResponse(400, b"have, wait_ms, whole and deflate are whole numbers\n")
+    have, wait_ms, whole, deflate = (int(number) for number in numbers)
+    return ViewQuery(have, min(MAX_WAIT_S, wait_ms / 1000.0), whole != 0, deflate != 0)
 
 
-_FIELDS = (("have", "0"), ("wait_ms", "0"), ("whole", "1"))
+_FIELDS = (("have", "0"), ("wait_ms", "0"), ("whole", "1"), ("deflate", "0"))
 
 
 def _is_number(text: str) -> bool:
@@ -113,7 +138,10 @@
             await self._wait(query.wait_s)
         view = self._catalog.view(self._clock(), query.have, self._age_s(), whole=query.whole)
         told = view._replace(data_centre=self._data_centre)
-        return PageResponse(200, encode_view(told), _CONTENT_TYPE)
+        data = encode_view(told)
+        if not query.deflate or len(data) < DEFLATE_FROM_BYTES:
+            return PageResponse(200, data, _CONTENT_TYPE)
+        return PageResponse(200, zlib.compress(data, DEFLATE_LEVEL), _DEFLATED)
 
     async def _wait(self, wait_s: Seconds) -> None:
         try:
@@ -129,6 +157,7 @@
         "have": query.have,
         "wait_ms": int(query.wait_s * 1000),
         "whole": int(query.whole),
+        "deflate": 1,
     }
     result = await http_get(
         host,
@@ -139,4 +168,8 @@
     if isinstance(result, HttpFailed):
         log.info("seed_silent", seed=str(host), reason=result.reason.value)
         return None
-    return decode_view(result.body) if result.status == _HTTP_OK else None
+    if result.status != _HTTP_OK:
+        return None
+    if result.headers.get("content-encoding") == _ENCODING:
+        return decode_deflated_view(result.body)
+    return decode_view(result.body)
--- a/banyanline/tests/test_steering_peers.py
+++ b/banyanline/tests/test_steering_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import zlib
 
 import pytest
 
@@ -14,8 +15,10 @@
 from banyanline.net.steering.peers import PeerReader
 from banyanline.net.steering.seeds import Seeds
 from banyanline.net.steering.views import (
+    MAX_VIEW_BYTES,
     ViewBoard,
     ViewQuery,
+    decode_deflated_view,
     decode_view,
     encode_view,
     fetch_view,
@@ -80,6 +83,7 @@
         pytest.param("/view", ViewQuery(0), id="all"),
         pytest.param("/view?have=7&wait_ms=500&whole=0", ViewQuery(7, 0.5, False), id="newer"),
         pytest.param("/view?wait_ms=999999", ViewQuery(0, 3.0), id="long wait"),
+        pytest.param("/view?deflate=1", ViewQuery(0, deflate=True), id="compressed"),
         pytest.param("/view?have=x", 400, id="no revision"),
         pytest.param("/view?have=-1", 400, id="negative"),
         pytest.param("/view?whole=no", 400, id="no number"),
@@ -227,6 +231,48 @@
     assert await fetch_view(Endpoint("127.0.0.1", 9), ViewQuery(0)) is None
 
 
+def many() -> Host:
+    return Host(*(entry(f"orders-{number}", cookie=number + 1) for number in range(300)))
+
+
+async def test_a_view_is_compressed_for_those_that_ask_so():
+    teller = many()
+    plain = await board(teller).respond("/view")
+    small = await board(teller).respond("/view?deflate=1")
+    assert len(small.body) < len(plain.body) / 2
+    assert small.headers["Content-Encoding"] == "deflate"
+    assert decode_deflated_view(small.body) == decode_view(plain.body)
+    assert len((decode_view(plain.body) or teller.catalog.view(0.0)).upstreams) == 300
+
+
+async def test_a_compressed_view_arrives_whole():
+    teller = many()
+    server = PageServer(
+        Endpoint("127.0.0.1", 0), lambda target, _accepts: board(teller).respond(target)
+    )
+    await server.start()
+    try:
+        view = await fetch_view(Endpoint("127.0.0.1", server.port), ViewQuery(0))
+    finally:
+        await server.stop()
+    assert view is not None
+    assert len(view.upstreams) == 300
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"", id="empty"),
+        pytest.param(b"rubbish", id="rubbish"),
+        pytest.param(zlib.compress(bytes(100))[:-4], id="cut short"),
+        pytest.param(zlib.compress(b"\x97\x00"), id="no view inside"),
+        pytest.param(zlib.compress(bytes(MAX_VIEW_BYTES + 1), 9), id="too large inside"),
+    ],
+)
+def test_unreadable_compressed_views(data):
+    assert decode_deflated_view(data) is None
+
+
 def test_a_host_never_asks_itself():
     own, other = Endpoint("192.0.2.1", 1), Endpoint("192.0.2.2", 1)
     seeds = Seeds(own, random.Random(1))
--- a/properties/test_decoders_platform.py
+++ b/properties/test_decoders_platform.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import zlib
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -11,7 +12,13 @@
 from banyanline.core.steering.model import FleetView
 from banyanline.core.steering.packet import CallerPacket
 from banyanline.net.pages import PageResponse
-from banyanline.net.steering.views import ViewQuery, decode_view, encode_view, parse_query
+from banyanline.net.steering.views import (
+    ViewQuery,
+    decode_deflated_view,
+    decode_view,
+    encode_view,
+    parse_query,
+)
 from banyanline.platform.boot import HostSettings, SettingsFault, parse_settings
 from banyanline.platform.entries import (
     StoreItem,
@@ -111,6 +118,8 @@
 @given(st.binary(max_size=300))
 def test_a_view_of_any_content(data: bytes) -> None:
     assert isinstance(decode_view(data), FleetView | None)
+    assert isinstance(decode_deflated_view(data), FleetView | None)
+    assert isinstance(decode_deflated_view(zlib.compress(data)), FleetView | None)
 
 
 @FUZZ
