Drop what waited in a host that stood still

Cause: a host that was frozen for seconds sent on all packets that had waited, at the moment it woke: requests whose callers had given up ran at upstreams, non-idempotent ones too.

Change: after 2 s or more without running, packets are dropped for 50 ms, but for those that end a flow, and the pause is logged. Callers that still wait repeat theirs.

The process test shows the late request before and none after.

--- a/banyanline/net/steering/path.py
+++ b/banyanline/net/steering/path.py
@@ -33,6 +33,12 @@
 MAX_HELD_PACKETS = 2_000
 HELD_LIFETIME_S = 1.0
 
+STOOD_STILL_S = 2.0
+"""After such a pause of the process most callers of the packets that waited have given up."""
+
+CATCH_UP_S = 0.05
+"""How long packets are dropped after such a pause; those of callers that still wait come again."""
+
 log = structlog.get_logger()
 
 
@@ -62,6 +68,8 @@
         self._steering = steering
         self._held: deque[_HeldPacket] = deque(maxlen=MAX_HELD_PACKETS)
         self._seen_at: Seconds | None = None
+        self._awake_at = loop.time()
+        self._drop_until: Seconds = 0.0
         self._socket = DatagramSocket(
             loop, endpoint, self._on_datagram, max_bytes=MAX_PACKET_BYTES + 1, bound=bound
         )
@@ -76,6 +84,14 @@
         self._checker.close()
         self._socket.close()
 
+    def note_awake(self, now: Seconds) -> None:
+        """Take in that the process runs; to be called about once a second."""
+        stood_still_s = now - self._awake_at
+        self._awake_at = now
+        if stood_still_s >= STOOD_STILL_S:
+            self._drop_until = now + CATCH_UP_S
+            log.warning("host_stood_still", pause_s=round(stood_still_s, 3))
+
     def release_held(self) -> None:
         """Steer what came before there was a configuration."""
         if not (self._held and self._steering.catalog.is_configured):
@@ -89,11 +105,15 @@
     def _on_datagram(self, data: bytes, _address: SocketAddress) -> None:
         now = self._loop.time()
         self._seen_at = now
+        self.note_awake(now)
         packet = decode_packet(data)
         if isinstance(packet, MalformedPacket):
             self._steering.counters.drops[DropReason.MALFORMED] += 1
             log.warning("packet_malformed", detail=packet.detail)
             return
+        if now < self._drop_until and not packet.ends_flow:
+            self._steering.counters.drops[DropReason.STOOD_STILL] += 1
+            return
         self._steer(data, packet, now)
 
     def _steer(self, data: bytes, packet: CallerPacket, now: Seconds) -> None:
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -159,6 +159,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             now = self._clock()
+            self._path.note_awake(now)
             self._steering.on_tick(now)
             self._standings.update(now)
             if self._settings_file.has_changed():
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -15,6 +15,7 @@
 
 from banyanline.cli.status import Question, ask
 from banyanline.core.types import Endpoint
+from banyanline.net.steering.path import STOOD_STILL_S
 from banyanline.platform.served import METRICS_PORT
 from bench.steering.caller import FlowRefusedError, PacketCaller
 from bench.steering.fleet import OTHER_SERVICE, SERVICE, BalancerProcess, Fleet
@@ -148,6 +149,24 @@
         assert "reason=upstream_lost upstream=i-a0" in running.hosts[0].log_text
 
 
+async def test_packets_that_waited_in_a_frozen_host_are_not_sent_on(tmp_path):
+    """Their callers have given up; an order that runs then is one that nobody waits for."""
+    async with fleet(tmp_path, upstreams=1) as running:
+        host = running.hosts[0]
+        caller = running.caller()
+        flow = await caller.open(host.plan.packets)
+        await flow.ask(b"before", host.plan.packets)
+        host.signal(signal.SIGSTOP)
+        with pytest.raises(TimeoutError):
+            await flow.ask(b"too late", host.plan.packets, timeout_s=0.1)
+        await asyncio.sleep(STOOD_STILL_S + 1.5)
+        host.signal(signal.SIGCONT)
+        await until_logged(running, "event=host_stood_still")
+        other = await caller.open(host.plan.packets)
+        assert await other.ask(b"after", host.plan.packets) == b"i-a0:after"
+        assert running.upstreams["i-a0"].received == [b"before", b"after"]
+
+
 async def test_changes_of_the_platform_take_effect(tmp_path):
     async with fleet(tmp_path) as running:
         host = running.hosts[0].plan.packets
