Close idle flows after the time of their service

Change: the tables ask the directory for each flow's time, capped by the node's setting. Owners report flows that only their upstream uses three times within the shortest one, and sooner if a configuration makes it shorter: otherwise a home would forget them.

--- a/banyanline/core/context.py
+++ b/banyanline/core/context.py
@@ -88,6 +88,10 @@
         self.counters = Counters()
         self.stopping = False
 
+    def flow_idle_timeout_s(self, flow: FlowKey) -> Seconds:
+        """Return how long a flow stays open without traffic, as its service is configured."""
+        return self.directory.idle_timeout_s(flow.service)
+
     @property
     def local(self) -> Host:
         """This balancer's host."""
--- a/banyanline/core/directory.py
+++ b/banyanline/core/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from banyanline.core.model import Configuration, Service, Upstream
-from banyanline.core.types import ServiceName, UpstreamName, UpstreamState
+from banyanline.core.types import Protocol, Seconds, ServiceName, UpstreamName, UpstreamState
 
 
 class Directory:
@@ -64,6 +64,24 @@
         """Return an upstream, in service or not."""
         return self._upstreams.get(name)
 
+    def idle_timeout_s(self, service: ServiceName) -> Seconds:
+        """Return how long a flow of a service stays open without traffic.
+
+        A service that is not configured has no limit of its own.
+        """
+        configured = self._services.get(service)
+        return configured.idle_timeout_s if configured is not None else float("inf")
+
+    @property
+    def shortest_idle_timeout_s(self) -> Seconds:
+        """The shortest of these times over all services of opaque flows."""
+        times = (
+            service.idle_timeout_s
+            for service in self._services.values()
+            if service.protocol is Protocol.UDP
+        )
+        return min(times, default=float("inf"))
+
     def has_closed_upstreams(self, service: ServiceName) -> bool:
         """Whether the data centre of one of the service's upstreams is out of service."""
         configured = self._services.get(service)
--- a/banyanline/core/flows.py
+++ b/banyanline/core/flows.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable, Iterator
+from collections.abc import Callable, Hashable, Iterator
 from typing import Generic, NamedTuple, TypeVar
 
 from banyanline.core.types import Seconds, UpstreamName
@@ -51,18 +51,28 @@
     'orders-1'
     >>> list(table.expire(now=31.0)), list(table.expire(now=60.0))
     ([], ['flow'])
+
+    ``timeout_of`` may give a flow a shorter timeout than that, in seconds. It is asked
+    when a flow is opened and when it may be idle, so a change reaches an open flow at
+    the end of the timeout that it had.
     """
 
-    def __init__(self, limit: int, idle_timeout_s: float) -> None:
+    def __init__(
+        self,
+        limit: int,
+        idle_timeout_s: float,
+        timeout_of: Callable[[K], float] | None = None,
+    ) -> None:
         self._limit = limit
         self._idle_timeout = int(idle_timeout_s / BUCKET_S)
+        self._timeout_of = timeout_of
         self._flows: dict[K, Flow] = {}
         self._buckets: dict[int, list[K]] = {}
         self._expired_to: int | None = None
 
     @property
     def idle_timeout_s(self) -> float:
-        """How long a flow stays open without traffic."""
+        """How long a flow stays open without traffic at the longest."""
         return self._idle_timeout * BUCKET_S
 
     def __len__(self) -> int:
@@ -125,14 +135,19 @@
     def _file(self, key: K, flow: Flow, second: int) -> None:
         if self._expired_to is None:
             self._expired_to = second
-        flow.bucket = max(flow.last_used + self._idle_timeout, self._expired_to + 1)
+        flow.bucket = max(flow.last_used + self._timeout(key), self._expired_to + 1)
         self._buckets.setdefault(flow.bucket, []).append(key)
 
+    def _timeout(self, key: K) -> int:
+        if self._timeout_of is None:
+            return self._idle_timeout
+        return int(min(self._idle_timeout, self._timeout_of(key) / BUCKET_S))
+
     def _expire_one(self, key: K, second: int) -> bool:
         flow = self._flows.get(key)
         if flow is None or flow.bucket != self._expired_to:
             return False
-        if flow.last_used + self._idle_timeout > second:
+        if flow.last_used + self._timeout(key) > second:
             self._file(key, flow, second)
             return False
         del self._flows[key]
--- a/banyanline/core/home/datagrams.py
+++ b/banyanline/core/home/datagrams.py
@@ -29,7 +29,9 @@
     def __init__(self, context: Context, policies: Policies, idle_timeout_s: float) -> None:
         self._context = context
         self._policies = policies
-        self._flows: FlowTable[FlowKey] = FlowTable(context.limits.flows, idle_timeout_s)
+        self._flows: FlowTable[FlowKey] = FlowTable(
+            context.limits.flows, idle_timeout_s, context.flow_idle_timeout_s
+        )
         self._lookups = Lookups(context)
         self._refused: dict[FlowKey, frozenset[UpstreamName]] = {}
 
--- a/banyanline/core/owner/flows.py
+++ b/banyanline/core/owner/flows.py
@@ -34,9 +34,10 @@
     ) -> None:
         self._context = context
         self._owned = owned
-        self._table: FlowTable[FlowKey] = FlowTable(context.limits.flows, idle_timeout_s)
+        self._table: FlowTable[FlowKey] = FlowTable(
+            context.limits.flows, idle_timeout_s, context.flow_idle_timeout_s
+        )
         self._answered: set[FlowKey] = set()
-        self._report_interval_s = idle_timeout_s / ALIVE_REPORTS_PER_TIMEOUT
         self._report_at = now + self._report_interval_s
 
     @property
@@ -44,6 +45,12 @@
         """The open flows."""
         return self._table
 
+    @property
+    def _report_interval_s(self) -> Seconds:
+        """Several reports come within the time after which a home would forget a flow."""
+        shortest_s = self._context.directory.shortest_idle_timeout_s
+        return min(self._table.idle_timeout_s, shortest_s) / ALIVE_REPORTS_PER_TIMEOUT
+
     @property
     def next_at(self) -> Seconds:
         """When the homes are told of flows that upstreams alone keep alive."""
@@ -112,6 +119,8 @@
         """Close idle flows and report those that only their upstream uses."""
         for flow in self._table.expire(now):
             self._release(flow)
+        # A configuration may have made the interval shorter.
+        self._report_at = min(self._report_at, now + self._report_interval_s)
         if now >= self._report_at:
             self._report_at = now + self._report_interval_s
             self._report()
--- a/banyanline/tests/test_flows.py
+++ b/banyanline/tests/test_flows.py
@@ -27,6 +27,31 @@
     assert ("f" in table) is not bool(closed)
 
 
+@pytest.mark.parametrize(
+    ("timeouts", "closed"),
+    [
+        pytest.param({"f": 10.0, "g": 20.0}, {10: ["f"], 20: ["g"]}, id="each its own"),
+        pytest.param({"f": 10.0, "g": 99.0}, {10: ["f"], 30: ["g"]}, id="capped by the table's"),
+        pytest.param({"f": 10.0, "g": float("inf")}, {10: ["f"], 30: ["g"]}, id="no limit"),
+    ],
+)
+def test_flows_have_the_timeout_of_their_service(timeouts, closed):
+    table: FlowTable[str] = FlowTable(10, 30.0, lambda key: timeouts[key])
+    table.open("f", "u", 0.0)
+    table.open("g", "u", 0.0)
+    found = {second: list(table.expire(float(second))) for second in range(40)}
+    assert {second: keys for second, keys in found.items() if keys} == closed
+
+
+def test_a_longer_timeout_keeps_a_flow_that_is_open():
+    timeouts = {"f": 10.0}
+    table: FlowTable[str] = FlowTable(10, 30.0, lambda key: timeouts[key])
+    table.open("f", "u", 0.0)
+    timeouts["f"] = 20.0
+    assert list(table.expire(15.0)) == []
+    assert list(table.expire(21.0)) == ["f"]
+
+
 def test_full_table_refuses_new_flows_and_keeps_the_open_ones():
     table: FlowTable[str] = FlowTable(limit=1, idle_timeout_s=30.0)
     table.open("f", "u", 0.0)
--- a/properties/test_datagrams.py
+++ b/properties/test_datagrams.py
@@ -150,3 +150,54 @@
     for node in fleet.nodes.values():
         assert node.revision == 2
         assert not node.context.directory.configuration.is_data_centre_in_service("a")
+
+
+IDLE_S = 6.0
+
+
+def open_flow_count(fleet) -> tuple[int, int]:
+    """Return how many flows homes and owners hold open."""
+    nodes = list(fleet.nodes.values())
+    return (
+        sum(len(node._home.datagrams) for node in nodes),
+        sum(node._owner.flow_count for node in nodes),
+    )
+
+
+def with_idle_timeout(revision: int, idle_timeout_s: float):
+    configuration = make_configuration(revision)
+    services = tuple(
+        service._replace(idle_timeout_s=idle_timeout_s) if service.name == RAW else service
+        for service in configuration.services
+    )
+    return configuration._replace(services=services)
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "expected"),
+    [
+        pytest.param(IDLE_S / 2, FLOWS, id="traffic within the time"),
+        pytest.param(IDLE_S + 3.0, 0, id="idle"),
+    ],
+)
+def test_flows_end_after_the_idle_time_of_their_service(pause_s, expected):
+    fleet, _ = open_flows(configuration=with_idle_timeout(1, IDLE_S))
+    for _ in range(3):
+        fleet.run(pause_s)
+        found = open_flow_count(fleet)
+        send_all(fleet)
+    assert found == (expected, expected)
+
+
+def test_a_flow_on_which_the_upstream_alone_sends_stays_open():
+    fleet = settled_fleet(configuration=with_idle_timeout(1, IDLE_S))
+    send_all(fleet)
+    before = {who: upstreams_of(fleet, who).copy() for who in CALLERS}
+    for _ in range(int(3 * IDLE_S)):
+        for name, node in list(fleet.nodes.items()):
+            for flow in list(node._owner._flows.table):
+                fleet._run(name, node.receive_on_flow(flow, b"news", fleet.now))
+        fleet.run(1.0)
+    assert open_flow_count(fleet) == (FLOWS, FLOWS)
+    send_all(fleet)
+    assert {who: upstreams_of(fleet, who) for who in CALLERS} == before
