Ask for a page of the store again, not for all of them

Cause: a page that took longer than 0.8 s made a host begin to read from the first one again. With 300 hosts and 3,000 upstreams, 330 MB leave the store at once after all were killed, so pages are late just then, and are sent again and again.

Change: the feed reads page by page, asks again for the one that did not come, and gives it up to four times the time. The watch begins at the oldest page, as before.

--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
+import sys
 from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
@@ -12,7 +12,7 @@
 from banyanline.net.steering.beliefs import log_change
 from banyanline.net.steering.views import ViewQuery, fetch_view
 from banyanline.platform.entries import Unrelated, UnusableItem, decode_item
-from banyanline.platform.store import Snapshot, StoreFailed, StoreFailure
+from banyanline.platform.store import ANSWER_TIMEOUT_S, StoreFailed, StoreFailure
 
 if TYPE_CHECKING:
     import random
@@ -51,6 +51,9 @@
 DIRECT_S = 3.0
 """How long the store is asked directly after a seed has failed."""
 
+MAX_DOUBLINGS = 2
+"""How often the time for a page is doubled: many hosts may read at once over small links."""
+
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 
@@ -118,13 +121,30 @@
     async def run(self) -> None:
         """Follow the store without end."""
         while True:
-            listing = _Listing([], [])
-            snapshot = await self._client.read_all(EVERYTHING, partial(self._take_page, listing))
-            if isinstance(snapshot, StoreFailed):
-                await self._pause_after(snapshot)
+            await self._follow(await self._read_all())
+
+    async def _read_all(self) -> int:
+        """Read page after page, each again until it comes; return the revision of the oldest.
+
+        Changes made since then are told by the watch, whichever page they fell into.
+        """
+        listing = _Listing([], [])
+        items, after, as_of, failures = 0, "", sys.maxsize, 0
+        while True:
+            timeout_s = ANSWER_TIMEOUT_S * 2.0 ** min(failures, MAX_DOUBLINGS)
+            page = await self._client.read_page(EVERYTHING, after, timeout_s)
+            if isinstance(page, StoreFailed):
+                failures += 1
+                await self._pause_after(page)
                 continue
-            self._take_all(listing, snapshot)
-            await self._follow(snapshot.as_of)
+            failures = 0
+            items += len(page.items)
+            as_of = min(as_of, page.as_of)
+            self._take_page(listing, page.items)
+            if not page.truncated:
+                self._take_all(listing, items, as_of)
+                return as_of
+            after = page.last_key
 
     async def _follow(self, as_of: int) -> None:
         """Apply changes until their history is lost."""
@@ -181,6 +201,7 @@
 
     def _take_page(self, listing: _Listing, items: Sequence[StoreItem]) -> None:
         """Serve with what one page holds; on a small link the others may take seconds."""
+        self._note_contact()
         for change in self._apply(items):
             if isinstance(change, UpstreamChanged):
                 listing.upstreams.append(change.entry.name)
@@ -188,11 +209,12 @@
                 listing.out.append(change.data_centre)
         self._on_change()
 
-    def _take_all(self, listing: _Listing, snapshot: Snapshot) -> None:
+    def _take_all(self, listing: _Listing, items: int, as_of: int) -> None:
+        """Take what no page held for removed."""
         self._note_answer(0.0)
-        self._catalog.retain(listing.upstreams, listing.out, snapshot.as_of, self._clock())
+        self._catalog.retain(listing.upstreams, listing.out, as_of, self._clock())
         self._on_change()
-        log.info("store_read", items=snapshot.items, as_of=snapshot.as_of)
+        log.info("store_read", items=items, as_of=as_of)
 
     def _apply(self, items: Sequence[StoreItem]) -> list[Change]:
         now = self._clock()
@@ -210,10 +232,14 @@
         return changes
 
     def _note_answer(self, age_s: Seconds) -> None:
+        """Take in that all is known as it was ``age_s`` ago."""
+        self._note_contact()
+        self._heard_at = self._clock() - age_s
+
+    def _note_contact(self) -> None:
         if self._failed:
             log.info("store_regained", failed_calls=self._failed)
         self._failed = 0
-        self._heard_at = self._clock() - age_s
 
     async def _pause_after(self, failure: StoreFailed) -> None:
         self._failed += 1
--- a/banyanline/platform/store.py
+++ b/banyanline/platform/store.py
@@ -13,7 +13,7 @@
 from banyanline.transport.http import HttpFailed, http_get
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable
 
     from banyanline.core.types import Endpoint, Seconds
 
@@ -48,13 +48,6 @@
     detail: str = ""
 
 
-class Snapshot(NamedTuple):
-    """All items below a prefix were read; together they are not older than ``as_of``."""
-
-    items: int
-    as_of: int
-
-
 class Changes(NamedTuple):
     """What was written after the revision asked for, up to ``as_of``."""
 
@@ -62,8 +55,8 @@
     as_of: int
 
 
-SnapshotResult: TypeAlias = Snapshot | StoreFailed
 ChangesResult: TypeAlias = Changes | StoreFailed
+BodyResult: TypeAlias = bytes | StoreFailed
 
 
 class Page(msgspec.Struct):
@@ -73,12 +66,19 @@
     truncated: bool
     as_of: int
 
+    @property
+    def last_key(self) -> str:
+        """The key after which the next page begins."""
+        return self.items[-1].key if self.items else ""
+
 
 class _Events(msgspec.Struct):
     events: list[StoreItem]
     as_of: int
 
 
+PageResult: TypeAlias = "Page | StoreFailed"
+
 _PAGE_DECODER = msgspec.json.Decoder(Page)
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
 
@@ -117,34 +117,22 @@
         """When a call was last answered with 200, or None before the first time."""
         return self._answered_at
 
-    async def read_all(
-        self, prefix: str, on_page: Callable[[Sequence[StoreItem]], None]
-    ) -> SnapshotResult:
-        """Read all items below ``prefix``, page after page; each page is handed on at once.
+    async def read_page(
+        self, prefix: str, after: str = "", timeout_s: Seconds = ANSWER_TIMEOUT_S
+    ) -> PageResult:
+        """Read the items below ``prefix`` that come after a key, as many as fit into a page.
 
         Pages after the first may be seconds old: those calls do not count towards the
-        rate that the store allows. ``as_of`` is that of the oldest page, and changes made
-        since then are told by :meth:`wait_for_changes`, whichever page they fell into.
+        rate that the store allows.
         """
-        items = 0
-        as_of: int | None = None
-        after = ""
-        while True:
-            query = {"prefix": prefix} | (_later_page(after) if after else {})
-            body = await self._get("/kv-range", query, 0.0)
-            if isinstance(body, StoreFailed):
-                return body
-            page = parse_page(body)
-            if isinstance(page, StoreFailed):
-                return page
-            items += len(page.items)
-            on_page(page.items)
-            as_of = page.as_of if as_of is None else min(as_of, page.as_of)
-            if not page.truncated:
-                return Snapshot(items, as_of)
-            if not page.items or page.items[-1].key <= after:
-                return StoreFailed(StoreFailure.MALFORMED, "a page that does not go on")
-            after = page.items[-1].key
+        query = {"prefix": prefix} | (_later_page(after) if after else {})
+        body = await self._get("/kv-range", query, timeout_s)
+        if isinstance(body, StoreFailed):
+            return body
+        page = parse_page(body)
+        if isinstance(page, Page) and page.truncated and page.last_key <= after:
+            return StoreFailed(StoreFailure.MALFORMED, "a page that does not go on")
+        return page
 
     async def wait_for_changes(self, prefix: str, after: int, wait_s: Seconds) -> ChangesResult:
         """Return the changes after a revision as soon as there are any, or none after ``wait_s``.
@@ -152,23 +140,27 @@
         ``HISTORY_GONE`` says that they are not known any more.
         """
         query = {"prefix": prefix, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
-        body = await self._get("/kv-watch", query, wait_s)
+        body = await self._get("/kv-watch", query, wait_s + ANSWER_TIMEOUT_S)
         if isinstance(body, StoreFailed):
             return body
         return parse_changes(body)
 
-    async def _get(self, path: str, query: dict[str, str], wait_s: Seconds) -> bytes | StoreFailed:
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: Seconds
+    ) -> bytes | StoreFailed:
         self._calls += 1
-        result = await self._call(path, query, wait_s)
+        result = await self._call(path, query, timeout_s)
         if isinstance(result, StoreFailed):
             self._failures[result.reason] += 1
         return result
 
-    async def _call(self, path: str, query: dict[str, str], wait_s: Seconds) -> bytes | StoreFailed:
+    async def _call(
+        self, path: str, query: dict[str, str], timeout_s: Seconds
+    ) -> bytes | StoreFailed:
         response = await http_get(
             self._endpoint,
             f"{path}?{urlencode(query)}",
-            timeout_s=wait_s + ANSWER_TIMEOUT_S,
+            timeout_s=timeout_s,
             max_body_bytes=MAX_BODY_BYTES,
         )
         if isinstance(response, HttpFailed):
@@ -187,7 +179,7 @@
     return {"after": after, "allow_stale": "1"}
 
 
-def parse_page(body: bytes) -> Page | StoreFailed:
+def parse_page(body: bytes) -> PageResult:
     """Return the page that the store sent."""
     try:
         return _PAGE_DECODER.decode(body)
