Let hosts that ask seeds share what cold upstreams bear

Change: hosts name themselves when they ask a seed, and seeds tell how many ask them. With more than six hosts, the time between a host's openings to a cold upstream grows in proportion, and each host begins at a time of its own.

--- a/banyanline/core/steering/catalog.py
+++ b/banyanline/core/steering/catalog.py
@@ -26,6 +26,12 @@
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import DataCentreName, Seconds, ServiceName, UpstreamName
 
+COLD_GAP_S = 1.0
+"""Time between two opening packets from one host to a cold upstream, in a small fleet."""
+
+COLD_HOSTS = 6
+"""Hosts up to which a fleet is small: what all send together stays well within what is borne."""
+
 MAX_TOLD_ROUTES = 400
 """A larger configuration is read from the store rather than told by a host on a small link."""
 
@@ -41,6 +47,7 @@
         self._out: dict[DataCentreName, Revision] = {}
         self._back: dict[DataCentreName, Revision] = {}
         self._revision: Revision = 0
+        self._cold_gap_s = COLD_GAP_S
 
     @property
     def is_configured(self) -> bool:
@@ -80,6 +87,15 @@
         """Whether this host has had a route for the address, and has none now."""
         return address in self._removed_routes
 
+    @property
+    def cold_gap_s(self) -> Seconds:
+        """Time between two opening packets from this host to one cold upstream."""
+        return self._cold_gap_s
+
+    def note_hosts(self, hosts: int) -> None:
+        """Take in about how many hosts there are, which share what cold upstreams bear."""
+        self._cold_gap_s = COLD_GAP_S * max(1.0, hosts / COLD_HOSTS)
+
     def limits_cold(self, service: ServiceName) -> bool:
         """Whether upstreams of the service bear a limited rate of new flows while cold."""
         limit = self._table.cold_limits.get(service) if self._table else None
--- a/banyanline/core/steering/model.py
+++ b/banyanline/core/steering/model.py
@@ -131,7 +131,8 @@
 
     ``age_s`` is the time since the teller heard of the store. ``table`` is None if it
     has not changed, or is too large to tell; ``table_version`` shows which.
-    ``data_centre`` is the teller's.
+    ``data_centre`` is the teller's, and ``askers`` the number of hosts that ask it,
+    with itself; 0 stands for a number that is not known.
     """
 
     revision: Revision
@@ -141,3 +142,4 @@
     upstreams: tuple[KnownUpstream, ...]
     data_centres: tuple[DataCentreOut, ...]
     data_centre: DataCentreName = ""
+    askers: int = 0
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -9,6 +9,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from banyanline.core.steering.catalog import COLD_GAP_S
 from banyanline.core.steering.counters import SteeringCounters
 from banyanline.core.steering.flows import FlowTable
 from banyanline.core.steering.model import RouteKind
@@ -135,21 +136,33 @@
         if upstream is None:
             return self._without_choice(route, flow)
         if upstream.is_cold(now):
-            upstream.cold_opening_at = now
+            upstream.next_cold_opening_at = now + self._catalog.cold_gap_s
         self._flows.open(packet.flow, upstream, now)
         return Forward(upstream)
 
     def choose(self, route: Route, tried: Collection[Upstream], now: Seconds) -> Upstream | None:
-        """Return where a new flow of a route should go; nothing is noted by asking."""
+        """Return where a new flow of a route should go; nothing is placed by asking."""
         for service in self._services_by_chance(route):
             usable = self._catalog.usable(service)
             if self._catalog.limits_cold(service):
-                usable = [upstream for upstream in usable if upstream.bears_opening(now)]
+                usable = [each for each in usable if self._bears_opening(each, now)]
             chosen = self._placement.choose(usable, tried, self._flows.usual_s(service), now)
             if chosen is not None:
                 return chosen
         return None
 
+    def _bears_opening(self, upstream: Upstream, now: Seconds) -> bool:
+        """Whether an upstream is warm, or it is this host's turn to send it a flow.
+
+        Hosts of a large fleet begin at different times.
+        """
+        if not upstream.is_cold(now):
+            return True
+        if upstream.next_cold_opening_at is None:
+            spread_s = self._catalog.cold_gap_s - COLD_GAP_S
+            upstream.next_cold_opening_at = now + spread_s * self._rng.random()
+        return now >= upstream.next_cold_opening_at
+
     def _without_choice(self, route: Route, flow: Flow | None) -> Outcome:
         """Refuse a flow; a copy goes where the opening packet went, which may be answering."""
         reason = self.refusal(route)
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -18,12 +18,6 @@
 FORGET_AFTER_S = 120.0
 """How long an upstream without an entry is remembered for the flows that it may still have."""
 
-COLD_GAP_S = 1.0
-"""Time between two opening packets from one host to a cold upstream.
-
-What a cold upstream bears is the fleet's to share, and no host knows how many there are.
-"""
-
 NEVER = float("-inf")
 
 
@@ -42,15 +36,16 @@
 class Upstream:
     """One upstream: its entry, the work that this host sends it, and signs of its life.
 
-    ``removed_at`` is None while the upstream has an entry. ``cold_opening_at`` is when
-    this host last sent it an opening packet while it was cold.
+    ``removed_at`` is None while the upstream has an entry. ``next_cold_opening_at`` is
+    when this host may send it an opening packet while it is cold, None if that was not
+    decided since it became cold.
     """
 
     __slots__ = (
-        "cold_opening_at",
         "cold_until",
         "created",
         "entry",
+        "next_cold_opening_at",
         "open_flows",
         "pending_opens",
         "removed_at",
@@ -65,7 +60,7 @@
         self.revision: Revision = 0
         self.removed_at: Seconds | None = None
         self.cold_until: Seconds = NEVER
-        self.cold_opening_at: Seconds = NEVER
+        self.next_cold_opening_at: Seconds | None = None
         self.open_flows = 0
         self.pending_opens = 0
         self.responses = Responses()
@@ -86,10 +81,6 @@
         """Whether the upstream itself is willing to get new flows."""
         return self.removed_at is None and not self.entry.is_leaving
 
-    def bears_opening(self, now: Seconds) -> bool:
-        """Whether the upstream is warm, or has not had its share of openings while cold."""
-        return not self.is_cold(now) or now - self.cold_opening_at >= COLD_GAP_S
-
     def is_cold(self, now: Seconds) -> bool:
         """Whether the upstream has started a short while ago."""
         return now < self.cold_until
@@ -150,6 +141,8 @@
             return upstream
         elif upstream.entry.incarnation != entry.incarnation:
             upstream.silence.clear()
+        if not upstream.is_cold(now):
+            upstream.next_cold_opening_at = None
         upstream.entry = entry
         upstream.revision = revision
         upstream.removed_at = None
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -78,8 +78,10 @@
         rng: random.Random,
         seeds: Seeds,
         on_change: Callable[[], None],
+        host: str = "",
     ) -> None:
         self._client = client
+        self._host = host
         self._catalog = catalog
         self._clock = clock
         self._rng = rng
@@ -180,13 +182,15 @@
         The store is asked directly for a while if the seed does not answer, or has
         not heard of the store lately, or has more to tell than its link should carry.
         """
-        query = ViewQuery(as_of, RELAY_WAIT_S, whole=False)
+        query = ViewQuery(as_of, RELAY_WAIT_S, whole=False, host=self._host)
         view = await fetch_view(seed, query)
         if view is None or view.age_s > RELAY_AGE_S or view.revision < as_of:
             self._seeds.on_failure(seed)
             self._direct_until = self._clock() + DIRECT_S
             return as_of
         self._seeds.on_answer(seed, view.data_centre)
+        if view.askers:
+            self._catalog.note_hosts(view.askers * self._seeds.count)
         self._note_answer(view.age_s)
         for change in self._catalog.on_view(view, self._clock()):
             log_change(change)
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -67,6 +67,7 @@
             rng,
             self._seeds,
             self._on_change,
+            settings.host,
         )
         self._peers = PeerReader(
             self._catalog,
@@ -161,6 +162,8 @@
             now = self._clock()
             self._path.note_awake(now)
             self._steering.on_tick(now)
+            if self._seeds.has_own and self._board.askers > 1:
+                self._catalog.note_hosts(self._board.askers * self._seeds.count)
             self._standings.update(now)
             if self._settings_file.has_changed():
                 self.reload()
--- a/banyanline/net/steering/seeds.py
+++ b/banyanline/net/steering/seeds.py
@@ -32,6 +32,11 @@
         """Whether others ask this host."""
         return self._has_own
 
+    @property
+    def count(self) -> int:
+        """How many there are, this host among them if it is one."""
+        return len(self._seeds) + self._has_own
+
     def set(self, seeds: Sequence[Endpoint]) -> None:
         """Ask these hosts from now on, but never oneself."""
         self._has_own = self._own in seeds
--- a/banyanline/net/steering/views.py
+++ b/banyanline/net/steering/views.py
@@ -24,6 +24,11 @@
 MAX_VIEW_BYTES = 4 * 1024 * 1024
 ANSWER_TIMEOUT_S = 0.5
 MAX_WAIT_S = 3.0
+ASKER_LIFETIME_S = 5.0
+"""How long a host that asked counts as one that asks."""
+
+MAX_NAME_CHARACTERS = 100
+MAX_ASKERS = 2_000
 MAX_CONNECTIONS = 600
 """Hosts that wait for one host's words at a time."""
 
@@ -45,13 +50,14 @@
 class ViewQuery(NamedTuple):
     """Asks for what changed after the revision ``have``, within ``wait_s``.
 
-    With ``deflate`` the answer may be compressed.
+    With ``deflate`` the answer may be compressed. ``host`` names the one that asks.
     """
 
     have: int
     wait_s: Seconds = 0.0
     whole: bool = True
     deflate: bool = False
+    host: str = ""
 
 
 def encode_view(view: FleetView) -> bytes:
@@ -86,7 +92,7 @@
     """Return what a target asks for, or the answer that says what is wrong with it.
 
     >>> parse_query("/view?have=7&wait_ms=500&whole=0")
-    ViewQuery(have=7, wait_s=0.5, whole=False, deflate=False)
+    ViewQuery(have=7, wait_s=0.5, whole=False, deflate=False, host='')
     """
     parts = urlsplit(target)
     if parts.path != VIEW_PATH:
@@ -96,7 +102,8 @@
     if not all(_is_number(number) for number in numbers):
         return PageResponse(400, b"have, wait_ms, whole and deflate are whole numbers\n")
     have, wait_ms, whole, deflate = (int(number) for number in numbers)
-    return ViewQuery(have, min(MAX_WAIT_S, wait_ms / 1000.0), whole != 0, deflate != 0)
+    host = fields.get("host", "")[:MAX_NAME_CHARACTERS]
+    return ViewQuery(have, min(MAX_WAIT_S, wait_ms / 1000.0), whole != 0, deflate != 0, host)
 
 
 _FIELDS = (("have", "0"), ("wait_ms", "0"), ("whole", "1"), ("deflate", "0"))
@@ -121,6 +128,14 @@
         self._clock = clock
         self._age_s = age_s
         self._news = asyncio.Event()
+        self._askers: dict[str, Seconds] = {}
+
+    @property
+    def askers(self) -> int:
+        """How many hosts ask this one, with itself."""
+        oldest = self._clock() - ASKER_LIFETIME_S
+        self._askers = {name: at for name, at in self._askers.items() if at >= oldest}
+        return len(self._askers) + 1
 
     def wake(self) -> None:
         """Answer those that wait for something new."""
@@ -134,15 +149,20 @@
             return query
         if not self._catalog.is_configured:
             return PageResponse(503, b"not configured\n")
+        self._note_asker(query.host)
         if query.have >= self._catalog.revision and query.wait_s > 0:
             await self._wait(query.wait_s)
         view = self._catalog.view(self._clock(), query.have, self._age_s(), whole=query.whole)
-        told = view._replace(data_centre=self._data_centre)
+        told = view._replace(data_centre=self._data_centre, askers=self.askers)
         data = encode_view(told)
         if not query.deflate or len(data) < DEFLATE_FROM_BYTES:
             return PageResponse(200, data, _CONTENT_TYPE)
         return PageResponse(200, zlib.compress(data, DEFLATE_LEVEL), _DEFLATED)
 
+    def _note_asker(self, host: str) -> None:
+        if host and (host in self._askers or len(self._askers) < MAX_ASKERS):
+            self._askers[host] = self._clock()
+
     async def _wait(self, wait_s: Seconds) -> None:
         try:
             async with asyncio.timeout(wait_s):
@@ -158,6 +178,7 @@
         "wait_ms": int(query.wait_s * 1000),
         "whole": int(query.whole),
         "deflate": 1,
+        "host": query.host,
     }
     result = await http_get(
         host,
--- a/banyanline/tests/test_feed.py
+++ b/banyanline/tests/test_feed.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from banyanline.core.steering.catalog import Catalog
+from banyanline.core.steering.catalog import COLD_GAP_S, Catalog
 from banyanline.core.steering.model import DataCentreOut, FleetView, TableChanged
 from banyanline.core.types import Endpoint
 from banyanline.net.steering import feed as feed_module
@@ -149,6 +149,22 @@
     assert script.catalog.data_centres_out == {"north", "south"}
 
 
+@pytest.mark.parametrize(
+    ("askers", "gap_s"),
+    [
+        pytest.param(0, COLD_GAP_S, id="not told"),
+        pytest.param(2, COLD_GAP_S, id="small fleet"),
+        pytest.param(30, 10.0 * COLD_GAP_S, id="sixty hosts and two seeds"),
+    ],
+)
+async def test_a_seed_tells_how_many_hosts_share_what_cold_upstreams_bear(
+    monkeypatch, askers, gap_s
+):
+    script = Script(monkeypatch, [], [view(START)._replace(askers=askers)])
+    await script.play(bound_s=RELAY_BOUND_S, seeds=[SEED, Endpoint("192.0.2.3", 80)])
+    assert script.catalog.cold_gap_s == pytest.approx(gap_s)
+
+
 async def test_a_seed_is_asked_again_after_a_while(monkeypatch):
     script = Script(monkeypatch, [NOTHING, Changes((OUT,), START + 1)], [None])
     script._sleep = lambda seconds: _advance(script, DIRECT_S)  # type: ignore[method-assign]
--- a/banyanline/tests/test_steering_peers.py
+++ b/banyanline/tests/test_steering_peers.py
@@ -15,6 +15,7 @@
 from banyanline.net.steering.peers import PeerReader
 from banyanline.net.steering.seeds import Seeds
 from banyanline.net.steering.views import (
+    ASKER_LIFETIME_S,
     MAX_VIEW_BYTES,
     ViewBoard,
     ViewQuery,
@@ -245,6 +246,19 @@
     assert len((decode_view(plain.body) or teller.catalog.view(0.0)).upstreams) == 300
 
 
+async def test_a_host_counts_those_that_ask_it(monkeypatch):
+    now = [0.0]
+    teller = Host(entry("orders-1"))
+    asked = ViewBoard(teller.catalog, lambda: now[0], lambda: 0.0)
+    for name in ("a", "b", "b", ""):
+        await asked.respond(f"/view?host={name}")
+    assert asked.askers == 3
+    now[0] = ASKER_LIFETIME_S + 1.0
+    view = decode_view((await asked.respond("/view?host=a")).body)
+    assert view is not None
+    assert view.askers == 2
+
+
 async def test_a_compressed_view_arrives_whole():
     teller = many()
     server = PageServer(
