Check upstreams that do not confirm an opening packet, until they answer

Cause: an upstream that is down while its machine lives resets opening packets itself. Its callers come again from other ports, mostly to other hosts, so no host saw a packet repeated, and all went on placing flows there until the entry lapsed, 4 s later.

Change: an opening packet that is not confirmed within 0.05 s, or four times the usual time, leads to a check. After a failed one the upstream is checked each second until it answers, and gets no flows meanwhile; those of the same service and data centre without a recent sign are checked with it. The soak's upstreams crash in both ways.

--- a/banyanline/core/steering/silence.py
+++ b/banyanline/core/steering/silence.py
@@ -86,6 +86,11 @@
         """When the last sign of life came."""
         return self._sign_at
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the last check failed, and there was no sign since."""
+        return self._failed_at > float("-inf")
+
     def clear(self) -> None:
         """Forget what was left unanswered."""
         self._doubted_at = float("-inf")
@@ -98,7 +103,7 @@
     def on_sign(self, now: Seconds) -> None:
         """Take in a sign of life."""
         self._sign_at = now
-        if self._open or self._opening or self._failed_at > float("-inf"):
+        if self._open or self._opening or self.has_failed:
             self.clear()
 
     def on_repeat(self, flow: Hashable, sent_at: Seconds, now: Seconds, *, is_open: bool) -> None:
@@ -142,6 +147,8 @@
 
     def is_suspect(self, now: Seconds, *, is_tried: bool) -> bool:
         """Whether new flows should avoid the upstream, ``is_tried`` if one waits for it now."""
+        if self.has_failed:
+            return True
         if not (self._open or self._opening):
             return False
         return now - self._doubted_at < SUSPICION_S or is_tried
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -7,9 +7,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from banyanline.core.steering.catalog import COLD_GAP_S
+from banyanline.core.steering.checking import Checking
 from banyanline.core.steering.counters import SteeringCounters
 from banyanline.core.steering.flows import FlowTable
 from banyanline.core.steering.model import RouteKind
@@ -31,6 +32,7 @@
     from collections.abc import Collection, Iterable
 
     from banyanline.core.steering.catalog import Catalog
+    from banyanline.core.steering.checking import DueCheck
     from banyanline.core.steering.flows import Flow
     from banyanline.core.steering.model import Route
     from banyanline.core.steering.packet import CallerPacket
@@ -44,13 +46,6 @@
 MAX_IDLE_S = 60.0
 
 
-class DueCheck(NamedTuple):
-    """A connection that should be tried: to which upstream, and since when."""
-
-    upstream: Upstream
-    began_at: Seconds
-
-
 class Steering:
     """The decisions of one host, by what its catalog says of the platform."""
 
@@ -66,7 +61,7 @@
         self._placement = placement or Placement(data_centre, rng)
         self._counters = SteeringCounters()
         self._flows = FlowTable(self._counters)
-        self._due_checks: list[DueCheck] = []
+        self._checking = Checking(catalog)
 
     @property
     def catalog(self) -> Catalog:
@@ -104,15 +99,15 @@
         else:
             counters.held += 1
 
-    def take_due_checks(self) -> list[DueCheck]:
-        """Return the upstreams to which a connection should be tried now."""
-        due, self._due_checks = self._due_checks, []
-        return due
+    @property
+    def checking(self) -> Checking:
+        """Which connections to upstreams should be tried, and when."""
+        return self._checking
 
     def on_check(self, check: DueCheck, result: CheckResult, now: Seconds) -> None:
         """Take in what became of a check."""
         self._counters.checks[result] += 1
-        check.upstream.silence.on_check(result, check.began_at, now)
+        self._checking.on_result(check, result, now)
 
     def on_tick(self, now: Seconds) -> None:
         """Forget what is too old to matter; to be called about once a second."""
@@ -137,7 +132,7 @@
             return self._without_choice(route, flow)
         if upstream.is_cold(now):
             upstream.next_cold_opening_at = now + self._catalog.cold_gap_s
-        self._flows.open(packet.flow, upstream, now)
+        self._checking.on_opening(self._flows.open(packet.flow, upstream, now), now)
         return Forward(upstream)
 
     def choose(self, route: Route, tried: Collection[Upstream], now: Seconds) -> Upstream | None:
@@ -205,7 +200,7 @@
         """Whether the caller should try again elsewhere rather than wait."""
         if not (upstream.silence.is_lost(now) or is_gone(upstream, now)):
             if upstream.is_unheard_since_removal:
-                self._check(upstream, now)
+                self._checking.doubt(upstream, now)
             return False
         route = self._catalog.route(packet.destination)
         return route is not None and route.kind is not RouteKind.NON_IDEMPOTENT
@@ -222,6 +217,7 @@
     ) -> Flow:
         if flow is None:
             return self._flows.adopt(packet.flow, upstream, now)
+        self._checking.on_confirmed(now - flow.sent_at)
         self._flows.confirm(flow, upstream, now)
         return flow
 
@@ -232,8 +228,4 @@
     def _on_repeat(self, flow: Flow, now: Seconds) -> None:
         upstream = flow.upstream
         upstream.silence.on_repeat(flow, flow.sent_at, now, is_open=flow.is_open)
-        self._check(upstream, now)
-
-    def _check(self, upstream: Upstream, now: Seconds) -> None:
-        if upstream.silence.begin_check(now):
-            self._due_checks.append(DueCheck(upstream, now))
+        self._checking.doubt(upstream, now)
--- a/banyanline/net/steering/checks.py
+++ b/banyanline/net/steering/checks.py
@@ -17,7 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from banyanline.core.steering.steering import DueCheck, Steering
+    from banyanline.core.steering.checking import DueCheck
+    from banyanline.core.steering.steering import Steering
     from banyanline.core.types import Endpoint, Seconds
 
 ATTEMPT_S = 0.15
@@ -27,7 +28,7 @@
 LATE_S = 0.1
 """A timeout that is noticed this much late tells of this host, not of the upstream."""
 
-MAX_CHECKS = 16
+MAX_CHECKS = 64
 """Checks under way at a time; an upstream beyond them is asked for again by its callers."""
 
 LOCAL_ERRORS = frozenset(
@@ -41,14 +42,29 @@
 class Checker:
     """Carries out the checks that :class:`Steering` asks for."""
 
-    def __init__(self, steering: Steering, clock: Callable[[], Seconds]) -> None:
+    def __init__(self, steering: Steering, loop: asyncio.AbstractEventLoop) -> None:
         self._steering = steering
-        self._clock = clock
+        self._loop = loop
+        self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
     def start_due(self) -> None:
-        """Begin the checks that are due."""
-        for check in self._steering.take_due_checks():
+        """Begin the checks that are due, and come back when others will be."""
+        self._start()
+        next_at = self._steering.checking.next_at
+        if next_at is None or (self._timer is not None and self._timer.when() <= next_at):
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._loop.call_at(next_at, self._on_time)
+
+    def _on_time(self) -> None:
+        self._timer = None
+        self._steering.checking.on_time(self._loop.time())
+        self.start_due()
+
+    def _start(self) -> None:
+        for check in self._steering.checking.take_due():
             if len(self._tasks) >= MAX_CHECKS:
                 log.info("check_left_out", upstream=check.upstream.name, under_way=len(self._tasks))
                 continue
@@ -58,6 +74,8 @@
 
     def close(self) -> None:
         """Give up the checks under way."""
+        if self._timer is not None:
+            self._timer.cancel()
         for task in self._tasks:
             task.cancel()
 
@@ -65,10 +83,10 @@
         endpoint = check.upstream.entry.endpoint
         result = CheckResult.UNANSWERED
         for _ in range(ATTEMPTS):
-            result = await try_connection(endpoint, ATTEMPT_S, self._clock)
+            result = await try_connection(endpoint, ATTEMPT_S, self._loop.time)
             if result is not CheckResult.UNANSWERED:
                 break
-        now = self._clock()
+        now = self._loop.time()
         self._steering.on_check(check, result, now)
         log.info(
             "upstream_checked",
@@ -77,6 +95,7 @@
             took_s=round(now - check.began_at, 3),
             revision=check.upstream.revision,
         )
+        self.start_due()
 
 
 async def try_connection(
--- a/banyanline/net/steering/path.py
+++ b/banyanline/net/steering/path.py
@@ -63,7 +63,7 @@
         bound: socket.socket | None = None,
     ) -> None:
         self._loop = loop
-        self._checker = Checker(steering, loop.time)
+        self._checker = Checker(steering, loop)
         self._port = endpoint.port
         self._steering = steering
         self._held: deque[_HeldPacket] = deque(maxlen=MAX_HELD_PACKETS)
--- a/banyanline/tests/test_steering_silence.py
+++ b/banyanline/tests/test_steering_silence.py
@@ -55,7 +55,7 @@
 
     def check(self, result: CheckResult) -> int:
         """Carry out the checks that are due, all with one result; return how many there were."""
-        due = self.host.steering.take_due_checks()
+        due = self.host.steering.checking.take_due()
         self.host.wait(CHECK_S)
         for each in due:
             self.host.steering.on_check(each, result, self.host.now)
--- a/banyanline/tests/test_steering_status.py
+++ b/banyanline/tests/test_steering_status.py
@@ -64,7 +64,7 @@
     host.send(packet(1, cookie=host.cookie(name), data=10))
     host.wait(0.25)
     host.send(packet(1, cookie=host.cookie(name), data=10))
-    for check in host.steering.take_due_checks():
+    for check in host.steering.checking.take_due():
         host.steering.on_check(check, CheckResult.UNANSWERED, host.now)
     rows = {row["upstream"]: row for row in status_of(host)["upstreams"]}
     assert rows[name]["standing"] == UpstreamStanding.LOST
--- a/bench/steering/soak.py
+++ b/bench/steering/soak.py
@@ -195,12 +195,16 @@
         self.promises.check_upstreams(list(self.fleet.upstreams.values()))
 
     def crash_upstream(self) -> None:
-        """Let an upstream die in silence; its entry goes a little later."""
+        """Let an upstream die, in silence or refusing flows; its entry goes a little later."""
         if len(self.living) < 3:
             return
         name = self.rng.choice(self.living)
         self._crashed.add(name)
-        self.fleet.upstreams[name].close()
+        upstream = self.fleet.upstreams[name]
+        if self.rng.random() < 0.5:
+            upstream.close()
+        else:
+            upstream.crash()
         self.later(LEAVES_AFTER_S, lambda: self.fleet.store.delete(f"servers/{name}"))
 
     async def restart_upstream(self) -> None:
--- a/bench/steering/upstream.py
+++ b/bench/steering/upstream.py
@@ -24,7 +24,8 @@
     """Takes flows meant for ``number``; what is meant for others it leaves unanswered.
 
     A ``silent`` one is alive and takes connections, but leaves packets unanswered.
-    ``misdirected`` counts the packets that were meant for another upstream.
+    One that ``refuses`` is down on a machine that lives: it resets all flows and takes
+    no connection. ``misdirected`` counts the packets that were meant for another upstream.
     """
 
     def __init__(self, name: str, address: Address, callers_port: int) -> None:
@@ -32,6 +33,7 @@
         self.number = int(name.rpartition("-")[2], 16)
         self.callers_port = callers_port
         self.silent = False
+        self.refuses = False
         self.opened: list[Address] = []
         self.received: list[bytes] = []
         self.misdirected = 0
@@ -49,6 +51,12 @@
         """How many connections were tried."""
         return self._listener.taken
 
+    def crash(self) -> None:
+        """Go down; the machine resets what comes."""
+        self.refuses = True
+        self._connections.clear()
+        self._listener.close()
+
     def restart(self) -> None:
         """Forget all flows, as after a crash and a start under the same id."""
         self._connections.clear()
@@ -67,9 +75,14 @@
             self._take(decode(data[UPSTREAM_PREFIX_BYTES:]))
 
     def _take(self, segment: Segment) -> None:
-        if segment.flags & Flag.SYN:
+        if self.refuses:
+            self._reply(segment, Flag.RST, segment.ack)
+        elif segment.flags & Flag.SYN:
             self._open(segment)
-            return
+        else:
+            self._take_later(segment)
+
+    def _take_later(self, segment: Segment) -> None:
         known = self._connections.get(segment.src)
         if known is None:
             self._reply(segment, Flag.RST, segment.ack)
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -149,6 +149,23 @@
         assert "reason=upstream_lost upstream=i-a0" in running.hosts[0].log_text
 
 
+async def test_upstreams_that_are_down_and_refuse_flows_are_soon_avoided(tmp_path):
+    """Their callers come again from other ports, so that no packet is ever repeated."""
+    async with fleet(tmp_path, upstreams=4) as running:
+        host = running.hosts[0].plan.packets
+        for name in ("i-a0", "i-a1", "i-a2"):
+            running.upstreams[name].crash()
+        refused = 0
+        for _ in range(12):
+            try:
+                flow = await running.caller().open(host)
+                assert (await flow.ask(b"x", host)).startswith(b"i-a3:")
+            except FlowRefusedError:
+                refused += 1
+                await asyncio.sleep(0.1)
+        assert refused <= 2
+
+
 async def test_packets_that_waited_in_a_frozen_host_are_not_sent_on(tmp_path):
     """Their callers have given up; an order that runs then is one that nobody waits for."""
     async with fleet(tmp_path, upstreams=1) as running:
