Count a caller that gives up as a late answer

Cause: an upstream that lets part of its requests hang got new flows again as soon as a caller had given up: the request that had waited was forgotten with its flow.

Change: a flow that its caller ends before the answer is a sample of the time that it waited, if that is above the average.

--- a/banyanline/core/steering/responses.py
+++ b/banyanline/core/steering/responses.py
@@ -97,16 +97,25 @@
         if began_at is None:
             return None
         took_s = now - began_at
-        is_known = now - self._answered_at < REMEMBERED_S
-        weight = SAMPLE_WEIGHT if is_known else 1.0
-        self._average_s += weight * (took_s - self._average_s)
-        self._answered_at = now
+        self._average(took_s, now)
         return took_s
 
+    def abandon(self, flow: Hashable, now: Seconds) -> None:
+        """Take in that the caller ended a flow before its answer, which counts as a late one."""
+        began_at = self._waiting.pop(flow, None)
+        if began_at is not None and now - began_at > self._average_s:
+            self._average(now - began_at, now)
+
     def give_up(self, flow: Hashable) -> None:
         """Take in that a flow has ended, with or without an answer."""
         self._waiting.pop(flow, None)
 
+    def _average(self, took_s: Seconds, now: Seconds) -> None:
+        is_known = now - self._answered_at < REMEMBERED_S
+        weight = SAMPLE_WEIGHT if is_known else 1.0
+        self._average_s += weight * (took_s - self._average_s)
+        self._answered_at = now
+
     def _forget_moved(self, now: Seconds) -> None:
         while self._waiting:
             flow, began_at = next(iter(self._waiting.items()))
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -190,6 +190,7 @@
             flow = self._confirm(packet, flow, upstream, now)
         self._observe(flow, packet, now)
         if packet.ends_flow:
+            flow.upstream.responses.abandon(flow, now)
             self._flows.close(packet.flow)
         elif self._is_hopeless(flow.upstream, packet, now):
             self._flows.close(packet.flow)
--- a/banyanline/tests/test_steering_responses.py
+++ b/banyanline/tests/test_steering_responses.py
@@ -42,6 +42,38 @@
     assert responses.expected_s(0.1 + waited_s) == pytest.approx(expected)
 
 
+@pytest.mark.parametrize(
+    ("waited_s", "expected"),
+    [
+        pytest.param(0.8, USUAL_S + 0.3 * (0.8 - USUAL_S), id="after long"),
+        pytest.param(USUAL_S / 2, USUAL_S, id="at once"),
+    ],
+)
+def test_a_caller_that_gives_up_counts_as_a_late_answer(waited_s, expected):
+    responses = Responses()
+    responses.begin("a", 0.0)
+    responses.finish("a", USUAL_S)
+    responses.begin("b", 1.0)
+    responses.abandon("b", 1.0 + waited_s)
+    assert responses.under_way(1.0 + waited_s) == 0
+    assert responses.expected_s(1.0 + waited_s) == pytest.approx(expected)
+
+
+def test_an_upstream_on_which_callers_give_up_gets_fewer_flows():
+    """It lets part of its requests hang, and answers the others in the usual time."""
+    names = ["orders-1", "orders-2"]
+    host = Host(*(entry(name) for name in names))
+    for flow in range(60):
+        answered(host, names[flow % 2], USUAL_S, flow)
+    cookie = host.cookie("orders-1")
+    host.send(packet(100, cookie=cookie))
+    host.send(packet(100, cookie=cookie, data=10))
+    host.wait(0.8)
+    host.send(packet(100, cookie=cookie, seq=1011, ends=True))
+    host.wait(0.5)
+    assert {host.place(flow) for flow in range(200, 204)} == {"orders-2"}
+
+
 def test_requests_of_flows_that_moved_are_no_work_of_this_host():
     responses = Responses()
     for flow in range(20):
