Send no flow to an upstream that is down while a cold one lives

Cause, found in reading: cold upstreams came last, after warm ones that had just taken no connection. With all warm ones down, flows went there until their entries lapsed.

Change: upstreams whose check failed come last. A test fails before and passes after.

--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -38,8 +38,8 @@
 class Placement:
     """Chooses the upstream with the least expected wait, of those that seem to be well.
 
-    Suspect upstreams come after the others, and cold ones come last: what they bear
-    is little, and no host knows how much other hosts send them.
+    Suspect upstreams come after the others, then cold ones, as what they bear is little.
+    Those that took no connection come last.
     """
 
     def __init__(
@@ -70,9 +70,10 @@
 
     def _rank(
         self, upstream: Upstream, usual_s: Seconds | None, now: Seconds
-    ) -> tuple[bool, bool, float]:
+    ) -> tuple[bool, bool, bool, float]:
         cost = self._cost(upstream, _slowness(upstream, usual_s, now), now)
-        return (upstream.is_cold(now), is_suspect(upstream, now), cost)
+        has_failed = upstream.silence.has_failed
+        return (has_failed, upstream.is_cold(now), is_suspect(upstream, now), cost)
 
     def _cost(self, upstream: Upstream, slowness: float, now: Seconds) -> float:
         """Return the expected wait, in usual requests at one slot, and what distance adds."""
--- a/banyanline/tests/test_steering_checking.py
+++ b/banyanline/tests/test_steering_checking.py
@@ -141,6 +141,15 @@
     assert not upstream.silence.has_failed
 
 
+def test_a_cold_upstream_goes_before_one_that_is_down():
+    hosted = Hosted(*HERE_NAMES, FAR_NAME)
+    for name in [*HERE_NAMES, FAR_NAME]:
+        hosted.host.steering.checking.doubt(hosted.host.upstream(name), hosted.host.now)
+    hosted.check()
+    hosted.host.put(entry("orders-7", cold_for_s=5.0, data_centre=THERE))
+    assert hosted.host.place(1) == "orders-7"
+
+
 def test_neighbours_that_gave_a_sign_lately_are_not_checked():
     hosted = Hosted(HERE_NAMES[0])
     for name in HERE_NAMES[1:]:
