Show the operators' platform in make demo

Cause: the demo, the README's first command, showed the project's own interface only.

The work of callers is shared with the soak (bench/steering/work.py).

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 demo: setup
 	$(BIN)/python -m bench.demo
+	$(BIN)/python -m bench.steering.demo
 
 test: setup
 	$(BIN)/python -m pytest
--- a/bench/steering/soak.py
+++ b/bench/steering/soak.py
@@ -25,13 +25,13 @@
 
 from absl import app, flags
 
-from bench.steering.caller import FlowRefusedError, PacketCaller
 from bench.steering.fleet import OTHER_SERVICE, SERVICE, BalancerProcess, Fleet
 from bench.steering.promises import Promises
 from bench.steering.proxy import FaultyLink, LinkFault
 from bench.steering.router import Router
 from bench.steering.store import Fault
 from bench.steering.upstream import PacketUpstream
+from bench.steering.work import Work
 
 FLAGS = flags.FLAGS
 HOSTS = 3
@@ -43,9 +43,7 @@
 SETTLED_S = 3.0
 """A leaving upstream gets no new flows this long after the store knew, on calm hosts."""
 
-ANSWER_TIMEOUT_S = 8.0
 FAULT_GAP_S = (0.1, 1.2)
-MAX_REQUESTS = 5
 LEAVES_AFTER_S = 2.0
 
 Injection: TypeAlias = Callable[["Soak"], Awaitable[None]]
@@ -59,12 +57,10 @@
         self.fleet = Fleet(folder, HOSTS, hint=seed, through_proxies=True)
         self.promises = Promises()
         self.router = Router(self.fleet.hosts)
-        self._bodies = itertools.count()
+        self.work = Work(self.fleet, self.router, self.promises, self.rng)
         self._names = itertools.count(0x100)
         self._version = itertools.count(10)
         self._crashed: set[str] = set()
-        self._restarted: set[str] = set()
-        self._calm = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> Promises:
@@ -76,10 +72,10 @@
                 await self.add_upstream()
             await self.fleet.start_hosts()
             self.router.start()
-            callers = [asyncio.create_task(self._work(self.fleet.caller())) for _ in range(CALLERS)]
+            self.work.start(CALLERS)
             await self._trouble()
             await self._mend()
-            await self._judge(callers)
+            await self._judge()
         finally:
             self.router.stop()
             for task in self._tasks:
@@ -114,44 +110,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _work(self, caller: PacketCaller) -> None:
-        """Open flows and ask on them until the seed has ended."""
-        while True:
-            await self._one_flow(caller)
-            await asyncio.sleep(self.rng.uniform(0.0, 0.1))
-
-    async def _one_flow(self, caller: PacketCaller) -> None:
-        calm = self._calm
-        label = f"{caller.ip}:{next(self._bodies)}"
-        try:
-            flow = await caller.open(lambda: self.router.pick(label))
-        except (FlowRefusedError, TimeoutError) as error:
-            self._count("open", type(error).__name__, calm, "")
-            return
-        name = ""
-        for _ in range(self.rng.randrange(1, MAX_REQUESTS)):
-            body = f"request {next(self._bodies)}".encode()
-            try:
-                answer = await flow.ask(
-                    body, lambda: self.router.pick(label), timeout_s=ANSWER_TIMEOUT_S
-                )
-            except (FlowRefusedError, TimeoutError) as error:
-                self._count("ask", type(error).__name__, calm, name)
-                return
-            self.promises.check_answer(body, answer, name)
-            name = answer.partition(b":")[0].decode()
-            self.promises.outcomes["answered"] += 1
-            await asyncio.sleep(self.rng.uniform(0.0, 0.3))
-        flow.end(self.router.pick(label))
-
-    def _count(self, step: str, outcome: str, calm: bool, upstream: str) -> None:
-        """Count what was not served; in calm times, or on a living upstream, it is a fault."""
-        self.promises.outcomes[f"{step}_{outcome}"] += 1
-        if calm and self._calm:
-            self.promises.break_("not_served_in_calm_time", f"{step} {outcome} {upstream}")
-        elif step == "ask" and upstream not in self._crashed | self._restarted | {""}:
-            self.promises.break_("living_flow_cut", f"{outcome} at {upstream}")
-
     async def _trouble(self) -> None:
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + TROUBLE_S
@@ -173,9 +131,9 @@
             if not host.is_running:
                 host.start()
         await asyncio.sleep(MEND_S)
-        self._calm = True
+        self.work.is_calm = True
 
-    async def _judge(self, callers: list[asyncio.Task[None]]) -> None:
+    async def _judge(self) -> None:
         leaving = self.rng.choice(self.living)
         await self.add_upstream()
         await self.fleet.register(leaving, state="draining")
@@ -184,10 +142,7 @@
         await asyncio.sleep(1.0)
         if len(self.fleet.upstreams[leaving].opened) != opened:
             self.promises.break_("flow_placed_on_leaving_upstream", leaving)
-        for caller in callers:
-            if caller.done():
-                caller.result()
-            caller.cancel()
+        self.work.stop()
         for host in self.fleet.hosts:
             if not host.is_running:
                 self.promises.break_("ended_by_itself", host.plan.name)
@@ -200,6 +155,7 @@
             return
         name = self.rng.choice(self.living)
         self._crashed.add(name)
+        self.work.excused.add(name)
         upstream = self.fleet.upstreams[name]
         if self.rng.random() < 0.5:
             upstream.close()
@@ -210,7 +166,7 @@
     async def restart_upstream(self) -> None:
         """Let an upstream start again under its name; it holds none of its flows."""
         name = self.rng.choice(self.living)
-        self._restarted.add(name)
+        self.work.excused.add(name)
         self.fleet.upstreams[name].restart()
         await self.fleet.register(name, born=int(time.time() * 1000))
 
