--- a/banyanline/core/steering/silence.py
+++ b/banyanline/core/steering/silence.py
@@ -5,10 +5,10 @@
 
 - An upstream that left one packet unanswered is *suspect*. New flows avoid it,
   which costs nothing if the suspicion is wrong.
-- A suspect upstream that takes no TCP connection either is *lost* to this host.
-  Callers of its flows whose requests may be repeated are told so at once. Packets
-  alone do not prove it: the answers of a flow that another host carries by now are
-  not seen here, and an upstream may be slow.
+- An upstream in doubt that takes no TCP connection is *lost* to this host. Callers
+  of its flows whose requests may be repeated are told so at once, and new flows avoid
+  it until a connection succeeds. Packets alone do not prove it: the answers of a flow
+  that another host carries by now are not seen here, and an upstream may be slow.
 
 A sign is any packet whose caller acknowledges something new. It ends both.
 """
@@ -28,7 +28,7 @@
 """How long an upstream that did not answer is avoided; then it gets one flow at a time."""
 
 LOST_FOR_S = 1.5
-"""How long a failed check counts; an upstream may become reachable again."""
+"""How long a failed check counts against open flows; an upstream may be reachable again."""
 
 CHECK_PAUSE_S = 1.0
 """Time from one check of an upstream to the next."""
