Let the bench's twins share one piece each

Found in reading the whole change: the stand-in store and the faulty link listened with the same code, soak and demo ended with the same judgement, and two measurements had the same command line.

--- a/bench/measure/state.py
+++ b/bench/measure/state.py
@@ -9,8 +9,6 @@
 
 from __future__ import annotations
 
-import argparse
-import json
 import time
 from collections.abc import Iterator
 from itertools import islice
@@ -30,6 +28,7 @@
     ToHome,
 )
 from banyanline.core.types import Endpoint
+from bench.measure.kinds import measure_kinds
 from bench.measure.replay_world import (
     FLOW_IDLE_S,
     HOME,
@@ -242,16 +241,5 @@
 }
 
 
-def main() -> None:
-    """Measure one kind at all sizes and print a JSON row each."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("kind", choices=KINDS)
-    parser.add_argument("--sizes", default="10000,20000,40000")
-    options = parser.parse_args()
-    for size in options.sizes.split(","):
-        for row in KINDS[options.kind](int(size)):
-            print(json.dumps(row), flush=True)
-
-
 if __name__ == "__main__":
-    main()
+    measure_kinds(__doc__, KINDS, "10000,20000,40000")
--- a/bench/measure/view_changes.py
+++ b/bench/measure/view_changes.py
@@ -13,8 +13,6 @@
 
 from __future__ import annotations
 
-import argparse
-import json
 import statistics
 import time
 import tracemalloc
@@ -31,6 +29,7 @@
 from banyanline.core.messages import Cede
 from banyanline.core.model import Configuration
 from banyanline.core.types import Host
+from bench.measure.kinds import measure_kinds
 from bench.measure.replay_world import (
     HOME,
     HOSTS,
@@ -185,16 +184,5 @@
 }
 
 
-def main() -> None:
-    """Measure one kind at all sizes and print a JSON row each."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("kind", choices=KINDS)
-    parser.add_argument("--sizes", default="9,73,220,440")
-    options = parser.parse_args()
-    for size in options.sizes.split(","):
-        for row in KINDS[options.kind](int(size)):
-            print(json.dumps(row), flush=True)
-
-
 if __name__ == "__main__":
-    main()
+    measure_kinds(__doc__, KINDS, "9,73,220,440")
--- a/bench/steering/demo.py
+++ b/bench/steering/demo.py
@@ -61,7 +61,7 @@
             self.work.is_calm = True
             await asyncio.sleep(MEND_S)
             self.work.stop()
-            self._judge()
+            self.promises.check_fleet(self.fleet)
         finally:
             self.router.stop()
             await self.fleet.close()
@@ -96,13 +96,6 @@
         await host.become(200)
         await asyncio.sleep(STEP_S)
 
-    def _judge(self) -> None:
-        for host in self.fleet.hosts:
-            if not host.is_running:
-                self.promises.break_("ended_by_itself", host.plan.name)
-            self.promises.check_log(host.plan.name, host.log_text)
-        self.promises.check_upstreams(list(self.fleet.upstreams.values()))
-
 
 def main(argv: list[str]) -> None:
     """Run the demo and exit with 1 when something broke."""
--- a/bench/steering/promises.py
+++ b/bench/steering/promises.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from typing import NamedTuple
 
+from bench.steering.fleet import Fleet
 from bench.steering.upstream import PacketUpstream
 
 
@@ -35,6 +36,14 @@
         if expected and name.decode() != expected:
             self.break_("flow_changed_upstream", f"{expected} then {name!r}")
 
+    def check_fleet(self, fleet: Fleet) -> None:
+        """Check what hosts logged and upstreams ran, and that all hosts still run."""
+        for host in fleet.hosts:
+            if not host.is_running:
+                self.break_("ended_by_itself", host.plan.name)
+            self.check_log(host.plan.name, host.log_text)
+        self.check_upstreams(list(fleet.upstreams.values()))
+
     def check_upstreams(self, upstreams: list[PacketUpstream]) -> None:
         """Check that no upstream ran a request that another had run."""
         runs: Counter[bytes] = Counter()
--- a/bench/steering/proxy.py
+++ b/bench/steering/proxy.py
@@ -5,6 +5,8 @@
 import asyncio
 from enum import Enum
 
+from bench.steering.listening import TcpStandIn
+
 READ_BYTES = 64 * 1024
 DELAY_S = 0.3
 
@@ -19,14 +21,13 @@
     CUT_ANSWERS = "cut_answers"
 
 
-class FaultyLink:
+class FaultyLink(TcpStandIn):
     """Passes connections on to ``target``; a fault takes hold of open ones too."""
 
     def __init__(self, target: tuple[str, int]) -> None:
+        super().__init__()
         self._target = target
         self._fault = LinkFault.NONE
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
         self._writers: set[asyncio.StreamWriter] = set()
 
     @property
@@ -41,29 +42,13 @@
             for writer in self._writers:
                 writer.transport.abort()
 
-    async def start(self, ip: str, port: int = 0) -> tuple[str, int]:
-        """Listen; return the address."""
-        self._server = await asyncio.start_server(self._accept, ip, port)
-        address = self._server.sockets[0].getsockname()
-        return address[0], address[1]
-
-    async def close(self) -> None:
-        """Stop, and end all connections."""
-        if self._server is not None:
-            self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self._fault is LinkFault.RESET:
             writer.transport.abort()
             return
-        task = asyncio.create_task(self._join(reader, writer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        super()._accept(reader, writer)
 
-    async def _join(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             far_reader, far_writer = await asyncio.open_connection(*self._target)
         except OSError:
--- a/bench/steering/soak.py
+++ b/bench/steering/soak.py
@@ -143,11 +143,7 @@
         if len(self.fleet.upstreams[leaving].opened) != opened:
             self.promises.break_("flow_placed_on_leaving_upstream", leaving)
         self.work.stop()
-        for host in self.fleet.hosts:
-            if not host.is_running:
-                self.promises.break_("ended_by_itself", host.plan.name)
-            self.promises.check_log(host.plan.name, host.log_text)
-        self.promises.check_upstreams(list(self.fleet.upstreams.values()))
+        self.promises.check_fleet(self.fleet)
 
     def crash_upstream(self) -> None:
         """Let an upstream die, in silence or refusing flows; its entry goes a little later."""
--- a/bench/steering/store.py
+++ b/bench/steering/store.py
@@ -10,6 +10,8 @@
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
+from bench.steering.listening import TcpStandIn
+
 PAGE_ITEMS = 5
 """Small, so that tests read several pages."""
 
@@ -33,10 +35,11 @@
     created: int
 
 
-class StandInStore:
+class StandInStore(TcpStandIn):
     """A store that only this process writes."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.fault = Fault.NONE
         self.calls = 0
         self.counted_reads = 0
@@ -46,22 +49,6 @@
         self._items: dict[str, _Item] = {}
         self._events: deque[dict[str, Any]] = deque(maxlen=HISTORY_EVENTS)
         self._changed = asyncio.Condition()
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    async def start(self, ip: str, port: int = 0) -> tuple[str, int]:
-        """Listen; return the address."""
-        self._server = await asyncio.start_server(self._accept, ip, port)
-        address = self._server.sockets[0].getsockname()
-        return address[0], address[1]
-
-    async def close(self) -> None:
-        """Stop serving."""
-        if self._server is not None:
-            self._server.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def put(self, key: str, value: Any) -> int:
         """Write a JSON value and tell those who watch; return the revision."""
@@ -94,11 +81,6 @@
         async with self._changed:
             self._changed.notify_all()
 
-    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.create_task(self._serve(reader, writer))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             head = await reader.readuntil(b"\r\n\r\n")
