Call what stood twice, and count askers without a pass over all

Found in reading the whole change: which services a route names was worked out in the check of configurations again, banyanline-config read files in two places, each answer of a seed went through all hosts that ask it (as many answers as hosts: quadratic), and two properties stood after methods.

Change: route_shares serves both; _read tells what is wrong itself; askers stand in the order in which they asked, and only old ones are looked at. A configuration that names a service twice in one split, once with a negative weight, is now refused whichever stands last, as each share is looked at.

--- a/banyanline/cli/config.py
+++ b/banyanline/cli/config.py
@@ -75,23 +75,21 @@
 )
 
 
-def _read(path: str) -> bytes | str:
-    """Return the bytes of a file, or what is wrong with it."""
+def _read(path: str) -> bytes | None:
+    """Return the bytes of a file, or print what is wrong with it and return None."""
     try:
         if path == "-":
             return sys.stdin.buffer.read(MAX_DOCUMENT_BYTES + 1)
         return Path(path).read_bytes()
     except OSError as error:
-        return error.strerror or str(error)
+        print_error(PROGRAM, f"{path}: {error.strerror or error}")
+        return None
 
 
 def _load(path: str) -> Configuration | None:
     """Return the configuration in a file, or print what is wrong and return None."""
     data = _read(path)
-    if isinstance(data, str):
-        print_error(PROGRAM, f"{path}: {data}")
-        return None
-    return _accept(path, parse_document(data))
+    return None if data is None else _accept(path, parse_document(data))
 
 
 def _accept(place: str, result: Configuration | ConfigurationErrors) -> Configuration | None:
@@ -104,8 +102,7 @@
 
 def _check(path: str) -> ExitCode:
     data = _read(path)
-    if isinstance(data, str):
-        print_error(PROGRAM, f"{path}: {data}")
+    if data is None:
         return ExitCode.PROBLEM
     if _is_of_platform(data):
         return _check_platform(path, data)
--- a/banyanline/core/directory.py
+++ b/banyanline/core/directory.py
@@ -56,6 +56,16 @@
         """Upstreams to which packets may go: those whose data centre is in service."""
         return self._reachable
 
+    @property
+    def shortest_idle_timeout_s(self) -> Seconds:
+        """The shortest of these times over all services of opaque flows."""
+        times = (
+            service.idle_timeout_s
+            for service in self._services.values()
+            if service.protocol is Protocol.UDP
+        )
+        return min(times, default=float("inf"))
+
     def service(self, name: ServiceName) -> Service | None:
         """Return a service."""
         return self._services.get(name)
@@ -72,16 +82,6 @@
         configured = self._services.get(service)
         return configured.idle_timeout_s if configured is not None else float("inf")
 
-    @property
-    def shortest_idle_timeout_s(self) -> Seconds:
-        """The shortest of these times over all services of opaque flows."""
-        times = (
-            service.idle_timeout_s
-            for service in self._services.values()
-            if service.protocol is Protocol.UDP
-        )
-        return min(times, default=float("inf"))
-
     def has_closed_upstreams(self, service: ServiceName) -> bool:
         """Whether the data centre of one of the service's upstreams is out of service."""
         configured = self._services.get(service)
--- a/banyanline/core/steering/catalog.py
+++ b/banyanline/core/steering/catalog.py
@@ -79,6 +79,11 @@
         """The data centres that operators have taken out of service."""
         return frozenset(self._out)
 
+    @property
+    def cold_gap_s(self) -> Seconds:
+        """Time between two opening packets from this host to one cold upstream."""
+        return self._cold_gap_s
+
     def route(self, address: ServiceAddress) -> Route | None:
         """Return the route of a service address in the configuration in force."""
         return self._table.routes.get(address) if self._table else None
@@ -87,11 +92,6 @@
         """Whether this host has had a route for the address, and has none now."""
         return address in self._removed_routes
 
-    @property
-    def cold_gap_s(self) -> Seconds:
-        """Time between two opening packets from this host to one cold upstream."""
-        return self._cold_gap_s
-
     def note_hosts(self, hosts: int) -> None:
         """Take in about how many hosts there are, which share what cold upstreams bear."""
         self._cold_gap_s = COLD_GAP_S * max(1.0, hosts / COLD_HOSTS)
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -162,12 +162,16 @@
             now = self._clock()
             self._path.note_awake(now)
             self._steering.on_tick(now)
-            if self._seeds.has_own and self._board.askers > 1:
-                self._catalog.note_hosts(self._board.askers * self._seeds.count)
+            self._count_hosts()
             self._standings.update(now)
             if self._settings_file.has_changed():
                 self.reload()
 
+    def _count_hosts(self) -> None:
+        askers = self._board.askers
+        if self._seeds.has_own and askers > 1:
+            self._catalog.note_hosts(askers * self._seeds.count)
+
     def _respond_ready(self, target: str, _accepts: Sequence[str]) -> PageResponse:
         if target != READY_TARGET:
             return PageResponse(404, b"no such page\n")
--- a/banyanline/net/steering/views.py
+++ b/banyanline/net/steering/views.py
@@ -134,7 +134,11 @@
     def askers(self) -> int:
         """How many hosts ask this one, with itself."""
         oldest = self._clock() - ASKER_LIFETIME_S
-        self._askers = {name: at for name, at in self._askers.items() if at >= oldest}
+        while self._askers:
+            host, asked_at = next(iter(self._askers.items()))
+            if asked_at >= oldest:
+                break
+            del self._askers[host]
         return len(self._askers) + 1
 
     def wake(self) -> None:
@@ -161,6 +165,8 @@
 
     def _note_asker(self, host: str) -> None:
         if host and (host in self._askers or len(self._askers) < MAX_ASKERS):
+            # Put last, so that the one that asked longest ago stands first.
+            self._askers.pop(host, None)
             self._askers[host] = self._clock()
 
     async def _wait(self, wait_s: Seconds) -> None:
--- a/banyanline/platform/check.py
+++ b/banyanline/platform/check.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from banyanline.platform.entries import read_configuration, route_address
+from banyanline.platform.entries import read_configuration, route_address, route_shares
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -86,15 +86,14 @@
 
 
 def _service_problems(place: str, route: RouteDocument, known: set[str]) -> Iterator[str]:
-    shares = {share.service: share.weight for share in route.traffic_split}
-    named = shares or ({route.service: 1.0} if route.service is not None else {})
-    if not named:
+    shares = route_shares(route)
+    if not shares:
         yield f"{place}: got neither service nor traffic_split, accepted: one of them"
         return
-    for service in named.keys() - known:
+    for service in {share.service for share in shares} - known:
         yield f"{place}: got service {service!r}, accepted: a name under services"
-    if any(weight < 0 for weight in named.values()) or sum(named.values()) <= 0:
-        weights = sorted(named.values())
+    weights = sorted(share.weight for share in shares)
+    if weights[0] < 0 or sum(weights) <= 0:
         yield f"{place}.traffic_split: got weights {weights}, accepted: 0 or more, one above 0"
 
 
--- a/banyanline/platform/entries.py
+++ b/banyanline/platform/entries.py
@@ -159,6 +159,14 @@
     return service_address(document.hostname, int(document.prefix.strip("/")))
 
 
+def route_shares(document: RouteDocument) -> tuple[ServiceShare, ...]:
+    """Return the services of a route with their weights; none if the document names none."""
+    shares = tuple(ServiceShare(share.service, share.weight) for share in document.traffic_split)
+    if not shares and document.service is not None:
+        return (ServiceShare(document.service, 1.0),)
+    return shares
+
+
 def _upstream(name: str, document: _Upstream) -> UpstreamEntry:
     wire_id = wire_id_of(name)
     if document.slots < 1 or document.cold_remaining_ms < 0:
@@ -211,9 +219,6 @@
 
 
 def _route(document: RouteDocument) -> Route:
-    shares = tuple(ServiceShare(share.service, share.weight) for share in document.traffic_split)
-    if not shares and document.service is not None:
-        shares = (ServiceShare(document.service, 1.0),)
     return Route(
         name=document.name,
         address=route_address(document),
@@ -221,5 +226,5 @@
         patience_s=document.timeout_ms / 1000.0,
         objective_s=document.aim_ms / 1000.0,
         priority=document.priority,
-        shares=shares,
+        shares=route_shares(document),
     )
