--- a/banyanline/cli/status.py
+++ b/banyanline/cli/status.py
@@ -210,11 +210,18 @@
         f"{status['flows']} flows tracked, data centres out of service: "
         f"{data_centres_out}",
         _render_section("Upstreams", status["upstreams"], _STEERING_COLUMNS),
+        *_render_unreadable(status.get("unreadable", [])),
         "Counts\n" + render_table(("count", "reason", "total"), counts),
     ]
     return "\n\n".join(parts)
 
 
+def _render_unreadable(rows: Sequence[Mapping[str, Any]]) -> list[str]:
+    if not rows:
+        return []
+    return [_render_section("Unreadable platform data", rows, ("key", "path", "value", "effect"))]
+
+
 def is_healthy(status: Status) -> bool:
     """Whether the balancer has a configuration and contact with its peers (a fresh lease)."""
     return status["revision"] > 0 and status["lease_fresh"]
--- a/banyanline/core/steering/catalog.py
+++ b/banyanline/core/steering/catalog.py
@@ -3,6 +3,10 @@
 Changes arrive from the platform's store and from other hosts, in any order and possibly
 more than once. Applying them is idempotent: changes older than the known state are
 ignored.
+
+The store may be restored from an older copy, which begins a new era: its revisions go
+back and are used again. What this host knew is kept, without revisions, until the copy
+has been completed by new writes.
 """
 
 from __future__ import annotations
@@ -22,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterator
 
-    from banyanline.core.steering.model import Change, Revision, Route, RoutingTable
+    from banyanline.core.steering.model import Change, Revision, Route, RoutingTable, StoreEra
     from banyanline.core.steering.packet import ServiceAddress
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import DataCentreName, Seconds, ServiceName, UpstreamName
@@ -33,6 +37,12 @@
 SMALL_FLEET_HOSTS = 6
 """Fleet size up to which that interval keeps the total rate well below the cold limit."""
 
+RESTORE_SETTLE_S = 5.0
+"""Time in which operators and upstreams write again what a restored store has lost.
+
+Until then an item that the store does not hold is not known to have been removed.
+"""
+
 MAX_RELAYED_ROUTES = 400
 """Larger configurations are read from the store, not relayed by hosts on small links."""
 
@@ -48,6 +58,8 @@
         self._out_of_service: dict[DataCentreName, Revision] = {}
         self._in_service: dict[DataCentreName, Revision] = {}
         self._revision: Revision = 0
+        self._era: StoreEra = 0
+        self._settles_at: Seconds | None = None
         self._cold_opening_interval_s = COLD_OPENING_INTERVAL_S
 
     @property
@@ -65,6 +77,11 @@
         """The store revision up to which this host knows all changes."""
         return self._revision
 
+    @property
+    def era(self) -> StoreEra:
+        """The latest known era of the store."""
+        return self._era
+
     @property
     def table(self) -> RoutingTable | None:
         """The configuration in force."""
@@ -128,13 +145,33 @@
             return UpstreamAvailability.SUSPECT
         return UpstreamAvailability.COLD if upstream.is_cold(now) else UpstreamAvailability.WELL
 
+    def is_listing_due(self, now: Seconds) -> bool:
+        """Whether a restored store has settled, and has not been listed completely since."""
+        return self._settles_at is not None and now >= self._settles_at
+
+    def begin_era(self, era: StoreEra, now: Seconds) -> bool:
+        """Record an era of the store; return whether it is later than the known one.
+
+        The revisions of the known state are reset, so that any change of the new era
+        replaces it.
+        """
+        if era <= self._era:
+            return False
+        self._era = era
+        if self._table is None and not self._upstreams:
+            return True
+        self._revision = 0
+        self._table_revision = 0
+        self._upstreams.reset_revisions()
+        self._out_of_service = dict.fromkeys(self._out_of_service, 0)
+        self._in_service = dict.fromkeys(self._in_service, 0)
+        self._settles_at = now + RESTORE_SETTLE_S
+        return True
+
     def on_change(self, change: Change, now: Seconds) -> bool:
         """Apply a change; return whether it was new to this host."""
         if isinstance(change, UpstreamChanged):
-            known = self._upstreams.get(change.entry.name)
-            before = known.revision if known else 0
-            self._upstreams.put(change.entry, change.revision, change.created, now)
-            return change.revision > before
+            return self._put_upstream(change, now)
         if isinstance(change, UpstreamRemoved):
             return self._upstreams.remove(change.name, change.revision, now) is not None
         if isinstance(change, TableChanged):
@@ -152,8 +189,14 @@
         as_of: Revision,
         now: Seconds,
     ) -> None:
-        """Remove what a complete listing of the store at revision ``as_of`` does not hold."""
+        """Remove what a complete listing of the store at revision ``as_of`` does not hold.
+
+        Nothing is removed until a restored store has settled.
+        """
         self.advance_revision(as_of)
+        if self._is_settling(now):
+            return
+        self._settles_at = None
         for name in set(self._upstreams.names_with_entry()) - set(names):
             self._upstreams.remove(name, as_of, now)
         for data_centre in set(self._out_of_service) - set(out):
@@ -162,11 +205,12 @@
     def view(
         self, now: Seconds, have: Revision = 0, age_s: Seconds = 0.0, *, whole: bool = True
     ) -> FleetView:
-        """Return the changes after the revision ``have``, for another host.
+        """Return the changes after the revision ``have`` of this era, for another host.
 
-        A configuration above ``MAX_RELAYED_ROUTES`` is included only if ``whole``.
+        With ``have`` 0 that is everything. A configuration above ``MAX_RELAYED_ROUTES`` is
+        included only if ``whole``.
         """
-        table = self._table if self._table_revision > have else None
+        table = self._table if self._table_revision > have or not have else None
         if table is not None and not whole and len(table.routes) > MAX_RELAYED_ROUTES:
             table = None
         return FleetView(
@@ -177,28 +221,49 @@
             tuple(
                 _known_upstream(upstream, now)
                 for upstream in self._upstreams
-                if upstream.revision > have
+                if upstream.revision > have or not have
             ),
             tuple(
                 DataCentreChanged(name, is_out, revision)
                 for revisions, is_out in ((self._out_of_service, True), (self._in_service, False))
                 for name, revision in revisions.items()
-                if revision > have
+                if revision > have or not have
             ),
+            era=self._era,
         )
 
     def apply_view(self, view: FleetView, now: Seconds) -> list[Change]:
-        """Apply another host's view; return the changes that were new to this host."""
+        """Apply another host's view; return the changes that were new to this host.
+
+        Of a view of an earlier era only the configuration is used, as its versions do not
+        go back.
+        """
+        if view.era < self._era:
+            view = view._replace(revision=0, upstreams=(), data_centres=())
+        else:
+            self.begin_era(view.era, now)
         applied = [change for change in _changes(view) if self.on_change(change, now)]
         if self.version >= view.table_version:
             self.advance_revision(view.revision)
         return applied
 
+    def _is_settling(self, now: Seconds) -> bool:
+        return self._settles_at is not None and now < self._settles_at
+
+    def _put_upstream(self, change: UpstreamChanged, now: Seconds) -> bool:
+        known = self._upstreams.get(change.entry.name)
+        before = known.revision if known else 0
+        if self._is_settling(now) and not before and self._upstreams.is_outdated(change.entry):
+            return False
+        self._upstreams.put(change.entry, change.revision, change.created, now)
+        return change.revision > before
+
     def _set_table(self, table: RoutingTable, revision: Revision) -> bool:
         if table.version <= self.version:
             return False
         self._table_revision = revision
-        if self._table is not None:
+        if self._table is not None and table.is_complete:
+            # Without an unreadable route's address, none is known to have been removed.
             self._removed_routes |= self._table.routes.keys()
         self._removed_routes -= table.routes.keys()
         self._table = table
@@ -206,7 +271,7 @@
 
     def _set_data_centre(self, change: DataCentreChanged) -> bool:
         name = change.data_centre
-        known = max(self._out_of_service.get(name, 0), self._in_service.get(name, 0))
+        known = max(self._out_of_service.get(name, -1), self._in_service.get(name, -1))
         if change.revision <= known:
             return False
         self._out_of_service.pop(name, None)
--- a/banyanline/core/steering/model.py
+++ b/banyanline/core/steering/model.py
@@ -10,15 +10,33 @@
 from banyanline.core.types import DataCentreName, Endpoint, Seconds, ServiceName, UpstreamName
 
 Revision: TypeAlias = int
-"""Revision of the platform's store, which increases with each change; 0 means none."""
+"""Revision of the platform's store, which increases with each change; 0 means none.
+
+It is only comparable within one era of the store.
+"""
+
+StoreEra: TypeAlias = int
+"""Number of times that the store was restored from an older copy; 0 means unknown."""
 
 
 class RouteKind(StrEnum):
-    """Whether a caller may repeat a request whose outcome it does not know."""
+    """The kind of requests that a route carries.
+
+    >>> RouteKind.UPLOAD.is_idempotent
+    False
+    """
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
     DOWNLOAD = "download"
+    """Idempotent requests with large responses."""
+    UPLOAD = "upload"
+    """Non-idempotent requests with large bodies."""
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a caller may repeat a request whose outcome it does not know."""
+        return self in (RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD)
 
 
 class ServiceShare(NamedTuple):
@@ -54,13 +72,30 @@
     rate: float
 
 
+class Defect(NamedTuple):
+    """An element of a configuration document that could not be read as written.
+
+    ``path`` locates it in the document, ``value`` is what was found, abbreviated, and
+    ``effect`` says why it could not be read or what is done instead.
+    """
+
+    path: str
+    value: str
+    effect: str
+
+
 class RoutingTable(NamedTuple):
-    """One accepted configuration; a higher ``version`` replaces a lower one."""
+    """One accepted configuration; a higher ``version`` replaces a lower one.
+
+    ``is_complete`` is False if the document has routes that could not be read.
+    """
 
     version: int
     routes: Mapping[ServiceAddress, Route]
     cold_limits: Mapping[ServiceName, ColdLimit]
     idle_timeout_s: Seconds
+    defects: tuple[Defect, ...] = ()
+    is_complete: bool = True
 
 
 class UpstreamEntry(NamedTuple):
@@ -68,8 +103,8 @@
 
     ``wire_id`` is prepended to each packet sent to the upstream and ``cookie`` identifies
     it in its callers' packets. ``cold_for_s`` is how much longer it stays cold.
-    ``incarnation`` differs between two starts under one name; it is None if the upstream
-    does not publish it.
+    ``incarnation`` increases with each start under one name; it is None if the upstream
+    does not publish it. ``sequence`` increases with each write of an incarnation.
     """
 
     name: UpstreamName
@@ -82,6 +117,7 @@
     is_leaving: bool
     cold_for_s: Seconds
     incarnation: int | None
+    sequence: int = 0
 
 
 class UpstreamChanged(NamedTuple):
@@ -129,6 +165,7 @@
 class FleetView(NamedTuple):
     """The state of the platform that one host sends to another: all changes up to ``revision``.
 
+    Revisions are those of the store's ``era``; 0 marks what is only known from an earlier era.
     ``age_s`` is the time since the sender's knowledge of the store was current. ``table``
     is None if it has not changed or is too large to send; ``table_version`` shows which.
     ``data_centre`` is that of the sender, and ``polling_hosts`` the number of hosts that poll it,
@@ -143,3 +180,4 @@
     data_centres: tuple[DataCentreChanged, ...]
     data_centre: DataCentreName = ""
     polling_hosts: int = 0
+    era: StoreEra = 0
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -14,7 +14,6 @@
 from banyanline.core.steering.counters import SteeringCounters
 from banyanline.core.steering.failure_detection import is_gone
 from banyanline.core.steering.flows import FlowTable
-from banyanline.core.steering.model import RouteKind
 from banyanline.core.steering.outcomes import (
     HOLD,
     Drop,
@@ -214,7 +213,7 @@
                 self._check_scheduler.request_check(upstream, now)
             return False
         route = self._catalog.route(packet.destination)
-        return route is not None and route.kind is not RouteKind.NON_IDEMPOTENT
+        return route is not None and route.kind.is_idempotent
 
     def _on_unknown_cookie(self, packet: CallerPacket) -> Outcome:
         if packet.cookie == NO_COOKIE:
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -160,6 +160,19 @@
         self._is_index_current = False
         return upstream
 
+    def reset_revisions(self) -> None:
+        """Reset all revisions to 0, so that any entry or removal replaces what is known."""
+        for upstream in self:
+            upstream.revision = 0
+
+    def is_outdated(self, entry: UpstreamEntry) -> bool:
+        """Whether the upstream itself wrote a later entry, or left after writing this one."""
+        known = self._by_name.get(entry.name)
+        if known is None:
+            return False
+        written, latest = _write_order(entry), _write_order(known.entry)
+        return written < latest or (written == latest and known.removed_at is not None)
+
     def names_with_entry(self) -> Iterable[UpstreamName]:
         """Return the names of the upstreams that have an entry."""
         return [upstream.name for upstream in self if upstream.removed_at is None]
@@ -190,3 +203,7 @@
             self._by_cookie.setdefault(upstream.entry.cookie, upstream)
             if upstream.removed_at is None:
                 self._by_service.setdefault(upstream.entry.service, []).append(upstream)
+
+
+def _write_order(entry: UpstreamEntry) -> tuple[int, int]:
+    return entry.incarnation or 0, entry.sequence
--- a/banyanline/net/steering/change_log.py
+++ b/banyanline/net/steering/change_log.py
@@ -14,6 +14,7 @@
     UpstreamRemoved,
 )
 from banyanline.core.steering.upstreams import UpstreamAvailability
+from banyanline.platform.entries import CONFIGURATION_KEY
 
 if TYPE_CHECKING:
     from banyanline.core.steering.catalog import Catalog
@@ -58,6 +59,13 @@
         routes=len(change.table.routes),
         revision=change.revision,
     )
+    for defect in change.table.defects:
+        log.warning(
+            "element_unreadable",
+            key=CONFIGURATION_KEY,
+            version=change.table.version,
+            **defect._asdict(),
+        )
 
 
 @log_change.register
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -10,16 +10,17 @@
 
 from banyanline.core.steering.model import DataCentreChanged, UpstreamChanged
 from banyanline.net.steering.change_log import log_change
+from banyanline.net.steering.unusable_items import UnusableItems
 from banyanline.net.steering.views import ViewQuery, fetch_view
 from banyanline.platform.entries import UnrelatedItem, UnusableItem, decode_item
-from banyanline.platform.store import ANSWER_TIMEOUT_S, StoreFailed, StoreFailureReason
+from banyanline.platform.store import ANSWER_TIMEOUT_S, StoreFailed, StoreFailureReason, StorePage
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from banyanline.core.steering.catalog import Catalog
-    from banyanline.core.steering.model import Change
+    from banyanline.core.steering.model import Change, Revision, StoreEra
     from banyanline.core.types import DataCentreName, Endpoint, Seconds, UpstreamName
     from banyanline.net.steering.seeds import Seeds
     from banyanline.platform.entries import StoreItem
@@ -49,6 +50,9 @@
 """A seed with older data may be isolated from the store: its watches end sooner than this."""
 
 RELAY_JITTER_S = 0.3
+RELIST_SPREAD_S = 2.0
+"""Hosts that follow seeds learn at the same time that they have to list the store again."""
+
 DIRECT_AFTER_FAILURE_S = 3.0
 """How long this host polls the store directly after a seed has failed."""
 
@@ -61,11 +65,27 @@
 log = structlog.get_logger()
 
 
-class _Listing(NamedTuple):
-    """Names found so far by a full listing; ``out`` are data centres out of service."""
+class _Listing:
+    """What a full listing has found so far in one era of the store.
+
+    ``out`` are the data centres out of service, ``after`` the last key, and ``as_of`` the
+    oldest page's revision.
+    """
+
+    def __init__(self, era: StoreEra) -> None:
+        self.era = era
+        self.after = ""
+        self.as_of: Revision = sys.maxsize
+        self.keys: set[str] = set()
+        self.upstreams: list[UpstreamName] = []
+        self.out: list[DataCentreName] = []
+
 
-    upstreams: list[UpstreamName]
-    out: list[DataCentreName]
+class _Position(NamedTuple):
+    """All changes up to a revision of an era of the store."""
+
+    era: StoreEra
+    revision: Revision
 
 
 class StoreFeed:
@@ -97,6 +117,12 @@
         self._on_change = on_change
         self._failed_calls = 0
         self._synced_at: Seconds | None = None
+        self._unusable_items = UnusableItems()
+
+    @property
+    def unusable_items(self) -> Mapping[str, str]:
+        """Why items of the store cannot be used, by key."""
+        return self._unusable_items.details
 
     @property
     def client(self) -> StoreClient:
@@ -132,73 +158,115 @@
         """Synchronise with the store, forever."""
         while True:
             await self._follow(await self._read_all())
+            if self._follows_seeds:
+                await asyncio.sleep(RELIST_SPREAD_S * self._rng.random())
 
-    async def _read_all(self) -> int:
-        """List all pages, retrying each until it arrives; return the oldest page's revision.
+    async def _read_all(self) -> _Position:
+        """List all pages, retrying each until it arrives; return the oldest page's position.
 
         The watch starts at that revision, so it delivers all changes made during the
         listing, whichever page they belong to.
         """
-        listing = _Listing([], [])
-        items, after, as_of, failures = 0, "", sys.maxsize, 0
+        listing, failures = _Listing(self._catalog.era), 0
         while True:
             timeout_s = ANSWER_TIMEOUT_S * 2.0 ** min(failures, MAX_TIMEOUT_DOUBLINGS)
-            page = await self._client.read_page(ALL_KEYS_PREFIX, after, timeout_s)
+            page = await self._client.read_page(ALL_KEYS_PREFIX, listing.after, timeout_s)
+            if isinstance(page, StorePage) and self._is_of_earlier_era(page.era):
+                page = StoreFailed(StoreFailureReason.EARLIER_ERA)
             if isinstance(page, StoreFailed):
                 failures += 1
                 await self._back_off(page)
                 continue
             failures = 0
-            items += len(page.items)
-            as_of = min(as_of, page.as_of)
-            self._apply_page(listing, page.items)
+            self._begin_era(page.era)
+            if self._catalog.era != listing.era:
+                is_first_page = not listing.after
+                listing = _Listing(self._catalog.era)
+                if not is_first_page:
+                    continue
+            self._apply_page(listing, page)
             if not page.truncated:
-                self._finish_listing(listing, items, as_of)
-                return as_of
-            after = page.last_key
+                self._finish_listing(listing)
+                return _Position(listing.era, listing.as_of)
 
-    async def _follow(self, as_of: int) -> None:
-        """Apply changes until the store has dropped the history of changes after ``as_of``."""
-        while True:
+    async def _follow(self, position: _Position) -> None:
+        """Apply changes until the store has to be listed again.
+
+        That is when it has dropped the history of changes after ``position``, or was
+        restored from a copy.
+        """
+        while self._is_continuous(position):
             seed = self._choose_relay()
             if seed is not None:
-                as_of = await self._follow_seed(seed, as_of)
+                position = await self._follow_seed(seed, position)
                 continue
             changes = await self._client.wait_for_changes(
-                ALL_KEYS_PREFIX, as_of, self._watch_wait_s
+                ALL_KEYS_PREFIX, position.revision, self._watch_wait_s
             )
             if isinstance(changes, StoreFailed):
                 if changes.reason is StoreFailureReason.HISTORY_GONE:
-                    log.warning("store_history_gone", as_of=as_of)
+                    log.warning("store_history_gone", as_of=position.revision)
                     return
                 await self._back_off(changes)
-                continue
-            self._record_sync(0.0)
-            as_of = max(as_of, changes.as_of)
-            if changes.events:
-                self._apply(changes.events)
-                self._catalog.advance_revision(as_of)
-                self._on_change()
-                await asyncio.sleep(COALESCE_S)
+            elif self._is_of_earlier_era(changes.era):
+                await self._back_off(StoreFailed(StoreFailureReason.EARLIER_ERA))
+            elif not self._begin_era(changes.era):
+                position = position._replace(revision=max(position.revision, changes.as_of))
+                await self._apply_changes(changes.events, position.revision)
+
+    async def _apply_changes(self, events: Sequence[StoreItem], as_of: Revision) -> None:
+        self._record_sync(0.0)
+        if events:
+            self._apply(events)
+            self._catalog.advance_revision(as_of)
+            self._on_change()
+            await asyncio.sleep(COALESCE_S)
+
+    def _is_continuous(self, position: _Position) -> bool:
+        """Whether the changes after ``position`` complete what this host knows."""
+        return self._catalog.era == position.era and not self._catalog.is_listing_due(self._clock())
+
+    def _is_of_earlier_era(self, era: StoreEra) -> bool:
+        return 0 < era < self._catalog.era
+
+    def _begin_era(self, era: StoreEra) -> bool:
+        """Record the era of a response; return whether the store was restored before it."""
+        before = self._catalog.era
+        if not self._catalog.begin_era(era, self._clock()):
+            return False
+        if before:
+            log.warning("store_restored", era=era, before=before)
+        return True
 
     def _choose_relay(self) -> Endpoint | None:
         """Return the seed to poll instead of the store, or None to poll the store."""
-        if not self._uses_relays or self._seeds.includes_self or self._clock() < self._direct_until:
+        if not self._follows_seeds or self._clock() < self._direct_until:
             return None
         return self._seeds.choose_near()
 
-    async def _follow_seed(self, seed: Endpoint, as_of: int) -> int:
-        """Poll a seed and apply its view; return the revision reached.
+    @property
+    def _follows_seeds(self) -> bool:
+        return self._uses_relays and not self._seeds.includes_self
+
+    async def _follow_seed(self, seed: Endpoint, position: _Position) -> _Position:
+        """Poll a seed and apply its view; return the position reached.
 
         Switches to the store for a while if the seed does not answer, if its data is too
         old or behind this host, or if the view omits a configuration too large to relay.
         """
-        query = ViewQuery(as_of, RELAY_WAIT_S, whole=False, host=self._host)
+        query = ViewQuery(
+            position.revision, RELAY_WAIT_S, whole=False, host=self._host, era=position.era
+        )
         view = await fetch_view(seed, query)
-        if view is None or view.age_s > MAX_RELAY_AGE_S or view.revision < as_of:
+        if (
+            view is None
+            or view.age_s > MAX_RELAY_AGE_S
+            or (view.era, view.revision) < position
+            or view.era < self._catalog.era
+        ):
             self._seeds.on_failure(seed)
             self._direct_until = self._clock() + DIRECT_AFTER_FAILURE_S
-            return as_of
+            return position
         self._seeds.on_answer(seed, view.data_centre)
         if view.polling_hosts:
             self._catalog.set_host_count(view.polling_hosts * self._seeds.count)
@@ -207,29 +275,34 @@
             log_change(change)
         if view.table_version > self._catalog.version:
             self._direct_until = self._clock() + COALESCE_S
-            return as_of
-        if view.revision > as_of:
-            log.info("view_applied", seed=str(seed), had=as_of, revision=view.revision)
+            return position
+        reached = _Position(view.era, view.revision)
+        if reached > position:
+            log.info("view_applied", seed=str(seed), had=position.revision, **reached._asdict())
             self._on_change()
             await asyncio.sleep(RELAY_JITTER_S * self._rng.random())
-        return view.revision
+        return reached
 
-    def _apply_page(self, listing: _Listing, items: Sequence[StoreItem]) -> None:
+    def _apply_page(self, listing: _Listing, page: StorePage) -> None:
         """Apply one page at once; on a slow link the others may take seconds."""
         self._record_contact()
-        for change in self._apply(items):
+        listing.as_of = min(listing.as_of, page.as_of)
+        listing.after = page.last_key
+        listing.keys.update(item.key for item in page.items)
+        for change in self._apply(page.items):
             if isinstance(change, UpstreamChanged):
                 listing.upstreams.append(change.entry.name)
             elif isinstance(change, DataCentreChanged):
                 listing.out.append(change.data_centre)
         self._on_change()
 
-    def _finish_listing(self, listing: _Listing, items: int, as_of: int) -> None:
+    def _finish_listing(self, listing: _Listing) -> None:
         """Remove from the catalog what no page contained."""
         self._record_sync(0.0)
-        self._catalog.remove_missing(listing.upstreams, listing.out, as_of, self._clock())
+        self._catalog.remove_missing(listing.upstreams, listing.out, listing.as_of, self._clock())
+        self._unusable_items.keep_only(listing.keys)
         self._on_change()
-        log.info("store_read", items=items, as_of=as_of)
+        log.info("store_read", items=len(listing.keys), as_of=listing.as_of, era=listing.era)
 
     def _apply(self, items: Sequence[StoreItem]) -> list[Change]:
         now = self._clock()
@@ -239,8 +312,9 @@
             if isinstance(decoded, UnrelatedItem):
                 continue
             if isinstance(decoded, UnusableItem):
-                log.warning("item_unusable", key=decoded.key, detail=decoded.detail)
+                self._unusable_items.add(decoded)
                 continue
+            self._unusable_items.discard(item.key)
             changes.append(decoded)
             if self._catalog.on_change(decoded, now):
                 log_change(decoded)
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -31,6 +31,7 @@
     store_calls: Callable[[], int]
     store_failures: Callable[[], Mapping[StoreFailureReason, int]]
     store_age_s: Callable[[], Seconds]
+    unusable_items: Callable[[], int]
     log_lines_left_out: Callable[[], int]
 
 
@@ -64,6 +65,10 @@
             "store_age_seconds",
             "Age of this host's copy of the platform store's state, in seconds.",
         )
+        self._unreadable = self._gauge(
+            "unreadable_elements",
+            "Items of the store, and elements of the configuration, that this host cannot read.",
+        )
         self._version = self._gauge(
             "configuration_version", "Configuration version in force, 0 for none."
         )
@@ -112,6 +117,9 @@
         catalog = steering.catalog
         now = self._sources.clock()
         self._version.set({}, catalog.version)
+        defects = catalog.table.defects if catalog.table else ()
+        self._unreadable.set({"kind": "item"}, self._sources.unusable_items())
+        self._unreadable.set({"kind": "configuration"}, len(defects))
         self._flows.set({}, len(steering.flows))
         states: Counter[tuple[str, UpstreamAvailability]] = Counter()
         for upstream in catalog.upstreams:
--- a/banyanline/net/steering/peers.py
+++ b/banyanline/net/steering/peers.py
@@ -72,9 +72,9 @@
         return last_contact_at is None or self._clock() - last_contact_at > STORE_LOST_S
 
     async def _query_seed(self, seed: Endpoint) -> None:
-        have = self._catalog.revision
-        view = await fetch_view(seed, ViewQuery(have))
-        if view is None or view.revision <= have:
+        have, era = self._catalog.revision, self._catalog.era
+        view = await fetch_view(seed, ViewQuery(have, era=era))
+        if view is None or (view.era, view.revision) <= (era, have):
             return
         for change in self._catalog.apply_view(view, self._clock()):
             log_change(change)
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -13,7 +13,9 @@
 from banyanline.core.steering.graceful_shutdown import GracefulShutdown
 from banyanline.core.steering.steering import Steering
 from banyanline.core.types import Endpoint
+from banyanline.net.logs import log_loop_error
 from banyanline.net.pages import PageResponse, PageServer
+from banyanline.net.steering.background import keep_running
 from banyanline.net.steering.change_log import UpstreamAvailabilityLog
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.packet_path import PacketPath
@@ -109,10 +111,12 @@
             store=str(settings.store),
         )
         self._tasks = [
-            asyncio.create_task(self._feed.run()),
-            asyncio.create_task(self._peers.run()),
-            asyncio.create_task(self._tick()),
+            asyncio.create_task(keep_running("feed", self._feed.run)),
+            asyncio.create_task(keep_running("peers", self._peers.run)),
+            asyncio.create_task(keep_running("tick", self._tick)),
         ]
+        for defect in settings.defects:
+            log.warning("setting_unreadable", **defect._asdict())
         for server in self._servers:
             await server.start()
         try:
@@ -121,10 +125,13 @@
             log.warning("metrics_not_served", port=METRICS_PORT, detail=str(error))
 
     def reload(self) -> None:
-        """Reload the settings; an invalid file leaves the old ones in force."""
+        """Reload the settings; an invalid or partly unreadable file leaves the old in force."""
         settings = self._settings_file.read()
         if isinstance(settings, HostSettingsError):
             log.error("settings_refused", detail=str(settings))
+        elif settings.defects:
+            defect = settings.defects[0]
+            log.error("settings_refused", detail=f"{defect.path}: {defect.effect}")
         else:
             self._apply_settings(settings)
 
@@ -203,6 +210,7 @@
             data_centre=self._settings.data_centre,
             state=state if self._shutdown is None else "leaving",
             store_age_s=None if self._feed.synced_at is None else self._store_age_s(),
+            unusable_items=self._feed.unusable_items,
             now=self._clock(),
         )
 
@@ -220,6 +228,7 @@
             lambda: self._feed.client.calls,
             lambda: self._feed.client.failures,
             self._store_age_s,
+            lambda: len(self._feed.unusable_items),
             lambda: self._output.dropped_lines,
         )
         return SteeringMetrics(sources)
@@ -250,6 +259,7 @@
     process = SteeringProcess(settings, path, random.Random(), output, packets)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(log_loop_error)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, process.reload)
--- a/banyanline/net/steering/status.py
+++ b/banyanline/net/steering/status.py
@@ -5,13 +5,17 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, TypedDict
+from typing import TYPE_CHECKING, NotRequired, TypedDict
 
 from banyanline.core.steering.report import report_flow, report_upstream
 from banyanline.net.admin import parse_endpoint
+from banyanline.platform.entries import CONFIGURATION_KEY
 from banyanline.platform.packets import describe_endpoint, service_address
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from banyanline.core.steering.model import RoutingTable
     from banyanline.core.steering.report import FlowReport, UpstreamReport
     from banyanline.core.steering.steering import Steering
     from banyanline.core.types import Endpoint, Seconds
@@ -36,6 +40,15 @@
     revision: int
 
 
+class DefectRow(TypedDict):
+    """An element of the platform's data that this host cannot read, and its effect."""
+
+    key: str
+    path: str
+    value: str
+    effect: str
+
+
 class SteeringStatus(TypedDict):
     """Content of ``/status``."""
 
@@ -49,6 +62,8 @@
     flows: int
     data_centres_out: list[str]
     upstreams: list[UpstreamRow]
+    unreadable: NotRequired[list[DefectRow]]
+    """Not present on pages of earlier versions."""
     resets: dict[str, int]
     drops: dict[str, int]
     checks: dict[str, int]
@@ -95,6 +110,7 @@
     data_centre: str,
     state: str,
     store_age_s: Seconds | None,
+    unusable_items: Mapping[str, str],
     now: Seconds,
 ) -> SteeringStatus:
     """Return the state of a host for ``/status``."""
@@ -112,12 +128,26 @@
         flows=len(steering.flows),
         data_centres_out=sorted(catalog.data_centres_out),
         upstreams=[upstream_row(report_upstream(catalog, each, now)) for each in upstreams],
+        unreadable=_defect_rows(catalog.table, unusable_items),
         resets={reason.value: count for reason, count in counters.resets.items()},
         drops={reason.value: count for reason, count in counters.drops.items()},
         checks={result.value: count for result, count in counters.checks.items()},
     )
 
 
+def _defect_rows(table: RoutingTable | None, unusable_items: Mapping[str, str]) -> list[DefectRow]:
+    rows = [
+        DefectRow(key=key, path="", value="", effect=why) for key, why in unusable_items.items()
+    ]
+    for defect in table.defects if table else ():
+        rows.append(
+            DefectRow(
+                key=CONFIGURATION_KEY, path=defect.path, value=defect.value, effect=defect.effect
+            )
+        )
+    return rows
+
+
 def explain_flow(
     steering: Steering, caller: Endpoint, service: str, now: Seconds
 ) -> FlowExplanation | None:
--- a/banyanline/net/steering/views.py
+++ b/banyanline/net/steering/views.py
@@ -50,8 +50,9 @@
 class ViewQuery(NamedTuple):
     """A request for the changes after revision ``have``, waiting up to ``wait_s`` for one.
 
-    Without ``whole`` the response may omit a large configuration; with ``deflate`` it may
-    be compressed. ``host`` is the name of the polling host.
+    ``era`` is that of the revision; a host in another era sends everything. Without
+    ``whole`` the response may omit a large configuration; with ``deflate`` it may be
+    compressed. ``host`` is the name of the polling host.
     """
 
     have: int
@@ -59,6 +60,7 @@
     whole: bool = True
     deflate: bool = False
     host: str = ""
+    era: int = 0
 
 
 def encode_view(view: FleetView) -> bytes:
@@ -93,7 +95,7 @@
     """Parse a request target; return an error response if it is invalid.
 
     >>> parse_query("/view?have=7&wait_ms=500&whole=0")
-    ViewQuery(have=7, wait_s=0.5, whole=False, deflate=False, host='')
+    ViewQuery(have=7, wait_s=0.5, whole=False, deflate=False, host='', era=0)
     """
     parts = urlsplit(target)
     if parts.path != VIEW_PATH:
@@ -101,13 +103,13 @@
     fields = {name: values[0] for name, values in parse_qs(parts.query).items()}
     numbers = [fields.get(name, default) for name, default in _FIELDS]
     if not all(_is_number(number) for number in numbers):
-        return PageResponse(400, b"have, wait_ms, whole and deflate are whole numbers\n")
-    have, wait_ms, whole, deflate = (int(number) for number in numbers)
+        return PageResponse(400, b"have, wait_ms, whole, deflate and era are whole numbers\n")
+    have, wait_ms, whole, deflate, era = (int(number) for number in numbers)
     host = fields.get("host", "")[:MAX_NAME_CHARACTERS]
-    return ViewQuery(have, min(MAX_WAIT_S, wait_ms / 1000.0), whole != 0, deflate != 0, host)
+    return ViewQuery(have, min(MAX_WAIT_S, wait_ms / 1000.0), whole != 0, deflate != 0, host, era)
 
 
-_FIELDS = (("have", "0"), ("wait_ms", "0"), ("whole", "1"), ("deflate", "0"))
+_FIELDS = (("have", "0"), ("wait_ms", "0"), ("whole", "1"), ("deflate", "0"), ("era", "0"))
 
 
 def _is_number(text: str) -> bool:
@@ -155,9 +157,10 @@
         if not self._catalog.is_configured:
             return PageResponse(503, b"not configured\n")
         self._record_poll(query.host)
-        if query.have >= self._catalog.revision and query.wait_s > 0:
+        if self._has_nothing_new(query) and query.wait_s > 0:
             await self._wait(query.wait_s)
-        view = self._catalog.view(self._clock(), query.have, self._age_s(), whole=query.whole)
+        have = query.have if query.era == self._catalog.era else 0
+        view = self._catalog.view(self._clock(), have, self._age_s(), whole=query.whole)
         response_view = view._replace(
             data_centre=self._data_centre, polling_hosts=self.polling_hosts
         )
@@ -166,6 +169,9 @@
             return PageResponse(200, data, _CONTENT_TYPE)
         return PageResponse(200, zlib.compress(data, DEFLATE_LEVEL), _DEFLATED)
 
+    def _has_nothing_new(self, query: ViewQuery) -> bool:
+        return query.era == self._catalog.era and query.have >= self._catalog.revision
+
     def _record_poll(self, host: str) -> None:
         if host and (host in self._last_polled_at or len(self._last_polled_at) < MAX_POLLING_HOSTS):
             # Move to the end, to keep the entries ordered by the time of the last poll.
@@ -188,6 +194,7 @@
         "whole": int(query.whole),
         "deflate": 1,
         "host": query.host,
+        "era": query.era,
     }
     result = await http_get(
         host,
--- a/banyanline/platform/entries.py
+++ b/banyanline/platform/entries.py
@@ -10,20 +10,15 @@
 
 from banyanline.core.steering.model import (
     Change,
-    ColdLimit,
     DataCentreChanged,
-    Route,
-    RouteKind,
-    RoutingTable,
-    ServiceShare,
     TableChanged,
     UpstreamChanged,
     UpstreamEntry,
     UpstreamRemoved,
 )
-from banyanline.core.steering.packet import NO_COOKIE, ServiceAddress
+from banyanline.core.steering.packet import NO_COOKIE
+from banyanline.platform.configuration import read_configuration, to_routing_table
 from banyanline.platform.host_settings import parse_endpoint
-from banyanline.platform.packets import service_address
 
 UPSTREAM_PREFIX = "servers/"
 CONFIGURATION_KEY = "op/config"
@@ -34,12 +29,6 @@
 _MAX_WIRE_ID = (1 << 64) - 1
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
-_ROUTE_KINDS = {
-    "safe": RouteKind.IDEMPOTENT,
-    "unsafe": RouteKind.NON_IDEMPOTENT,
-    "download": RouteKind.DOWNLOAD,
-}
-
 
 class UnusableItem(NamedTuple):
     """An item of the store whose value cannot be decoded."""
@@ -83,48 +72,7 @@
     """Start time of this incarnation, in Unix milliseconds."""
 
 
-class _Share(msgspec.Struct):
-    service: str
-    weight: float
-
-
-class RouteDocument(msgspec.Struct):
-    """A route in the operator's configuration document."""
-
-    name: str
-    hostname: str
-    """An IPv4 address, not a name."""
-    prefix: str
-    """A port between slashes."""
-    route_type: Literal["safe", "unsafe", "download"]
-    timeout_ms: float = 0.0
-    aim_ms: float = 0.0
-    priority: int = 0
-    service: str | None = None
-    traffic_split: list[_Share] = []
-
-
-class _Service(msgspec.Struct):
-    name: str
-    warmup_s: float = 0.0
-    warmup_per_s: float = 0.0
-
-
-class _Limits(msgspec.Struct):
-    idle_timeout_ms: float = 60_000.0
-
-
-class ConfigurationDocument(msgspec.Struct):
-    """The operator's configuration document."""
-
-    version: int
-    routes: list[RouteDocument]
-    services: list[_Service]
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-
-
 _UPSTREAM_DECODER = msgspec.json.Decoder(_Upstream)
-_CONFIGURATION_DECODER = msgspec.json.Decoder(ConfigurationDocument)
 
 
 def decode_item(item: StoreItem) -> DecodedItem:
@@ -147,7 +95,7 @@
     try:
         value = base64.b64decode(item.value, validate=True)
         if key == CONFIGURATION_KEY:
-            return TableChanged(_to_routing_table(read_configuration(value)), item.revision)
+            return TableChanged(to_routing_table(read_configuration(value)), item.revision)
         entry = _to_upstream_entry(
             key.removeprefix(UPSTREAM_PREFIX), _UPSTREAM_DECODER.decode(value)
         )
@@ -156,24 +104,6 @@
     return UpstreamChanged(entry, item.revision, item.created)
 
 
-def read_configuration(data: bytes) -> ConfigurationDocument:
-    """Decode the operator's document; raises msgspec.MsgspecError if a type is wrong."""
-    return _CONFIGURATION_DECODER.decode(data)
-
-
-def route_address(document: RouteDocument) -> ServiceAddress:
-    """Return the service address of a route; raises OSError or ValueError if invalid."""
-    return service_address(document.hostname, int(document.prefix.strip("/")))
-
-
-def route_shares(document: RouteDocument) -> tuple[ServiceShare, ...]:
-    """Return the weighted services of a route; empty if the document names none."""
-    shares = tuple(ServiceShare(share.service, share.weight) for share in document.traffic_split)
-    if not shares and document.service is not None:
-        return (ServiceShare(document.service, 1.0),)
-    return shares
-
-
 def _to_upstream_entry(name: str, document: _Upstream) -> UpstreamEntry:
     wire_id = parse_wire_id(name)
     if document.slots < 1 or document.cold_remaining_ms < 0:
@@ -189,6 +119,7 @@
         is_leaving=document.state == "draining",
         cold_for_s=document.cold_remaining_ms / 1000.0,
         incarnation=document.born,
+        sequence=document.sequence,
     )
 
 
@@ -210,28 +141,3 @@
 def cookie_of(wire_id: int) -> int:
     """Return the 32-bit cookie of an upstream, which is never ``NO_COOKIE``."""
     return (wire_id ^ wire_id >> 32) % _COOKIE_MODULUS or NO_COOKIE + 1
-
-
-def _to_routing_table(document: ConfigurationDocument) -> RoutingTable:
-    routes = [_to_route(route) for route in document.routes]
-    return RoutingTable(
-        version=document.version,
-        routes={route.address: route for route in routes},
-        cold_limits={
-            service.name: ColdLimit(service.warmup_s, service.warmup_per_s)
-            for service in document.services
-        },
-        idle_timeout_s=document.limits.idle_timeout_ms / 1000.0,
-    )
-
-
-def _to_route(document: RouteDocument) -> Route:
-    return Route(
-        name=document.name,
-        address=route_address(document),
-        kind=_ROUTE_KINDS[document.route_type],
-        patience_s=document.timeout_ms / 1000.0,
-        objective_s=document.aim_ms / 1000.0,
-        priority=document.priority,
-        shares=route_shares(document),
-    )
--- a/banyanline/platform/host_settings.py
+++ b/banyanline/platform/host_settings.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import math
 import os
 import tomllib
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 
+from banyanline.core.steering.model import Defect
 from banyanline.core.types import DataCentreName, Endpoint, HostName
+from banyanline.platform.documents import DocumentReader
 from banyanline.platform.early_start import SETTINGS_PATH_VARIABLE
 
+DEFAULT_HEARTBEAT_MS = 1200.0
+
 _MAX_PORT = 65_535
 
 
@@ -23,7 +28,8 @@
     own use. ``seeds`` are control endpoints of a few hosts and may be stale. Bounds are
     in seconds and apply to a host that has been healthy for ``contact_s``.
     ``change_bound_s`` is the shortest of the times within which the host must act on
-    a change in the platform.
+    a change in the platform. ``defects`` are the optional fields that could not be read and
+    have their defaults.
     """
 
     host: HostName
@@ -39,6 +45,7 @@
     max_flow_s: float
     contact_s: float
     change_bound_s: float
+    defects: tuple[Defect, ...] = ()
 
 
 class HostSettingsError(NamedTuple):
@@ -71,16 +78,21 @@
 
 
 class _Document(msgspec.Struct):
-    """The settings file; unknown fields are ignored."""
+    """The required fields of the settings file; unknown fields are ignored."""
 
     node_name: str
     zone: str
     listen: _Listen
     platform: _Store
-    seeds: list[str] = []
+
+
+class _OptionalFields(msgspec.Struct):
+    """Fields of the settings file without which a host still serves."""
+
+    seeds: list[Any] = []
     internal_port_range: tuple[int, int] = (0, 0)
-    heartbeat_ms: float = 1200.0
-    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    heartbeat_ms: float = DEFAULT_HEARTBEAT_MS
+    bounds: Any = msgspec.field(default_factory=dict)
 
 
 def settings_path() -> Path | None:
@@ -129,16 +141,19 @@
 def parse_settings(text: str) -> HostSettings | HostSettingsError:
     """Parse and validate the text of a settings file.
 
+    An optional field that cannot be read gets its default and is recorded as a defect.
+
     >>> str(parse_settings("node_name = 7"))
     'expected `str`, got `int` - at `$.node_name`'
     """
     try:
-        document = msgspec.convert(tomllib.loads(text), _Document)
+        fields = tomllib.loads(text)
+        document = msgspec.convert(fields, _Document)
     except (tomllib.TOMLDecodeError, msgspec.ValidationError, RecursionError) as error:
         detail = str(error)
         return HostSettingsError(detail[:1].lower() + detail[1:])
     try:
-        return _to_host_settings(document)
+        return _to_host_settings(document, fields)
     except ValueError as error:
         return HostSettingsError(str(error))
 
@@ -159,14 +174,12 @@
     return text.isascii() and text.isdecimal() and len(text) <= 5 and int(text) <= maximum
 
 
-def _to_host_settings(document: _Document) -> HostSettings:
+def _to_host_settings(document: _Document, fields: dict[str, Any]) -> HostSettings:
     listen = document.listen
-    first, last = document.internal_port_range
-    if not 0 <= first <= last <= _MAX_PORT:
-        raise ValueError(f"internal_port_range: {first} to {last} is not a valid port range")
-    if document.heartbeat_ms <= 0:
-        raise ValueError(f"heartbeat_ms: {document.heartbeat_ms} is not greater than 0")
     control = parse_endpoint("listen.control", listen.control) if listen.control else None
+    reader = DocumentReader()
+    optional = reader.convert("", fields, _OptionalFields) or _OptionalFields()
+    bounds = _read_bounds(reader, optional.bounds)
     return HostSettings(
         host=document.node_name,
         data_centre=document.zone,
@@ -174,15 +187,51 @@
         readiness=parse_endpoint("listen.ready", listen.ready),
         control=control,
         store=parse_endpoint("platform.address", document.platform.address),
-        seeds=tuple(parse_endpoint("seeds", seed) for seed in document.seeds),
-        internal_ports=range(first, last + 1) if first else range(0),
-        stop_grace_s=document.bounds.grace_s,
-        heartbeat_s=document.heartbeat_ms / 1000.0,
-        max_flow_s=document.bounds.max_flow_s,
-        contact_s=document.bounds.contact_ms / 1000.0,
-        change_bound_s=_change_bound_s(document.bounds),
+        seeds=_read_seeds(reader, optional.seeds),
+        internal_ports=_read_ports(reader, optional.internal_port_range),
+        stop_grace_s=bounds.grace_s,
+        heartbeat_s=_read_heartbeat_ms(reader, optional.heartbeat_ms) / 1000.0,
+        max_flow_s=bounds.max_flow_s,
+        contact_s=bounds.contact_ms / 1000.0,
+        change_bound_s=_change_bound_s(bounds),
+        defects=reader.defects,
     )
 
 
+def _read_bounds(reader: DocumentReader, fields: Any) -> _Bounds:
+    bounds = reader.convert("bounds", fields, _Bounds) or _Bounds()
+    for field in msgspec.structs.fields(_Bounds):
+        value = getattr(bounds, field.name)
+        if not 0 < value < math.inf:
+            reader.report(f"bounds.{field.name}", value, f"{field.default:g} is used")
+            setattr(bounds, field.name, field.default)
+    return bounds
+
+
+def _read_seeds(reader: DocumentReader, seeds: list[Any]) -> tuple[Endpoint, ...]:
+    readable = []
+    for idx, seed in enumerate(seeds):
+        try:
+            readable.append(parse_endpoint(f"seeds[{idx}]", str(seed)))
+        except ValueError:
+            reader.report(f"seeds[{idx}]", seed, "not an IPv4 address and port: left out")
+    return tuple(readable)
+
+
+def _read_ports(reader: DocumentReader, ports: tuple[int, int]) -> range:
+    first, last = ports
+    if 0 <= first <= last <= _MAX_PORT:
+        return range(first, last + 1) if first else range(0)
+    reader.report("internal_port_range", ports, "not a valid port range: ignored")
+    return range(0)
+
+
+def _read_heartbeat_ms(reader: DocumentReader, heartbeat_ms: float) -> float:
+    if 0 < heartbeat_ms < math.inf:
+        return heartbeat_ms
+    reader.report("heartbeat_ms", heartbeat_ms, f"{DEFAULT_HEARTBEAT_MS:g} is used")
+    return DEFAULT_HEARTBEAT_MS
+
+
 def _change_bound_s(bounds: _Bounds) -> float:
     return min(bounds.drain_ms, bounds.config_apply_ms, bounds.evacuation_ms) / 1000.0
--- a/banyanline/platform/store.py
+++ b/banyanline/platform/store.py
@@ -9,11 +9,12 @@
 
 import msgspec
 
+from banyanline.core.steering.model import StoreEra
 from banyanline.platform.entries import StoreItem
 from banyanline.transport.http import HttpFailed, http_get
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from banyanline.core.types import Endpoint, Seconds
 
@@ -23,6 +24,8 @@
 ANSWER_TIMEOUT_S = 0.8
 """Response timeout in addition to the wait time of a watch."""
 
+_ERA_HEADER = "store-era"
+_MAX_ERA_DIGITS = 18
 _HTTP_OK = 200
 _HTTP_GONE = 410
 _HTTP_TOO_MANY = 429
@@ -39,6 +42,8 @@
     TOO_MANY_CALLS = "too_many_calls"
     BAD_STATUS = "bad_status"
     HISTORY_GONE = "history_gone"
+    EARLIER_ERA = "earlier_era"
+    """The response is from before the store was restored from a copy."""
 
 
 class StoreFailed(NamedTuple):
@@ -49,14 +54,14 @@
 
 
 class Changes(NamedTuple):
-    """The changes after the requested revision, up to revision ``as_of``."""
+    """The changes after the requested revision, up to revision ``as_of`` of the store's era."""
 
     events: tuple[StoreItem, ...]
     as_of: int
+    era: StoreEra = 0
 
 
 ChangesResult: TypeAlias = Changes | StoreFailed
-BodyResult: TypeAlias = bytes | StoreFailed
 
 
 class StorePage(msgspec.Struct):
@@ -65,6 +70,7 @@
     items: list[StoreItem]
     truncated: bool
     as_of: int
+    era: StoreEra = 0
 
     @property
     def last_key(self) -> str:
@@ -83,6 +89,11 @@
 _EVENTS_DECODER = msgspec.json.Decoder(_Events)
 
 
+class _Response(NamedTuple):
+    body: bytes
+    era: StoreEra
+
+
 class StoreClient:
     """Calls the store at one endpoint; errors are returned, never raised."""
 
@@ -126,10 +137,10 @@
         ``allow_stale``: such calls do not count towards the store's rate limit.
         """
         query = {"prefix": prefix} | (_later_page_query(after) if after else {})
-        body = await self._get("/kv-range", query, timeout_s)
-        if isinstance(body, StoreFailed):
-            return body
-        page = parse_page(body)
+        response = await self._get("/kv-range", query, timeout_s)
+        if isinstance(response, StoreFailed):
+            return response
+        page = parse_page(response.body, response.era)
         if isinstance(page, StorePage) and page.truncated and page.last_key <= after:
             return StoreFailed(
                 StoreFailureReason.MALFORMED,
@@ -143,14 +154,14 @@
         Fails with ``HISTORY_GONE`` if the store no longer holds the changes since then.
         """
         query = {"prefix": prefix, "after": str(after), "wait_ms": str(int(wait_s * 1000))}
-        body = await self._get("/kv-watch", query, wait_s + ANSWER_TIMEOUT_S)
-        if isinstance(body, StoreFailed):
-            return body
-        return parse_changes(body)
+        response = await self._get("/kv-watch", query, wait_s + ANSWER_TIMEOUT_S)
+        if isinstance(response, StoreFailed):
+            return response
+        return parse_changes(response.body, response.era)
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: Seconds
-    ) -> bytes | StoreFailed:
+    ) -> _Response | StoreFailed:
         self._calls += 1
         result = await self._call(path, query, timeout_s)
         if isinstance(result, StoreFailed):
@@ -159,7 +170,7 @@
 
     async def _call(
         self, path: str, query: dict[str, str], timeout_s: Seconds
-    ) -> bytes | StoreFailed:
+    ) -> _Response | StoreFailed:
         response = await http_get(
             self._endpoint,
             f"{path}?{urlencode(query)}",
@@ -170,7 +181,7 @@
             return StoreFailed(StoreFailureReason(response.reason.value), response.detail)
         if response.status == _HTTP_OK:
             self._answered_at = self._clock()
-            return response.body
+            return _Response(response.body, parse_era(response.headers))
         if response.status == _HTTP_GONE:
             return StoreFailed(StoreFailureReason.HISTORY_GONE)
         if response.status == _HTTP_TOO_MANY:
@@ -182,22 +193,34 @@
     return {"after": after, "allow_stale": "1"}
 
 
-def parse_page(body: bytes) -> PageResult:
+def parse_era(headers: Mapping[str, str]) -> StoreEra:
+    """Return the era that a response names, or 0 if it names none.
+
+    >>> parse_era({"store-era": "3"}), parse_era({})
+    (3, 0)
+    """
+    era = headers.get(_ERA_HEADER, "")
+    return int(era) if era.isascii() and era.isdecimal() and len(era) <= _MAX_ERA_DIGITS else 0
+
+
+def parse_page(body: bytes, era: StoreEra = 0) -> PageResult:
     """Decode a page of items from the store."""
     try:
-        return _PAGE_DECODER.decode(body)
+        page = _PAGE_DECODER.decode(body)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return StoreFailed(StoreFailureReason.MALFORMED, str(error))
+    page.era = era
+    return page
 
 
-def parse_changes(body: bytes) -> ChangesResult:
+def parse_changes(body: bytes, era: StoreEra = 0) -> ChangesResult:
     """Decode a list of changes from the store.
 
     >>> parse_changes(b'{"events":[],"as_of":413}')
-    Changes(events=(), as_of=413)
+    Changes(events=(), as_of=413, era=0)
     """
     try:
         changes = _EVENTS_DECODER.decode(body)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return StoreFailed(StoreFailureReason.MALFORMED, str(error))
-    return Changes(tuple(changes.events), changes.as_of)
+    return Changes(tuple(changes.events), changes.as_of, era)
--- a/banyanline/platform/validation.py
+++ b/banyanline/platform/validation.py
@@ -6,13 +6,13 @@
 
 import msgspec
 
-from banyanline.platform.entries import read_configuration, route_address, route_shares
+from banyanline.platform.configuration import read_configuration
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from banyanline.core.steering.packet import ServiceAddress
-    from banyanline.platform.entries import ConfigurationDocument, RouteDocument
+    from banyanline.platform.configuration import Configuration, DocumentRoute
 
 
 class ConfigurationCheck(NamedTuple):
@@ -44,61 +44,60 @@
     ()
     """
     try:
-        document = read_configuration(data)
+        configuration = read_configuration(data)
     except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         return ConfigurationCheck(0, 0, 0, (str(error),))
-    problems = tuple(_problems(document))
     return ConfigurationCheck(
-        document.version, len(document.routes), len(document.services), problems
+        configuration.version,
+        configuration.route_count,
+        len(configuration.services),
+        tuple(_problems(configuration)),
     )
 
 
-def _problems(document: ConfigurationDocument) -> Iterator[str]:
-    if document.version < 1:
-        yield f"version: got {document.version}, accepted: a whole number from 1"
-    if document.limits.idle_timeout_ms <= 0:
-        yield f"limits.idle_timeout_ms: got {document.limits.idle_timeout_ms}, accepted: above 0"
-    known = {service.name for service in document.services}
+def _problems(configuration: Configuration) -> Iterator[str]:
+    if configuration.version < 1:
+        yield f"version: got {configuration.version}, accepted: a whole number from 1"
+    for defect in configuration.defects:
+        yield f"{defect.path}: got {defect.value!r}: {defect.effect}"
+    known = {service.name for service in configuration.services}
     first_index: dict[ServiceAddress, int] = {}
-    for idx, route in enumerate(document.routes):
-        path = f"routes[{idx}]"
-        yield from _address_problems(path, idx, route, first_index)
+    for route in configuration.routes:
+        path = f"routes[{route.idx}]"
+        yield from _address_problems(path, route, first_index)
         yield from _service_problems(path, route, known)
         yield from _time_problems(path, route)
 
 
 def _address_problems(
-    path: str, idx: int, route: RouteDocument, first_index: dict[ServiceAddress, int]
+    path: str, route: DocumentRoute, first_index: dict[ServiceAddress, int]
 ) -> Iterator[str]:
-    try:
-        address = route_address(route)
-    except (OSError, ValueError):
-        yield (
-            f"{path}: got {route.hostname!r} and {route.prefix!r}, "
-            "accepted: an IPv4 address and a port between slashes"
-        )
+    if route.address is None:
         return
-    first = first_index.setdefault(address, idx)
-    if first != idx:
+    first = first_index.setdefault(route.address, route.idx)
+    if first != route.idx:
+        fields = route.fields
         yield (
-            f"{path}: got {route.hostname!r} and {route.prefix!r} as in routes[{first}], "
+            f"{path}: got {fields.hostname!r} and {fields.prefix!r} as in routes[{first}], "
             "accepted: an address that no other route has"
         )
 
 
-def _service_problems(path: str, route: RouteDocument, known: set[str]) -> Iterator[str]:
-    shares = route_shares(route)
-    if not shares:
+def _service_problems(path: str, route: DocumentRoute, known: set[str]) -> Iterator[str]:
+    if not route.shares:
         yield f"{path}: got neither service nor traffic_split, accepted: one of them"
         return
-    for service in {share.service for share in shares} - known:
+    for service in {share.service for share in route.shares} - known:
         yield f"{path}: got service {service!r}, accepted: a name under services"
-    weights = sorted(share.weight for share in shares)
-    if weights[0] < 0 or sum(weights) <= 0:
+    weights = sorted(share.weight for share in route.shares)
+    if sum(weights) <= 0:
         yield f"{path}.traffic_split: got weights {weights}, accepted: 0 or more, one above 0"
 
 
-def _time_problems(path: str, route: RouteDocument) -> Iterator[str]:
-    for name, value in (("timeout_ms", route.timeout_ms), ("aim_ms", route.aim_ms)):
+def _time_problems(path: str, route: DocumentRoute) -> Iterator[str]:
+    for name, value in (
+        ("timeout_ms", route.fields.timeout_ms),
+        ("aim_ms", route.fields.aim_ms),
+    ):
         if value < 0:
             yield f"{path}.{name}: got {value:g}, accepted: 0 or more"
--- a/bench/steering/fleet.py
+++ b/bench/steering/fleet.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import subprocess
 import sys
+from collections import Counter
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -16,7 +18,7 @@
 from bench.network.addresses import AddressPlan
 from bench.steering.caller import PacketCaller
 from bench.steering.proxy import FaultProxy
-from bench.steering.store import StandInStore
+from bench.steering.store import StandInStore, StoreCopy
 from bench.steering.upstream import PacketUpstream
 
 PACKETS_PORT = 8172
@@ -169,6 +171,7 @@
         self._change_bound_ms = change_bound_ms
         self.store_proxies: list[FaultProxy] = []
         self._store_addresses: list[tuple[str, int]] = []
+        self._writes: Counter[str] = Counter()
 
     async def start(self) -> None:
         """Start the store and write the hosts' settings, without starting any host."""
@@ -221,6 +224,7 @@
     async def register(self, name: str, service: str = "orders", **fields: Any) -> None:
         """Write the registration entry of an upstream; ``fields`` replace its defaults."""
         ip, port = self.upstreams[name].address
+        self._writes[name] += 1
         entry = {
             "service": service,
             "address": f"{ip}:{port}",
@@ -229,11 +233,35 @@
             "slots": 2,
             "state": "ready",
             "cold_remaining_ms": 0,
-            "sequence": 1,
+            "sequence": self._writes[name],
             "born": 1,
         }
         await self.store.put(f"servers/{name}", entry | fields)
 
+    async def restore_store(self, copy: StoreCopy) -> StoreCopy:
+        """Restore the store from a copy; return its state before."""
+        lost = self.store.copy()
+        await self.store.restore(copy)
+        return lost
+
+    async def write_again(self, lost: StoreCopy, copy: StoreCopy) -> None:
+        """Write what was lost when the store was restored, and has not been written since."""
+        for key in lost.items.keys() | copy.items.keys():
+            before, restored = lost.items.get(key), copy.items.get(key)
+            if before == restored or self.store.copy().items.get(key) != restored:
+                continue
+            if before is None:
+                await self.store.delete(key)
+            else:
+                await self.store.put(key, self._next_write(key, before.value))
+
+    def _next_write(self, key: str, value: bytes) -> bytes:
+        name = key.removeprefix("servers/")
+        if name not in self.upstreams:
+            return value
+        self._writes[name] += 1
+        return json.dumps(json.loads(value) | {"sequence": self._writes[name]}).encode()
+
     async def configure(self, version: int, *services: tuple[tuple[str, int], str]) -> None:
         """Write a configuration with a route for each ``((ip, port), service)``."""
         routes = [
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -242,6 +242,27 @@
         assert (await flow.request(b"y", host)).startswith(b"i-a1:")
 
 
+async def test_what_a_restored_store_lost_is_kept_until_it_is_written_again(tmp_path):
+    async with fleet(tmp_path) as running:
+        host = running.hosts[0].plan.packet_address
+        caller = running.add_caller()
+        flow = await caller.open(host)
+        copy = running.store.copy()
+        await running.add_upstream("i-b0")
+        await running.store.put("op/evacuate/north", {})
+        await until_reset(running, caller)
+        lost = await running.restore_store(copy)
+        await until_logged(running, "event=store_restored")
+        await until_logged(running, f"as_of={copy.revision} era=2")
+        await until_reset(running, caller)
+        assert await flow.request(b"still open", host)
+        await running.write_again(lost, copy)
+        await running.store.delete("op/evacuate/north")
+        await until_logged(running, "out=false")
+        assert running.store.revision < lost.revision + 2
+        await caller.open(host)
+
+
 async def test_started_host_gets_its_view_from_a_seed_while_the_store_is_down(tmp_path):
     async with fleet(tmp_path, hosts=2) as running:
         second = running.hosts[1]
