Free the slots of a previous owner by request, not by count

The previous owner's last report (in_flight 0) came before its handover, which was older and said 2: both slots of the upstream stayed taken until the latest deadline. The same happened when a report was lost, or when the new owner had already handed over again.

Change: a new owner holds the slots of the requests that its ledger knows to run elsewhere, so that the order of report and handover does not matter. Reports are sent as a datagram and as a transfer, and an owner that has handed over passes on what is new to it. The soak's wait for its own tasks could spin for ever once several were done; it waits for all of them.

--- a/banyanline/core/gate/gate.py
+++ b/banyanline/core/gate/gate.py
@@ -38,6 +38,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterable
 
     from banyanline.core.gate.messages import FlowId, RequestId
     from banyanline.core.model import ColdStart, Upstream
@@ -278,14 +279,16 @@
             boot=self._health.boot,
         )
 
-    def set_held_by_previous_owner(
-        self, in_flight: int, connections: int, now: Seconds
-    ) -> GateEffects:
-        """Set the requests and connections that the previous owner still holds."""
-        self._scheduler.occupancy.lower_held_by_previous_owner(in_flight)
-        self._connections.set_held_by_previous_owner(connections)
+    def end_at_previous_owners(self, ended: Iterable[RequestId], now: Seconds) -> GateEffects:
+        """Use the slots of requests that have ended at a previous owner."""
+        if not self._scheduler.occupancy.end_at_previous_owners(ended):
+            return []
         return self._run_scheduler(now)
 
+    def set_connections_at_previous_owner(self, connections: int) -> None:
+        """Set the number of connections that the previous owner still holds."""
+        self._connections.set_held_by_previous_owner(connections)
+
     def load_snapshot(self, now: Seconds) -> LoadSnapshot:
         """Return a new load snapshot, for the next reply to a home."""
         self._load_sequence += 1
@@ -319,7 +322,10 @@
     def _(self, start: StartHandedOver, now: Seconds) -> None:
         state = start.gate_state
         until = now + state.latest_deadline_in_s
-        self._scheduler.occupancy.reserve_for_previous_owner(state.in_flight, until)
+        unidentified = max(0, state.in_flight - start.ended_count - len(start.running))
+        self._scheduler.occupancy.reserve_for_previous_owners(
+            start.running, unidentified=unidentified, until=until
+        )
         self._connections.set_held_by_previous_owner(state.connections)
         self._health = UpstreamHealth(self._rng, state.boot)
         self._pacing.resume(now, state.ramp_elapsed_s, state.next_start_in_s, state.service_time_s)
--- a/banyanline/core/gate/messages.py
+++ b/banyanline/core/gate/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Collection, Hashable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple, TypeAlias
@@ -137,9 +137,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StartHandedOver:
-    """The previous owner handed over; the gate uses the capacity that owner leaves free."""
+    """The previous owner handed over; the gate uses the capacity that owner leaves free.
+
+    Of the requests that were in flight then, ``running`` may still be, and ``ended_count``
+    have ended since.
+    """
 
     gate_state: GateState
+    running: Collection[RequestId] = ()
+    ended_count: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/banyanline/core/gate/occupancy.py
+++ b/banyanline/core/gate/occupancy.py
@@ -7,6 +7,8 @@
 from banyanline.core.gate.messages import Work
 
 if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
     from banyanline.core.gate.messages import RequestId
     from banyanline.core.types import Seconds
 
@@ -24,7 +26,7 @@
 
     >>> occupancy = Occupancy()
     >>> occupancy.start(Work("a", deadline=2.0), now=0.0)
-    >>> occupancy.reserve_for_previous_owner(1, until=1.0)
+    >>> occupancy.reserve_for_previous_owners({"b"}, unidentified=0, until=1.0)
     >>> occupancy.taken
     2
     >>> occupancy.release(now=1.0)
@@ -35,7 +37,8 @@
     def __init__(self) -> None:
         self._running: dict[RequestId, Running] = {}
         self._cancelled: dict[RequestId, Running] = {}
-        self._held_by_previous_owner = 0
+        self._running_elsewhere: set[RequestId] = set()
+        self._unidentified_elsewhere = 0
         self._previous_owner_until: Seconds = 0.0
 
     @property
@@ -45,8 +48,8 @@
 
     @property
     def held_by_previous_owner(self) -> int:
-        """Number of requests of the previous owner that may still run."""
-        return self._held_by_previous_owner
+        """Number of requests of previous owners that may still run."""
+        return len(self._running_elsewhere) + self._unidentified_elsewhere
 
     @property
     def previous_owner_until(self) -> Seconds:
@@ -56,7 +59,7 @@
     @property
     def taken(self) -> int:
         """Number of slots that are taken, by either owner."""
-        return len(self._running) + len(self._cancelled) + self._held_by_previous_owner
+        return len(self._running) + len(self._cancelled) + self.held_by_previous_owner
 
     def __contains__(self, request_id: RequestId) -> bool:
         return request_id in self._running
@@ -76,19 +79,29 @@
             self._cancelled[request_id] = running._replace(is_cancelled=True)
         return running
 
-    def reserve_for_previous_owner(self, count: int, until: Seconds) -> None:
-        """Count ``count`` slots as taken by the previous owner until ``until``."""
-        self._held_by_previous_owner = count
+    def reserve_for_previous_owners(
+        self, running: Collection[RequestId], *, unidentified: int, until: Seconds
+    ) -> None:
+        """Count slots as taken by previous owners until ``until``.
+
+        They are those of the requests ``running``, which may end earlier, and
+        ``unidentified`` others.
+        """
+        self._running_elsewhere = set(running)
+        self._unidentified_elsewhere = unidentified
         self._previous_owner_until = until
 
-    def lower_held_by_previous_owner(self, count: int) -> None:
-        """Reduce the number of slots taken by the previous owner to ``count``."""
-        self._held_by_previous_owner = min(count, self._held_by_previous_owner)
+    def end_at_previous_owners(self, ended: Iterable[RequestId]) -> bool:
+        """Free the slots of requests that ended at a previous owner; false if none had one."""
+        before = len(self._running_elsewhere)
+        self._running_elsewhere.difference_update(ended)
+        return len(self._running_elsewhere) < before
 
     def release(self, now: Seconds) -> None:
         """Free the slots of requests that must have ended by ``now``."""
-        if self._held_by_previous_owner and now >= self._previous_owner_until:
-            self._held_by_previous_owner = 0
+        if self.held_by_previous_owner and now >= self._previous_owner_until:
+            self._running_elsewhere.clear()
+            self._unidentified_elsewhere = 0
         if self._cancelled:
             self._cancelled = {
                 request_id: running
@@ -99,7 +112,7 @@
     def next_release_at(self) -> Seconds | None:
         """Return when :meth:`release` has something to do."""
         times = [running.work.deadline for running in self._cancelled.values()]
-        if self._held_by_previous_owner:
+        if self.held_by_previous_owner:
             times.append(self._previous_owner_until)
         return min(times, default=None)
 
--- a/banyanline/core/owner/handover.py
+++ b/banyanline/core/owner/handover.py
@@ -14,10 +14,16 @@
 
 from banyanline.core.context import Context
 from banyanline.core.flows import FlowTable
-from banyanline.core.gate import GateStart, StartCold, StartHandedOver
+from banyanline.core.gate import GateStart, GateState, StartCold, StartHandedOver
 from banyanline.core.ledger import OwnerLedger
 from banyanline.core.membership.view import View
-from banyanline.core.messages import FlowKey, HandoverProgress, KeyState, OwnerHandover
+from banyanline.core.messages import (
+    FlowKey,
+    HandoverProgress,
+    KeyState,
+    OwnerHandover,
+    Pending,
+)
 from banyanline.core.model import Service, Upstream
 from banyanline.core.owner.owned import OwnedUpstream
 from banyanline.core.owner.ownership import OwnershipStage, OwnershipState
@@ -223,27 +229,55 @@
             if host != self._context.local.name or owned.name not in self._ever_active:
                 owned.ownership.add_lost_owner(host, now + remaining_s)
         is_expected = owned.ownership.stage is OwnershipStage.AWAITING_HANDOVER
-        if message.last and is_expected and sender == owned.ownership.predecessor:
-            self._activate(owned, StartHandedOver(message.gate), now)
-
-    def _import_keys(self, keys: tuple[KeyState, ...], now: Seconds) -> None:
+        if not is_expected or sender != owned.ownership.predecessor:
+            return
+        owned.ownership.handed_over_running += sum(
+            isinstance(state.outcome, Pending) and state.upstream == owned.name
+            for state in message.keys
+        )
+        if message.last:
+            self._activate(owned, self._start_handed_over(owned, message.gate), now)
+
+    def _start_handed_over(self, owned: OwnedUpstream, gate: GateState) -> StartHandedOver:
+        """Return the start of a gate; some requests may have ended before the handover came."""
+        running = self._requests.running_elsewhere(owned)
+        ended_count = max(0, owned.ownership.handed_over_running - len(running))
+        return StartHandedOver(gate, running, ended_count)
+
+    def _import_keys(self, keys: tuple[KeyState, ...], now: Seconds) -> list[KeyState]:
+        """Import keys from a previous owner; return those whose outcome was not known here."""
+        news = []
         for state in keys:
+            known = self._ledger.get(state.key)
+            if known is None or known.is_pending or not known.is_dispatched:
+                news.append(state)
             record = self._ledger.import_key(
                 state.key, state.upstream, state.outcome, state.ballot, now
             )
             if record is not None and record.is_dispatched and not record.is_pending:
                 owned = self._owned.get(record.upstream)
                 self._requests.notify_waiters(owned, state.key, record, now)
+        return news
 
     def receive_handover_progress(self, message: HandoverProgress, now: Seconds) -> None:
-        """Record how a request ended that was still running at the previous owner."""
-        self._import_keys(message.keys, now)
+        """Record how a request ended that was still running at a previous owner.
+
+        The message may arrive before the handover, or after this host has handed over too;
+        then it is passed on, unless it brings nothing new.
+        """
+        news = self._import_keys(message.keys, now)
         owned = self._owned.get(message.upstream)
-        if owned is not None and owned.is_active:
-            effects = owned.gate.set_held_by_previous_owner(
-                message.in_flight, message.connections, now
-            )
-            self._requests.apply_effects(owned, effects, now)
+        if owned is None or owned.is_handed_over:
+            if news:
+                self._requests.send_to_successor(
+                    HandoverProgress(
+                        message.upstream, message.in_flight, message.connections, tuple(news)
+                    )
+                )
+        elif owned.is_active:
+            owned.gate.set_connections_at_previous_owner(message.connections)
+            ended = [state.key for state in message.keys]
+            self._requests.apply_effects(owned, owned.gate.end_at_previous_owners(ended, now), now)
 
     def _activate(self, owned: OwnedUpstream, start: GateStart, now: Seconds) -> None:
         flows = [flow for flow, entry in self._flows.items() if entry.upstream == owned.name]
--- a/banyanline/core/owner/ownership.py
+++ b/banyanline/core/owner/ownership.py
@@ -29,7 +29,10 @@
 
 
 class OwnershipState:
-    """The stage of an ownership, when the stage ends, and the failed previous owners."""
+    """The stage of an ownership, when the stage ends, and the failed previous owners.
+
+    ``handed_over_running`` is the number of running requests that the handover listed so far.
+    """
 
     def __init__(
         self,
@@ -40,6 +43,7 @@
         self.stage = stage
         self.until = until
         self.predecessor = predecessor
+        self.handed_over_running = 0
         self._lost: dict[HostName, Seconds] = {}
 
     def add_lost_owner(self, host: HostName, until: Seconds) -> None:
--- a/banyanline/core/owner/requests.py
+++ b/banyanline/core/owner/requests.py
@@ -291,7 +291,14 @@
         record.outcome = outcome
         self.notify_waiters(owned, key, record, now)
         if owned.is_handed_over:
-            self._notify_successor(owned, KeyState(key, owned.name, outcome, record.ballot))
+            state = KeyState(key, owned.name, outcome, record.ballot)
+            gate = owned.gate
+            self.send_to_successor(
+                HandoverProgress(owned.name, gate.in_flight, gate.connections, (state,))
+            )
+        else:
+            # A request of an earlier ownership of this host, which has the upstream again.
+            self.apply_effects(owned, owned.gate.end_at_previous_owners((key,), now), now)
 
     def notify_waiters(
         self, owned: OwnedUpstream | None, key: RequestKey, record: KeyRecord, now: Seconds
@@ -303,12 +310,24 @@
         for home, serial in waiters:
             self._reply(owned, home, serial, key, outcome, now)
 
-    def _notify_successor(self, owned: OwnedUpstream, state: KeyState) -> None:
-        successor = self._context.owner_of(owned.name)
+    def send_to_successor(self, message: HandoverProgress) -> None:
+        """Tell the present owner of an upstream how requests ended here.
+
+        A datagram is fast but may be lost. The same message as a transfer is not, and comes
+        after the handover.
+        """
+        successor = self._context.owner_of(message.upstream)
         if successor is not None and successor != self._context.local.name:
-            gate = owned.gate
-            message = HandoverProgress(owned.name, gate.in_flight, gate.connections, (state,))
             self._context.send(successor, message)
+            self._context.transfer(successor, message)
+
+    def running_elsewhere(self, owned: OwnedUpstream) -> frozenset[RequestKey]:
+        """Return the requests that run at the upstream and were started by an earlier owner."""
+        return frozenset(
+            key
+            for key, record in self._ledger.items()
+            if record.is_pending and record.upstream == owned.name and key not in owned.pending
+        )
 
     # -- datagrams from upstreams
 
--- a/banyanline/net/transfers.py
+++ b/banyanline/net/transfers.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from banyanline.core.messages import DataMessage, HomeHandover, OwnerHandover
+from banyanline.core.messages import DataMessage, HandoverProgress, HomeHandover, OwnerHandover
 from banyanline.core.types import Host, HostName
 from banyanline.net.control import CallFailed, ControlClient
 from banyanline.net.metrics import IoCounts
@@ -27,7 +27,7 @@
 class TransferRequest(msgspec.Struct, frozen=True):
     """Request with one message of a handover."""
 
-    message: OwnerHandover | HomeHandover
+    message: OwnerHandover | HomeHandover | HandoverProgress
 
 
 class TransferDone(msgspec.Struct, frozen=True):
@@ -69,7 +69,7 @@
             self._queues.pop(host, None)
 
     async def _deliver(self, host: HostName, message: DataMessage) -> None:
-        assert isinstance(message, OwnerHandover | HomeHandover)
+        assert isinstance(message, OwnerHandover | HomeHandover | HandoverProgress)
         request = TransferRequest(message)
         for _ in range(ATTEMPTS):
             receiver = self._find_host(host)
--- a/banyanline/tests/test_gate.py
+++ b/banyanline/tests/test_gate.py
@@ -135,15 +135,42 @@
         old.offer(Work(name, now + 2.0), now)
     assert refused(old.begin_handover(now)) == [("c", RefusalReason.OWNER_MOVED)]
     assert refused(old.offer(Work("d", now + 2.0), now)) == [("d", RefusalReason.OWNER_MOVED)]
-    new = make_gate(StartHandedOver(old.export_state(now)))
+    new = make_gate(StartHandedOver(old.export_state(now), running=("a", "b")))
     assert new.ramp_progress(0.0) == 1.0
     assert new.offer(Work("c", 2.0), 0.0) == []
-    assert started(new.set_held_by_previous_owner(in_flight=1, connections=0, now=0.1)) == ["c"]
+    assert started(new.end_at_previous_owners(["a"], 0.1)) == ["c"]
+    assert new.end_at_previous_owners(["a"], 0.1) == []
     assert new.offer(Work("e", 2.0), 0.1) == []
     assert started(new.tick(2.0)) == []
     assert new.in_flight_at_previous_owner == 0
 
 
+@pytest.mark.parametrize(
+    ("running", "ended_count", "held"),
+    [
+        pytest.param((), 0, 2, id="none is named"),
+        pytest.param(("a",), 0, 2, id="one is named"),
+        pytest.param(("a", "b"), 0, 2, id="all are named"),
+        pytest.param(("a",), 1, 1, id="one ended before the handover came"),
+        pytest.param((), 2, 0, id="all ended before the handover came"),
+    ],
+)
+def test_slots_of_the_previous_owner_are_held_until_it_is_known_that_they_are_free(
+    running, ended_count, held
+):
+    old = make_gate()
+    now = serve(old, 3, 0.0)
+    for name in "ab":
+        old.offer(Work(name, now + 2.0), now)
+    old.begin_handover(now)
+    new = make_gate(StartHandedOver(old.export_state(now), running, ended_count))
+    assert new.in_flight_at_previous_owner == held
+    new.end_at_previous_owners(["a", "b", "unknown"], 0.1)
+    assert new.in_flight_at_previous_owner == held - len(running)
+    new.tick(2.0)
+    assert new.in_flight_at_previous_owner == 0
+
+
 @pytest.mark.parametrize(
     ("outcomes", "expected"),
     [
@@ -318,7 +345,7 @@
     for flow in flows:
         new.adopt_connection(flow)
     if released is not None:
-        new.set_held_by_previous_owner(in_flight=0, connections=released, now=0.0)
+        new.set_connections_at_previous_owner(released)
     assert new.open_connection("fourth", 1.0) is None
     assert new.open_connection("fifth", 2.0) is RefusalReason.CONNECTION_LIMIT
 
--- a/bench/steering/soak.py
+++ b/bench/steering/soak.py
@@ -120,7 +120,7 @@
     async def _end_faults(self) -> None:
         """End all faults and wait for the recovery."""
         while self._tasks:
-            await next(iter(self._tasks))
+            await asyncio.wait(self._tasks)
         self.fleet.store.fault = StoreFault.NONE
         for proxy in self.fleet.store_proxies:
             proxy.fault = ProxyFault.NONE
--- a/properties/simulation.py
+++ b/properties/simulation.py
@@ -39,12 +39,16 @@
 
 
 class NetworkFaults(NamedTuple):
-    """Fault probabilities for each datagram, and network delays in seconds."""
+    """Fault probabilities for each datagram, and network delays in seconds.
+
+    ``transfer_delay_s`` is how much later than a datagram a control call arrives.
+    """
 
     loss: float = 0.0
     duplication: float = 0.0
     delay_s: float = 0.001
     jitter_s: float = 0.0005
+    transfer_delay_s: float = 0.0
 
 
 class SimulatedUpstreams:
@@ -380,7 +384,7 @@
             self.call_later(0.4, lambda: self._transfer(sender, receiver, message, attempt + 1))
             return
         self.call_later(
-            self._delay(),
+            self._delay() + self.faults.transfer_delay_s,
             lambda: self._call_node(receiver, "receive_from_peer", sender, message),
         )
 
