Keep a request running when an earlier attempt's refusal is handed over

Importing the key replaced its own pending outcome by the refusal and told the home "not run"; the home made a third attempt. The other way round, an owner that had refused an attempt ignored an imported outcome of one that had run, so that a claim could be answered with an untrue "not run".

Change: an imported "not run" never replaces an attempt that runs here or ran anywhere else, and an outcome that ran replaces a refusal; reports of several attempts may come in any order.

--- a/banyanline/core/ledger.py
+++ b/banyanline/core/ledger.py
@@ -14,7 +14,9 @@
 
 from banyanline.core.messages import (
     NO_BALLOT,
+    Answered,
     Ballot,
+    NotRun,
     Outcome,
     Pending,
     RequestKey,
@@ -104,10 +106,11 @@
     ``outcome`` is ``None`` for a key that was claimed but not dispatched, and
     :class:`Pending` while the request is queued or running. ``waiters`` are the
     dispatches that await the outcome, as pairs of home and serial. ``last_attempt`` is
-    the attempt that was last accepted, or recorded as refused.
+    the attempt that was last accepted, or recorded as refused. ``runs_elsewhere`` says that
+    the outcome was imported from a previous owner of the upstream.
     """
 
-    __slots__ = ("ballot", "last_attempt", "outcome", "upstream", "waiters")
+    __slots__ = ("ballot", "last_attempt", "outcome", "runs_elsewhere", "upstream", "waiters")
 
     def __init__(self, ballot: Ballot) -> None:
         self.ballot = ballot
@@ -115,6 +118,7 @@
         self.upstream: UpstreamName = ""
         self.last_attempt = NO_ATTEMPT
         self.waiters: list[tuple[HostName, int]] = []
+        self.runs_elsewhere = False
 
     @property
     def is_dispatched(self) -> bool:
@@ -203,6 +207,7 @@
         record.ballot = max(record.ballot, ballot)
         record.upstream = upstream
         record.outcome = Pending()
+        record.runs_elsewhere = False
         return Admitted(record)
 
     def record_refusal(
@@ -239,6 +244,7 @@
         record.ballot = ballot
         record.upstream = upstream
         record.outcome = Pending()
+        record.runs_elsewhere = False
         record.waiters.clear()
         return True
 
@@ -250,14 +256,33 @@
         ballot: Ballot,
         now: Seconds,
     ) -> KeyRecord | None:
-        """Add a key from the upstream's previous owner; ``None`` if the ledger is full."""
+        """Add a key from the upstream's previous owner; ``None`` if the ledger is full.
+
+        A request may have had several attempts at different upstreams, whose owners report
+        their outcomes in any order. That one of them did not run it says nothing of the
+        others, so such an outcome never replaces another attempt's.
+        """
         record = self._table.get(key)
         if record is None:
             record = KeyRecord(ballot)
             if self._table.add(key, record, now) is not None:
                 return None
         record.ballot = max(record.ballot, ballot)
-        if outcome is not None and (not record.is_dispatched or record.is_pending):
+        if outcome is not None and _supersedes(record, upstream, outcome):
             record.upstream = upstream
             record.outcome = outcome
+            record.runs_elsewhere = True
         return record
+
+
+def _supersedes(record: KeyRecord, upstream: UpstreamName, outcome: Outcome) -> bool:
+    """Whether the outcome of an attempt at ``upstream`` replaces the one in the record."""
+    known = record.outcome
+    if known is None:
+        return True
+    if isinstance(known, Pending):
+        ends_it = record.runs_elsewhere and record.upstream == upstream
+        return isinstance(outcome, Answered) or (ends_it and not isinstance(outcome, Pending))
+    if not isinstance(known, NotRun) or isinstance(outcome, NotRun):
+        return False
+    return not isinstance(outcome, Pending) or record.upstream != upstream
--- a/banyanline/tests/test_ledger.py
+++ b/banyanline/tests/test_ledger.py
@@ -175,6 +175,11 @@
         pytest.param(DONE, MOVED, DONE, id="known outcome is kept"),
         pytest.param(DONE, Pending(), DONE, id="does not become pending again"),
         pytest.param(DONE, None, DONE, id="claimed but not dispatched"),
+        pytest.param(Pending(), MOVED, Pending(), id="earlier attempt was refused elsewhere"),
+        pytest.param(Pending(), Unknown("x"), Pending(), id="runs here"),
+        pytest.param(MOVED, DONE, DONE, id="refused here, but answered elsewhere"),
+        pytest.param(MOVED, Unknown("x"), Unknown("x"), id="refused here, may have run elsewhere"),
+        pytest.param(MOVED, Pending(), MOVED, id="its own earlier state"),
     ],
 )
 def test_merge_of_handed_over_keys(own, adopted, expected):
@@ -183,3 +188,21 @@
     assert record is not None
     assert record.outcome == expected
     assert record.ballot == (LOW if own is None else HIGH)
+
+
+@pytest.mark.parametrize(
+    ("reports", "expected"),
+    [
+        pytest.param([("u-1", Pending()), ("u-1", MOVED)], MOVED, id="in order"),
+        pytest.param([("u-1", MOVED), ("u-1", Pending())], MOVED, id="handover comes late"),
+        pytest.param([("u-1", MOVED), ("u-2", Pending())], Pending(), id="next attempt runs"),
+        pytest.param([("u-2", Pending()), ("u-1", MOVED)], Pending(), id="earlier attempt late"),
+        pytest.param([("u-2", DONE), ("u-1", MOVED)], DONE, id="earlier attempt after answer"),
+        pytest.param([("u-1", Unknown("x")), ("u-2", MOVED)], Unknown("x"), id="may have run"),
+    ],
+)
+def test_reports_of_several_attempts_in_any_order(reports, expected):
+    owner_ledger = ledger()
+    for upstream, outcome in reports:
+        owner_ledger.import_key(KEY, upstream, outcome, LOW, 1.0)
+    assert record_of(owner_ledger).outcome == expected
--- a/properties/test_requests.py
+++ b/properties/test_requests.py
@@ -17,7 +17,11 @@
     Dispatch,
     FlowData,
     FlowKey,
+    KeyState,
     Notification,
+    NotRun,
+    OwnerHandover,
+    Pending,
     RequestKey,
     Result,
     StreamKey,
@@ -183,6 +187,32 @@
         fleet.nodes[owner].receive_from_peer("b-1", message, fleet.now)
 
 
+def test_refusal_of_an_earlier_attempt_does_not_end_a_request_that_runs():
+    """The handover of an upstream arrives while this owner runs the next attempt elsewhere."""
+    fleet = started_fleet()
+    owner = owner_of(fleet, "orders-0")
+    home = next(name for name in fleet.nodes if name != owner)
+    node = fleet.nodes[owner]
+    message = dispatch(fleet, owner)
+    assert any(
+        isinstance(effect, SendToUpstream)
+        for effect in node.receive_from_peer(home, message, fleet.now)
+    )
+    gate = node.owner.owned["orders-0"].gate
+    gate.begin_handover(fleet.now)
+    refused = KeyState(message.key, "orders-1", NotRun("owner_moved", 1.0), NO_BALLOT)
+    state = gate.export_state(fleet.now)
+    handover = OwnerHandover("orders-1", state, (), (refused,), (), True)
+    effects = node.receive_from_peer(home, handover, fleet.now)
+    effects += node.receive_from_peer(home, message, fleet.now)
+    results = [
+        effect.message.outcome
+        for effect in effects
+        if isinstance(effect, SendToPeer) and isinstance(effect.message, Result)
+    ]
+    assert results == [Pending()]
+
+
 def test_restarted_owner_does_not_execute_a_dispatch_to_its_previous_process():
     fleet = started_fleet()
     owner = owner_of(fleet, "orders-0")
