Close all sockets when a second signal ends a graceful shutdown

Change: the second signal cancels the shutdown and closes everything within 1 s; signals after the stop are ignored.

--- a/banyanline/cli/balancer.py
+++ b/banyanline/cli/balancer.py
@@ -48,6 +48,8 @@
 )
 define_settings_flags(_PROGRAM)
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 log = structlog.get_logger()
 
 
@@ -69,8 +71,18 @@
     def on_signal() -> None:
         (abort if stop.is_set() else stop).set()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in STOP_SIGNALS:
         loop.add_signal_handler(number, on_signal)
+    try:
+        return await _run(balancer, stop, abort)
+    finally:
+        for number in STOP_SIGNALS:
+            loop.remove_signal_handler(number)
+            # A signal that comes now would end the process with a status other than its own.
+            signal.signal(number, signal.SIG_IGN)
+
+
+async def _run(balancer: Balancer, stop: asyncio.Event, abort: asyncio.Event) -> ExitCode:
     try:
         await balancer.start()
     except OSError as error:
@@ -91,6 +103,10 @@
         await asyncio.wait(
             {failure, shutdown, abort_requested}, return_when=asyncio.FIRST_COMPLETED
         )
+        if not shutdown.done() and abort_requested.done():
+            shutdown.cancel()
+            await asyncio.wait({shutdown})
+            await balancer.abort()
         if abort_requested.done() or shutdown.done():
             return ExitCode.OK
     error = failure.exception()
--- a/banyanline/net/balancer.py
+++ b/banyanline/net/balancer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable
@@ -60,6 +61,7 @@
 MEMBERSHIP_TYPES = (Probe, ProbeAck, ProbeRequest)
 MIN_TIMER_DELAY_S = 0.001
 STOP_POLL_S = 0.02
+ABORT_TIMEOUT_S = 1.0
 MIN_STOP_DURATION_S = 1.0
 """Minimum duration of a graceful shutdown, so that all peers learn that the host is leaving."""
 
@@ -179,6 +181,13 @@
         log.info("balancer_stopped", drained=self._node.is_drained)
         await self._close()
 
+    async def abort(self) -> None:
+        """Close all sockets at once, without a graceful shutdown or in the middle of one."""
+        log.info("balancer_stopped", drained=self._node.is_drained)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ABORT_TIMEOUT_S):
+                await self._close()
+
     async def _close(self) -> None:
         self._is_closed = True
         self._stalls.stop()
