Find runs of the bench that do not serve

Change: not_served counts the requests that were neither answered within the caller's patience nor refused, outside of faults and 5 s after them; it must be 0 in every scenario. Planned scenarios that do not offer more than the capacity must not refuse either. Both follow from the promises, not from runs.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -79,7 +79,7 @@
 def main(argv: list[str]) -> None:
     """Run the demo and exit with 1 if an invariant was violated."""
     del argv
-    scenario = Scenario("demo", planned_changes, is_planned=True)
+    scenario = Scenario("demo", planned_changes, is_planned=True, may_refuse=True)
     print("3 data centres, 6 balancers, under load; each planned change once:", flush=True)
     try:
         output = run_job(Job(scenario, SPLIT, FLAGS.seed, DEMO_S, FLAGS.baseline))
--- a/bench/scenarios/catalog.py
+++ b/bench/scenarios/catalog.py
@@ -29,6 +29,8 @@
     """Whether all changes are planned ones, which must not break any flow."""
     is_relayed: bool = False
     faults: Faults = Faults()
+    may_refuse: bool = False
+    """Whether more requests are offered than the upstreams in service can run."""
 
 
 async def steady(environment: Environment, seconds: float) -> None:
@@ -256,12 +258,12 @@
         Scenario("drain-upstream", drain_upstream, is_planned=True),
         Scenario("cold-restart", cold_restart, is_planned=False),
         Scenario("config-churn", config_churn, is_planned=True),
-        Scenario("dc-out-and-back", dc_out_and_back, is_planned=True),
+        Scenario("dc-out-and-back", dc_out_and_back, is_planned=True, may_refuse=True),
         Scenario("platform-down", platform_down, is_planned=True),
         Scenario("platform-stale", platform_stale, is_planned=True),
         Scenario("partition-dc", partition_dc, is_planned=False, is_relayed=True),
-        Scenario("overload", overload, is_planned=True),
-        Scenario("lying-upstream", misreporting_upstream, is_planned=True),
+        Scenario("overload", overload, is_planned=True, may_refuse=True),
+        Scenario("lying-upstream", misreporting_upstream, is_planned=True, may_refuse=True),
         Scenario(
             "all-at-once",
             all_at_once,
--- a/bench/scenarios/evaluation.py
+++ b/bench/scenarios/evaluation.py
@@ -8,6 +8,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, NamedTuple, TypedDict
 
+from banyanline.core.error_responses import UnknownReason
 from bench.scenarios.observations import FlowEnd, FlowRecord, Outcome, RequestRecord
 from bench.scenarios.timeline import Interval
 
@@ -33,6 +34,7 @@
     "work_after_leaving",
     "config_reverts",
     "requests_cut_by_stop",
+    "not_served",
 )
 
 
@@ -85,6 +87,8 @@
     work_after_leaving: int
     config_reverts: int
     requests_cut_by_stop: int
+    not_served: int
+    """Requests outside of faults that were neither answered in time nor refused."""
     retry_amplification: float
     imbalance_max_over_mean: float
     latency_ms: Latency
@@ -93,14 +97,17 @@
     rss_mb: float
 
 
-def violations(result: Result, *, is_planned: bool) -> list[str]:
+def violations(result: Result, *, is_planned: bool, may_refuse: bool = False) -> list[str]:
     """Return the violated invariants as ``key=count``.
 
     ``is_planned`` means that the run made planned changes only, which must not break any flow.
+    Then requests may be refused only if the run offers more than the capacity (``may_refuse``).
     """
     found = [f"{key}={result[key]}" for key in ALWAYS_ZERO if result[key]]  # type: ignore[literal-required]
     if is_planned and result["flows_broken"]:
         found.append(f"flows_broken={result['flows_broken']}")
+    if is_planned and not may_refuse and result["refused_not_run"]:
+        found.append(f"refused_not_run={result['refused_not_run']}")
     return found
 
 
@@ -155,6 +162,7 @@
         work_after_leaving=sum(len(late) for late in after_leaving.values()),
         config_reverts=sum(_config_reverts(environment, u) for u in upstreams),
         requests_cut_by_stop=sum(is_interrupted_by_stop(environment, r) for r in requests),
+        not_served=sum(is_unserved(environment, r) for r in requests),
         retry_amplification=round(environment.executions.amplification, 4),
         imbalance_max_over_mean=round(_imbalance(environment, upstreams), 3),
         latency_ms=_latency(requests),
@@ -225,10 +233,7 @@
     """
     if request.outcome not in (Outcome.NO_ANSWER, Outcome.UNKNOWN):
         return False
-    if any(
-        request.started_at <= end + FAULT_RECOVERY_S and request.finished_at >= start
-        for start, end in environment.timeline.fault_intervals
-    ):
+    if _is_disturbed(environment, request):
         return False
     return any(
         request.started_at <= stop.ended_at and request.finished_at >= stop.signalled_at
@@ -236,6 +241,25 @@
     )
 
 
+def is_unserved(environment: Environment, request: RequestRecord) -> bool:
+    """Whether a request got neither a response in time nor a refusal, though it should have.
+
+    That is not owed during a fault, within ``FAULT_RECOVERY_S`` after one, or if operators
+    took the data centre of its upstream out of service.
+    """
+    if request.is_in_time or request.outcome is Outcome.REFUSED:
+        return False
+    is_given_up = request.detail.endswith(UnknownReason.DATA_CENTRE_OUT)
+    return not is_given_up and not _is_disturbed(environment, request)
+
+
+def _is_disturbed(environment: Environment, request: RequestRecord) -> bool:
+    return any(
+        request.started_at <= end + FAULT_RECOVERY_S and request.finished_at >= start
+        for start, end in environment.timeline.fault_intervals
+    )
+
+
 def _imbalance(environment: Environment, upstreams: list[Upstream]) -> float:
     """Return the ratio of the maximum to the mean load of upstreams, for the worst service.
 
--- a/bench/scenarios/execute.py
+++ b/bench/scenarios/execute.py
@@ -111,7 +111,9 @@
     final_usage = usage({}, snapshots(environment.fleet.balancers))
     footprint = footprint._replace(rss_mb=final_usage.rss_mb)
     result = evaluate(environment, job.scenario.name, seconds, footprint)
-    violation_list = violations(result, is_planned=job.scenario.is_planned)
+    violation_list = violations(
+        result, is_planned=job.scenario.is_planned, may_refuse=job.scenario.may_refuse
+    )
     return RunOutput(result, violation_list, _series(environment, load_started_at), lag)
 
 
--- a/bench/scenarios/violation_details.py
+++ b/bench/scenarios/violation_details.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from bench.scenarios.evaluation import is_break_allowed, is_interrupted_by_stop
+from bench.scenarios.evaluation import (
+    is_break_allowed,
+    is_interrupted_by_stop,
+    is_unserved,
+)
 from bench.scenarios.observations import FlowEnd, Outcome
 
 if TYPE_CHECKING:
@@ -34,6 +38,8 @@
             lines.append(f"wrong: {description}")
         if is_interrupted_by_stop(environment, request):
             lines.append(f"cut by a stop: {description}, {request.outcome.value}")
+        elif is_unserved(environment, request) and request.outcome is not Outcome.WRONG:
+            lines.append(f"not served: {description}, {request.outcome.value}")
     return lines[:MAX_EVIDENCE_LINES]
 
 
--- a/bench/tests/test_evaluation.py
+++ b/bench/tests/test_evaluation.py
@@ -70,6 +70,21 @@
     environment.upstreams[NAME].counts.misdelivered += 1
 
 
+def inject_unanswered(environment: Environment) -> None:
+    add_request(environment, Outcome.NO_ANSWER)
+
+
+def inject_late_answer(environment: Environment) -> None:
+    now = time.monotonic()
+    environment.observations.requests.append(
+        RequestRecord("k", "get", SERVICE, now, now + 5.1, 5.0, Outcome.ANSWERED)
+    )
+
+
+def inject_refusal(environment: Environment) -> None:
+    add_request(environment, Outcome.REFUSED)
+
+
 def inject_broken_flow(environment: Environment) -> None:
     environment.observations.flows.append(
         FlowRecord("k", SERVICE, NAME, 10.0, 20.0, FlowEnd.SILENT)
@@ -97,6 +112,9 @@
         pytest.param(inject_cold_overload, "cold_overloads", id="cold upstream overloaded"),
         pytest.param(inject_misdelivery, "misdelivered", id="packet of another service"),
         pytest.param(inject_broken_flow, "flows_broken", id="broken flow"),
+        pytest.param(inject_unanswered, "not_served", id="request without a response"),
+        pytest.param(inject_late_answer, "not_served", id="response after the patience"),
+        pytest.param(inject_refusal, "refused_not_run", id="refusal without overload"),
     ],
 )
 async def test_violation_is_counted(environment, inject, key):
@@ -146,3 +164,34 @@
     start, end = fault_interval
     environment.timeline.fault_intervals.append(Interval(started_at + start, started_at + end))
     assert evaluate(environment, "steady", 1.0, FOOTPRINT)["requests_cut_by_stop"] == cut
+
+
+@pytest.mark.parametrize(
+    ("fault_interval", "detail", "not_served"),
+    [
+        pytest.param(None, "", 1, id="calm"),
+        pytest.param((-30.0, -5.1), "", 1, id="after the recovery time"),
+        pytest.param((-30.0, -4.9), "", 0, id="within the recovery time"),
+        pytest.param((0.5, 0.8), "", 0, id="during a fault"),
+        pytest.param((1.1, 2.0), "", 1, id="before a fault"),
+        pytest.param(None, "unknown:data_centre_out", 0, id="data centre out of service"),
+        pytest.param(None, "unknown:upstream_timeout", 1, id="unknown outcome"),
+    ],
+)
+async def test_requests_must_be_served_outside_of_faults(
+    environment, fault_interval, detail, not_served
+):
+    add_request(environment, Outcome.UNKNOWN)
+    request = environment.observations.requests[0]
+    environment.observations.requests[0] = request._replace(detail=detail)
+    if fault_interval is not None:
+        start, end = (request.started_at + offset for offset in fault_interval)
+        environment.timeline.fault_intervals.append(Interval(start, end))
+    assert evaluate(environment, "steady", 1.0, FOOTPRINT)["not_served"] == not_served
+
+
+async def test_refusals_are_allowed_in_overload_and_after_faults(environment):
+    inject_refusal(environment)
+    result = evaluate(environment, "overload", 1.0, FOOTPRINT)
+    assert violations(result, is_planned=True, may_refuse=True) == []
+    assert violations(result, is_planned=False) == []
