Do not move opaque flows when packets come before their handovers

Change: an owner that awaits a handover does not answer for flows it does not know; the home asks again every 0.1 s for up to 1 s (0.3 s before), ends early when all are found, and uses a handover that comes meanwhile.

--- a/banyanline/core/home/datagrams.py
+++ b/banyanline/core/home/datagrams.py
@@ -111,6 +111,9 @@
 
     def _restore_flow(self, flow: FlowKey, found: UpstreamName | None, now: Seconds) -> None:
         context = self._context
+        if flow in self._flows:
+            # The previous home has handed it over in the meantime.
+            return
         if found is not None and found in context.directory.reachable:
             context.counters.recovered["flow"] += 1
             self._flows.open(flow, found, now)
--- a/banyanline/core/home/lookups.py
+++ b/banyanline/core/home/lookups.py
@@ -16,8 +16,10 @@
 from banyanline.core.types import HostName, Seconds, ServiceName, UpstreamName
 
 BATCH_DELAY_S = 0.004
-LOOKUP_TIMEOUT_S = 0.3
-RESEND_AFTER_S = 0.1
+LOOKUP_TIMEOUT_S = 1.0
+"""An owner that awaits a handover replies only when it has come."""
+
+RESEND_INTERVAL_S = 0.1
 MAX_FLOWS_PER_LOOKUP = 24
 MAX_BUFFERED_PER_FLOW = 16
 
@@ -33,7 +35,7 @@
 class _PendingLookup:
     """One lookup of a batch of flows of one service, and its replies so far."""
 
-    __slots__ = ("awaited_owners", "flows", "resent", "sent_at", "upstreams")
+    __slots__ = ("awaited_owners", "flows", "resend_at", "timeout_at", "upstreams")
 
     def __init__(
         self, flows: tuple[FlowKey, ...], awaited_owners: set[HostName], now: Seconds
@@ -41,8 +43,13 @@
         self.flows = flows
         self.awaited_owners = awaited_owners
         self.upstreams: dict[FlowKey, UpstreamName] = {}
-        self.sent_at = now
-        self.resent = False
+        self.resend_at = now + RESEND_INTERVAL_S
+        self.timeout_at = now + LOOKUP_TIMEOUT_S
+
+    def is_finished(self, now: Seconds) -> bool:
+        """Whether each flow is found, all owners have replied, or the time is over."""
+        is_answered = not self.awaited_owners or len(self.upstreams) == len(self.flows)
+        return is_answered or now >= self.timeout_at
 
 
 class Lookups:
@@ -60,11 +67,8 @@
     @property
     def next_at(self) -> Seconds:
         """Time at which a batch is due, or a lookup is resent or times out."""
-        timeouts = [
-            lookup.sent_at + (LOOKUP_TIMEOUT_S if lookup.resent else RESEND_AFTER_S)
-            for lookup in self._pending.values()
-        ]
-        return min([self._batch_due, *timeouts])
+        due = [min(lookup.resend_at, lookup.timeout_at) for lookup in self._pending.values()]
+        return min([self._batch_due, *due])
 
     def buffer(self, flow: FlowKey, payload: bytes, now: Seconds) -> None:
         """Buffer a datagram until the lookup of its flow completes."""
@@ -93,8 +97,8 @@
                     chunk = tuple(flows[start : start + MAX_FLOWS_PER_LOOKUP])
                     self._start(service, chunk, now)
         for lookup_id, lookup in self._pending.items():
-            if not lookup.resent and now - lookup.sent_at >= RESEND_AFTER_S:
-                lookup.resent = True
+            if now >= lookup.resend_at:
+                lookup.resend_at = now + RESEND_INTERVAL_S
                 self._send(lookup_id, lookup)
 
     def _start(self, service: ServiceName, flows: tuple[FlowKey, ...], now: Seconds) -> None:
@@ -119,7 +123,7 @@
     def resolved(self, now: Seconds) -> Iterator[Resolved]:
         """Yield the flows whose lookup is complete or has timed out."""
         ready = [
-            lookup_id for lookup_id, lookup in self._pending.items() if _is_finished(lookup, now)
+            lookup_id for lookup_id, lookup in self._pending.items() if lookup.is_finished(now)
         ]
         for lookup_id in ready:
             lookup = self._pending.pop(lookup_id)
@@ -127,7 +131,3 @@
                 payloads = self._buffered.pop(flow, [])
                 self._buffered_count -= len(payloads)
                 yield Resolved(flow, lookup.upstreams.get(flow), payloads)
-
-
-def _is_finished(lookup: _PendingLookup, now: Seconds) -> bool:
-    return not lookup.awaited_owners or now - lookup.sent_at >= LOOKUP_TIMEOUT_S
--- a/banyanline/core/owner/flows.py
+++ b/banyanline/core/owner/flows.py
@@ -16,7 +16,8 @@
     LookupReply,
 )
 from banyanline.core.owner.owned import OwnedUpstream
-from banyanline.core.types import Endpoint, HostName, Seconds, UpstreamName
+from banyanline.core.owner.ownership import OwnershipStage
+from banyanline.core.types import Endpoint, HostName, Seconds, ServiceName, UpstreamName
 
 ALIVE_REPORTS_PER_TIMEOUT = 3
 FLOWS_PER_REPORT = 16
@@ -107,14 +108,27 @@
         self._context.answer(flow.service, Endpoint(flow.caller_ip, flow.caller_port), payload)
 
     def look_up(self, sender: HostName, message: Lookup) -> None:
-        """Reply to a new home with the upstreams of the flows that are open here."""
+        """Reply to a new home with the upstreams of the flows that are open here.
+
+        An owner that awaits a handover does not reply while it may still learn of one of
+        the flows; the home asks again.
+        """
         known = []
         for flow in message.flows:
             entry = self._table.get(flow)
             if entry is not None:
                 known.append((flow, entry.upstream))
+        if len(known) < len(message.flows) and self._awaits_handover(message.flows[0].service):
+            return
         self._context.send(sender, LookupReply(message.lookup_id, tuple(known)))
 
+    def _awaits_handover(self, service: ServiceName) -> bool:
+        return any(
+            owned.ownership.stage is OwnershipStage.AWAITING_HANDOVER
+            for owned in self._owned.values()
+            if owned.upstream.service == service
+        )
+
     def tick(self, now: Seconds) -> None:
         """Close idle flows and report those with traffic from the upstream alone."""
         for flow in self._table.expire(now):
--- a/properties/test_datagrams.py
+++ b/properties/test_datagrams.py
@@ -18,17 +18,17 @@
     total,
     upstreams_of,
 )
-from properties.simulation import RAW, make_configuration
+from properties.simulation import RAW, Fleet, NetworkFaults, make_configuration
 
 FLOW_COUNT = 12
 CALLERS = [make_caller(number) for number in range(FLOW_COUNT)]
 CONFIGURATION_APPLIED_S = 1.5
 
 
-def send_all(fleet, callers=CALLERS):
+def send_all(fleet, callers=CALLERS, pause_s=1.0):
     for caller in callers:
         fleet.send(RAW, caller, b"raw")
-    fleet.run(1.0)
+    fleet.run(pause_s)
 
 
 def open_flows(seed=1, **options):
@@ -97,6 +97,28 @@
     assert {caller: upstreams_of(fleet, caller) for caller in CALLERS} == before
 
 
+@pytest.mark.parametrize("transfer_delay_s", [0.0, 0.05, 0.2, 0.6])
+@pytest.mark.parametrize("name", ["a-3", "b-3", "c-3"])
+def test_packets_before_the_handovers_do_not_move_flows(name, transfer_delay_s):
+    """Packets reach a new home and owner before the handovers of the previous ones do.
+
+    Each upstream has an owner of its own, so that the previous owner is no longer one that
+    a home asks.
+    """
+    fleet = Fleet(configuration=make_configuration(upstreams=3))
+    fleet.run(TAKEOVER_S)
+    callers = [make_caller(number) for number in range(200)]
+    for _ in range(3):
+        send_all(fleet, callers)
+    before = {caller: upstreams_of(fleet, caller).copy() for caller in callers}
+    fleet.faults = NetworkFaults(transfer_delay_s=transfer_delay_s)
+    fleet.add_host(name)
+    for _ in range(160):
+        send_all(fleet, callers, pause_s=0.05)
+    assert name in {owner_of(fleet, f"{RAW}-{number}") for number in range(3)}
+    assert {caller: upstreams_of(fleet, caller) for caller in callers} == before
+
+
 def test_full_table_refuses_and_counts_new_flows_and_keeps_the_open_ones():
     limits = Limits(flows=1, request_lifetime_s=60.0)
     fleet, before = open_flows(limits=limits)
