--- a/banyanline/core/owner/handover.py
+++ b/banyanline/core/owner/handover.py
@@ -245,19 +245,22 @@
         return StartHandedOver(gate, running, ended_count)
 
     def _import_keys(self, keys: tuple[KeyState, ...], now: Seconds) -> list[KeyState]:
-        """Import keys from a previous owner; return those whose outcome was not known here."""
-        news = []
+        """Import keys from a previous owner; return those whose outcome changed here."""
+        changed = []
         for state in keys:
             known = self._ledger.get(state.key)
-            if known is None or known.is_pending or not known.is_dispatched:
-                news.append(state)
+            before = None if known is None else known.outcome
             record = self._ledger.import_key(
                 state.key, state.upstream, state.outcome, state.ballot, now
             )
-            if record is not None and record.is_dispatched and not record.is_pending:
+            if record is None:
+                continue
+            if record.outcome is not before:
+                changed.append(state)
+            if record.is_dispatched and not record.is_pending:
                 owned = self._owned.get(record.upstream)
                 self._requests.notify_waiters(owned, state.key, record, now)
-        return news
+        return changed
 
     def receive_handover_progress(self, message: HandoverProgress, now: Seconds) -> None:
         """Record how a request ended that was still running at a previous owner.
@@ -265,13 +268,13 @@
         The message may arrive before the handover, or after this host has handed over too;
         then it is passed on, unless it brings nothing new.
         """
-        news = self._import_keys(message.keys, now)
+        changed = self._import_keys(message.keys, now)
         owned = self._owned.get(message.upstream)
         if owned is None or owned.is_handed_over:
-            if news:
+            if changed:
                 self._requests.send_to_successor(
                     HandoverProgress(
-                        message.upstream, message.in_flight, message.connections, tuple(news)
+                        message.upstream, message.in_flight, message.connections, tuple(changed)
                     )
                 )
         elif owned.is_active:
