Use one check for numbers above 0, and drop an unused constant

Three readers of settings and the configuration each replaced a number that is not finite and above 0 by its default and reported it; the reader of documents does so now. Also: the revision from which a view begins is computed once, the messages of a transfer are named once, and an unused constant is gone. No behaviour changes.

--- a/banyanline/core/steering/catalog.py
+++ b/banyanline/core/steering/catalog.py
@@ -210,7 +210,8 @@
         With ``have`` 0 that is everything. A configuration above ``MAX_RELAYED_ROUTES`` is
         included only if ``whole``.
         """
-        table = self._table if self._table_revision > have or not have else None
+        since = have or -1
+        table = self._table if self._table_revision > since else None
         if table is not None and not whole and len(table.routes) > MAX_RELAYED_ROUTES:
             table = None
         return FleetView(
@@ -221,13 +222,13 @@
             tuple(
                 _known_upstream(upstream, now)
                 for upstream in self._upstreams
-                if upstream.revision > have or not have
+                if upstream.revision > since
             ),
             tuple(
                 DataCentreChanged(name, is_out, revision)
                 for revisions, is_out in ((self._out_of_service, True), (self._in_service, False))
                 for name, revision in revisions.items()
-                if revision > have or not have
+                if revision > since
             ),
             era=self._era,
         )
--- a/banyanline/net/transfers.py
+++ b/banyanline/net/transfers.py
@@ -21,13 +21,14 @@
 MAX_QUEUED_MESSAGES = 4096
 """Maximum length of the queue of one receiver; beyond it the oldest message is dropped."""
 
+TransferredMessage: TypeAlias = OwnerHandover | HomeHandover | HandoverProgress
 FindHost: TypeAlias = Callable[[HostName], Host | None]
 
 
 class TransferRequest(msgspec.Struct, frozen=True):
     """Request with one message of a handover."""
 
-    message: OwnerHandover | HomeHandover | HandoverProgress
+    message: TransferredMessage
 
 
 class TransferDone(msgspec.Struct, frozen=True):
@@ -69,7 +70,7 @@
             self._queues.pop(host, None)
 
     async def _deliver(self, host: HostName, message: DataMessage) -> None:
-        assert isinstance(message, OwnerHandover | HomeHandover | HandoverProgress)
+        assert isinstance(message, TransferredMessage)
         request = TransferRequest(message)
         for _ in range(ATTEMPTS):
             receiver = self._find_host(host)
--- a/banyanline/platform/configuration.py
+++ b/banyanline/platform/configuration.py
@@ -36,9 +36,6 @@
     "upload": RouteKind.UPLOAD,
 }
 
-ROUTE_TYPES = tuple(_ROUTE_KINDS)
-"""The known values of a route's ``route_type``."""
-
 
 class ShareDocument(msgspec.Struct):
     """One service of a route's split; ``weight`` is None if it is absent or unreadable."""
@@ -168,7 +165,9 @@
             routes=readable,
             services=services,
             cold_limits=_cold_limits(services, damaged, readable),
-            idle_timeout_ms=self._idle_timeout_ms(limits),
+            idle_timeout_ms=self._document.positive(
+                "limits.idle_timeout_ms", limits.idle_timeout_ms, DEFAULT_IDLE_TIMEOUT_MS
+            ),
             defects=self._document.defects,
         )
 
@@ -250,13 +249,6 @@
                 damaged.add(service.name)
         return tuple(services), None if has_nameless else damaged
 
-    def _idle_timeout_ms(self, limits: _Limits) -> float:
-        if limits.idle_timeout_ms > 0 and math.isfinite(limits.idle_timeout_ms):
-            return limits.idle_timeout_ms
-        effect = f"{DEFAULT_IDLE_TIMEOUT_MS:g} is used"
-        self._document.report("limits.idle_timeout_ms", limits.idle_timeout_ms, effect)
-        return DEFAULT_IDLE_TIMEOUT_MS
-
 
 def _cold_limits(
     services: tuple[ServiceDocument, ...],
--- a/banyanline/platform/documents.py
+++ b/banyanline/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any, TypeVar
 
 import msgspec
@@ -51,6 +52,13 @@
             self.report(path, element, f"{error}: left out")
             return None
 
+    def positive(self, path: str, value: float, default: float) -> float:
+        """Return a finite number above 0; any other is reported and replaced by the default."""
+        if 0 < value < math.inf:
+            return value
+        self.report(path, value, f"{default:g} is used")
+        return default
+
     def report(self, path: str, value: object, effect: str) -> None:
         """Record that the element at ``path`` could not be read, and what is done instead."""
         if len(self._defects) < MAX_DEFECTS:
--- a/banyanline/platform/host_settings.py
+++ b/banyanline/platform/host_settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import os
 import tomllib
 from pathlib import Path
@@ -190,7 +189,8 @@
         seeds=_read_seeds(reader, optional.seeds),
         internal_ports=_read_ports(reader, optional.internal_port_range),
         stop_grace_s=bounds.grace_s,
-        heartbeat_s=_read_heartbeat_ms(reader, optional.heartbeat_ms) / 1000.0,
+        heartbeat_s=reader.positive("heartbeat_ms", optional.heartbeat_ms, DEFAULT_HEARTBEAT_MS)
+        / 1000.0,
         max_flow_s=bounds.max_flow_s,
         contact_s=bounds.contact_ms / 1000.0,
         change_bound_s=_change_bound_s(bounds),
@@ -202,9 +202,7 @@
     bounds = reader.convert("bounds", fields, _Bounds) or _Bounds()
     for field in msgspec.structs.fields(_Bounds):
         value = getattr(bounds, field.name)
-        if not 0 < value < math.inf:
-            reader.report(f"bounds.{field.name}", value, f"{field.default:g} is used")
-            setattr(bounds, field.name, field.default)
+        setattr(bounds, field.name, reader.positive(f"bounds.{field.name}", value, field.default))
     return bounds
 
 
@@ -226,12 +224,5 @@
     return range(0)
 
 
-def _read_heartbeat_ms(reader: DocumentReader, heartbeat_ms: float) -> float:
-    if 0 < heartbeat_ms < math.inf:
-        return heartbeat_ms
-    reader.report("heartbeat_ms", heartbeat_ms, f"{DEFAULT_HEARTBEAT_MS:g} is used")
-    return DEFAULT_HEARTBEAT_MS
-
-
 def _change_bound_s(bounds: _Bounds) -> float:
     return min(bounds.drain_ms, bounds.config_apply_ms, bounds.evacuation_ms) / 1000.0
