Define the reports that hosts of a data centre send to each other

Each host places new flows by the share of the load that it carries itself, and none knows what others see. Nothing sends a report yet, so no decision changes.

--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -24,6 +24,7 @@
     ResetReason,
 )
 from banyanline.core.steering.packet import NO_COOKIE
+from banyanline.core.steering.peer_reports import PeerReports
 from banyanline.core.steering.placement import Placement
 
 if TYPE_CHECKING:
@@ -54,8 +55,10 @@
         data_centre: DataCentreName,
         rng: random.Random,
         placement: Placement | None = None,
+        peers: PeerReports | None = None,
     ) -> None:
         self._catalog = catalog
+        self._peers = peers or PeerReports()
         self._rng = rng
         self._placement = placement or Placement(data_centre, rng)
         self._counters = SteeringCounters()
@@ -67,6 +70,11 @@
         """The routes and upstreams that this host knows."""
         return self._catalog
 
+    @property
+    def peers(self) -> PeerReports:
+        """The reports of the other hosts in this data centre."""
+        return self._peers
+
     @property
     def flows(self) -> FlowTable:
         """The flows that this host tracks."""
