Decide readiness by what the data centre can reach

A data centre whose upstreams are out of service and that is then cut off from the others kept its callers: its hosts said that they were ready, and sent opening packets to upstreams that they could not reach.

A host now finds a service out of reach by failed health checks, with upstreams of other services as references, and stops being ready when more than half of its data centre's hosts report the same. Without reports, which nothing sends yet, every host stays ready as before.

--- a/banyanline/core/steering/peer_reports.py
+++ b/banyanline/core/steering/peer_reports.py
@@ -144,6 +144,15 @@
         ]
         return Reach(len(samples), sum(sample.is_out_of_reach for sample in samples))
 
+    def out_of_reach(self) -> frozenset[ServiceName]:
+        """Return the services that at least one other host cannot reach."""
+        return frozenset(
+            sample.service
+            for report, _ in self._reports.values()
+            for sample in report.services
+            if sample.is_out_of_reach
+        )
+
     def openings_per_s(self, service: ServiceName) -> float:
         """Return the rate of opening packets for a service at other hosts."""
         return sum(
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -26,6 +26,7 @@
 from banyanline.core.steering.packet import NO_COOKIE
 from banyanline.core.steering.peer_reports import PeerReports
 from banyanline.core.steering.placement import Placement
+from banyanline.core.steering.readiness import Readiness
 
 if TYPE_CHECKING:
     import random
@@ -64,6 +65,7 @@
         self._counters = SteeringCounters()
         self._flows = FlowTable(self._counters)
         self._check_scheduler = CheckScheduler(catalog)
+        self._readiness = Readiness(catalog, self._peers, data_centre)
 
     @property
     def catalog(self) -> Catalog:
@@ -75,6 +77,11 @@
         """The reports of the other hosts in this data centre."""
         return self._peers
 
+    @property
+    def readiness(self) -> Readiness:
+        """Whether this host should take new callers."""
+        return self._readiness
+
     @property
     def flows(self) -> FlowTable:
         """The flows that this host tracks."""
@@ -115,6 +122,7 @@
         """Handle the result of a health check."""
         self._counters.checks[result] += 1
         self._check_scheduler.on_result(check, result, now)
+        self._update_readiness(now)
 
     def on_tick(self, now: Seconds) -> None:
         """Remove expired flows and upstreams; call this about once a second."""
@@ -122,6 +130,11 @@
         idle_s = min(table.idle_timeout_s, MAX_IDLE_S) if table else MAX_IDLE_S
         self._flows.expire(now - idle_s, now - OPENING_LIFETIME_S)
         self._catalog.upstreams.forget_removed(now)
+        self._update_readiness(now)
+
+    def _update_readiness(self, now: Seconds) -> None:
+        for upstream in self._readiness.update(now):
+            self._check_scheduler.request_check(upstream, now)
 
     def _on_opening(self, packet: CallerPacket, now: Seconds) -> Outcome:
         if not self._catalog.is_configured:
@@ -140,6 +153,7 @@
         if upstream.is_cold(now):
             upstream.next_cold_opening_at = now + self._catalog.cold_opening_interval_s
         self._check_scheduler.on_opening(self._flows.open(packet.flow, upstream, now), now)
+        self._readiness.on_opening(upstream.entry.service, now)
         return Forward(upstream)
 
     def choose(self, route: Route, tried: Collection[Upstream], now: Seconds) -> Upstream | None:
--- a/banyanline/net/steering/change_log.py
+++ b/banyanline/net/steering/change_log.py
@@ -18,7 +18,8 @@
 
 if TYPE_CHECKING:
     from banyanline.core.steering.catalog import Catalog
-    from banyanline.core.types import Seconds, UpstreamName
+    from banyanline.core.steering.readiness import Readiness
+    from banyanline.core.types import Seconds, ServiceName, UpstreamName
 
 UNHEALTHY = (UpstreamAvailability.SUSPECT, UpstreamAvailability.LOST)
 
@@ -111,3 +112,19 @@
         self._unhealthy = {
             name: availability for name, availability in self._unhealthy.items() if known.get(name)
         }
+
+
+class ReadinessLog:
+    """Logs when this host stops being ready for lack of reach, and when it is ready again."""
+
+    def __init__(self, readiness: Readiness) -> None:
+        self._readiness = readiness
+        self._cut_off: frozenset[ServiceName] = frozenset()
+
+    def update(self) -> None:
+        """Log the change since the last call, if there is one."""
+        cut_off = self._readiness.cut_off
+        if cut_off == self._cut_off:
+            return
+        self._cut_off = cut_off
+        log.warning("readiness_changed", ready=not cut_off, out_of_reach=",".join(sorted(cut_off)))
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -72,6 +72,13 @@
         self._version = self._gauge(
             "configuration_version", "Configuration version in force, 0 for none."
         )
+        self._out_of_reach = self._gauge(
+            "services_out_of_reach",
+            "Services of which this host reaches no upstream although there are some elsewhere.",
+        )
+        self._ready = self._gauge(
+            "ready", "1 unless this host's data centre is cut off from a service, then 0."
+        )
         self._flows = self._gauge("flows", "Flows that this host tracks.")
         self._upstreams = self._gauge("upstreams", "Upstreams by service and state.")
         self._in_flight = self._gauge("requests_in_flight", "Requests in flight at upstreams.")
@@ -120,6 +127,8 @@
         defects = catalog.table.defects if catalog.table else ()
         self._unreadable.set({"kind": "item"}, self._sources.unusable_items())
         self._unreadable.set({"kind": "configuration"}, len(defects))
+        self._out_of_reach.set({}, len(steering.readiness.out_of_reach))
+        self._ready.set({}, int(steering.readiness.is_ready))
         self._flows.set({}, len(steering.flows))
         states: Counter[tuple[str, UpstreamAvailability]] = Counter()
         for upstream in catalog.upstreams:
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -16,7 +16,7 @@
 from banyanline.net.logs import log_loop_error
 from banyanline.net.pages import PageResponse, PageServer
 from banyanline.net.steering.background import keep_running
-from banyanline.net.steering.change_log import UpstreamAvailabilityLog
+from banyanline.net.steering.change_log import ReadinessLog, UpstreamAvailabilityLog
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.packet_path import PacketPath
 from banyanline.net.steering.peers import PeerReader
@@ -84,6 +84,7 @@
         )
         self._set_sources(settings)
         self._availability_log = UpstreamAvailabilityLog(self._catalog)
+        self._readiness_log = ReadinessLog(self._steering.readiness)
         self._shutdown: GracefulShutdown | None = None
         self._servers = [PageServer(settings.readiness, self._respond_readiness)]
         if settings.control is not None:
@@ -99,7 +100,11 @@
     @property
     def is_ready(self) -> bool:
         """Whether routers should send packets here."""
-        return self._catalog.is_configured and self._shutdown is None
+        return (
+            self._catalog.is_configured
+            and self._shutdown is None
+            and self._steering.readiness.is_ready
+        )
 
     async def start(self) -> None:
         """Start the background tasks and HTTP servers; raises OSError if an address is in use."""
@@ -174,6 +179,7 @@
             self._steering.on_tick(now)
             self._update_host_count()
             self._availability_log.update(now)
+            self._readiness_log.update()
             if self._settings_file.has_changed():
                 self.reload()
 
@@ -185,6 +191,7 @@
     def _respond_readiness(self, target: str, _accepts: Sequence[str]) -> PageResponse:
         if target != READY_TARGET:
             return PageResponse(404, b"no such page\n")
+        self._readiness_log.update()
         if self.is_ready:
             return PageResponse(200, b"ready\n")
         if self._shutdown is not None:
@@ -203,17 +210,23 @@
     def _status(self) -> SteeringStatus:
         from banyanline.net.steering.status import steering_status
 
-        state = "ready" if self.is_ready else "not configured"
         return steering_status(
             self._steering,
             host=self._settings.host,
             data_centre=self._settings.data_centre,
-            state=state if self._shutdown is None else "leaving",
+            state=self._state(),
             store_age_s=None if self._feed.synced_at is None else self._store_age_s(),
             unusable_items=self._feed.unusable_items,
             now=self._clock(),
         )
 
+    def _state(self) -> str:
+        if self._shutdown is not None:
+            return "leaving"
+        if not self._catalog.is_configured:
+            return "not configured"
+        return "ready" if self._steering.readiness.is_ready else "cut off"
+
     def _explain(self, caller: Endpoint, service: str) -> FlowExplanation | None:
         from banyanline.net.steering.status import explain_flow
 
