--- a/banyanline/core/choice.py
+++ b/banyanline/core/choice.py
@@ -111,6 +111,7 @@
             for name, latest in self._snapshots.items()
             if name in self._sent_since_snapshot
         }
+        self._mean_ms = self._mean_score_ms()
 
     def observe(
         self, upstream: UpstreamName, owner: HostName, load: LoadSnapshot, now: Seconds
--- a/banyanline/tests/test_choice.py
+++ b/banyanline/tests/test_choice.py
@@ -85,3 +85,12 @@
     assert not choice.has_free_slot("orders-1", 0.1)
     choice.observe("orders-1", "owner", load_snapshot(sequence=2), 0.2)
     assert choice.has_free_slot("orders-1", 0.2)
+
+
+def test_removed_upstream_no_longer_counts_in_the_mean_of_the_others():
+    choice = UpstreamChoice(NAMES)
+    choice.observe("orders-1", "owner", load_snapshot(service_ms=900), 0.0)
+    choice.observe("orders-2", "owner", load_snapshot(service_ms=20), 0.0)
+    before = choice.score_ms("orders-3", 0.0)
+    choice.set_upstreams(NAMES[1:])
+    assert choice.score_ms("orders-3", 0.0) < before / 10
