Exchange reports between the hosts of a data centre

Cause: each host knew only its own part of an upstream's load, a part in thirty or less in a large data centre, so no decision could use the whole.

Change: hosts that follow seeds open a UDP socket on the first internal port, ask the seeds for the other hosts of their data centre (GET /peers on the control port, which hosts of earlier versions answer with 404), and send each other one report a second. A report fits in one datagram and contains the most urgent samples; PeerReports keeps the samples that a later report leaves out for 6 s, keeps totals in whole numbers, and refuses late reports of an earlier start. New log events, metrics and status fields. Hosts that read the store themselves open no socket and send nothing.

--- a/banyanline/cli/status.py
+++ b/banyanline/cli/status.py
@@ -52,6 +52,9 @@
     "failed_check_age_s",
 )
 
+_TOTAL_COLUMNS = ("total_in_flight", "total_open_flows")
+"""Columns of hosts that hear others of their data centre."""
+
 PROGRAM = new_program(
     "banyanline-status",
     """
@@ -202,14 +205,16 @@
     ]
     age_s = status["store_age_s"]
     data_centres_out = ", ".join(status["data_centres_out"]) or "none"
+    peers = status.get("peers", 0)
+    columns = _STEERING_COLUMNS + (_TOTAL_COLUMNS if peers else ())
     parts = [
         f"{status['host']} ({status['data_centre']}): {status['state']}\n"
         f"configuration {status['configuration_version']} with {status['routes']} routes, platform "
         f"revision {status['platform_revision']}, "
         f"{'not received yet' if age_s is None else f'current as of {age_s:.1f} s ago'}\n"
         f"{status['flows']} flows tracked, data centres out of service: "
-        f"{data_centres_out}",
-        _render_section("Upstreams", status["upstreams"], _STEERING_COLUMNS),
+        f"{data_centres_out}" + (f"\nreports from {peers} other hosts" if peers else ""),
+        _render_section("Upstreams", status["upstreams"], columns),
         *_render_unreadable(status.get("unreadable", [])),
         "Counts\n" + render_table(("count", "reason", "total"), counts),
     ]
--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -17,16 +17,28 @@
     """Counts of packets and health checks by outcome since the host started.
 
     ``responses`` holds response times in seconds, from a request to the first
-    acknowledgement of its response.
+    acknowledgement of its response. ``refused`` counts the opening packets for which a
+    service had no upstream, with retransmissions.
     """
 
-    __slots__ = ("checks", "copies", "drops", "forwarded", "held", "placed", "resets", "responses")
+    __slots__ = (
+        "checks",
+        "copies",
+        "drops",
+        "forwarded",
+        "held",
+        "placed",
+        "refused",
+        "resets",
+        "responses",
+    )
 
     def __init__(self) -> None:
         self.forwarded = 0
         self.held = 0
         self.placed: Counter[ServiceName] = Counter()
         self.copies: Counter[ServiceName] = Counter()
+        self.refused: Counter[ServiceName] = Counter()
         self.resets: Counter[ResetReason] = Counter()
         self.checks: Counter[CheckResult] = Counter()
         self.drops: Counter[DropReason] = Counter()
--- /dev/null
+++ b/banyanline/core/steering/peer_registry.py
@@ -0,0 +1,45 @@
+"""The hosts that have told a seed where they receive reports."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from banyanline.core.types import DataCentreName, Endpoint, Seconds
+
+REGISTRATION_LIFETIME_S = 60.0
+"""How long a host is named to others after its last request."""
+
+MAX_REGISTRATIONS = 2_000
+MAX_NAMED_PEERS = 64
+"""Limit on the endpoints in one response; the others are learned from reports."""
+
+
+class _Registration(NamedTuple):
+    data_centre: DataCentreName
+    registered_at: Seconds
+
+
+class PeerRegistry:
+    """Where the hosts of each data centre receive reports, ordered by their last request."""
+
+    def __init__(self) -> None:
+        self._registrations: dict[Endpoint, _Registration] = {}
+
+    def register(self, endpoint: Endpoint, data_centre: DataCentreName, now: Seconds) -> None:
+        """Record a host; beyond ``MAX_REGISTRATIONS`` the oldest is dropped."""
+        self._registrations.pop(endpoint, None)
+        self._registrations[endpoint] = _Registration(data_centre, now)
+        if len(self._registrations) > MAX_REGISTRATIONS:
+            del self._registrations[next(iter(self._registrations))]
+
+    def endpoints(self, data_centre: DataCentreName, now: Seconds) -> list[Endpoint]:
+        """Return where hosts of a data centre receive reports, the latest first."""
+        endpoints: list[Endpoint] = []
+        for endpoint, registration in reversed(self._registrations.items()):
+            is_old = now - registration.registered_at >= REGISTRATION_LIFETIME_S
+            if is_old or len(endpoints) == MAX_NAMED_PEERS:
+                break
+            if registration.data_centre == data_centre:
+                endpoints.append(endpoint)
+        return endpoints
--- a/banyanline/core/steering/peer_reports.py
+++ b/banyanline/core/steering/peer_reports.py
@@ -12,6 +12,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from banyanline.core.steering.report_order import ReportOrder
 from banyanline.core.types import DataCentreName, HostName, Seconds, ServiceName, UpstreamName
 
 if TYPE_CHECKING:
@@ -20,6 +21,9 @@
 REPORT_LIFETIME_S = 4.0
 """How long a report is used; several reports may be lost in this time."""
 
+SAMPLE_LIFETIME_S = 6.0
+"""How long a sample is used that later reports of its host omit for lack of space."""
+
 
 class UpstreamSample(NamedTuple):
     """One host's part of the load and the responses of one upstream.
@@ -86,39 +90,90 @@
     out_of_reach: int
 
 
+class _HostSamples:
+    """The samples of one host: those of its latest report, and earlier ones that it left out."""
+
+    __slots__ = ("received_at", "report", "services", "upstreams")
+
+    def __init__(self) -> None:
+        self.report: HostReport | None = None
+        self.received_at: Seconds = 0.0
+        self.services: dict[ServiceName, tuple[ServiceSample, Seconds]] = {}
+        self.upstreams: dict[UpstreamName, tuple[UpstreamSample, Seconds]] = {}
+
+
+class _Total:
+    """The load of one upstream in whole numbers, so that no rounding errors add up."""
+
+    __slots__ = ("cold_openings", "in_flight_thousandths", "open_flows", "samples")
+
+    def __init__(self) -> None:
+        self.samples = 0
+        self.in_flight_thousandths = 0
+        self.open_flows = 0
+        self.cold_openings = 0
+
+    def add(self, sample: UpstreamSample, sign: int) -> None:
+        """Add a sample, or subtract it if ``sign`` is -1."""
+        self.samples += sign
+        self.in_flight_thousandths += sign * round(sample.in_flight * 1000.0)
+        self.open_flows += sign * sample.open_flows
+        self.cold_openings += sign * sample.cold_openings
+
+    def load(self) -> PeerLoad:
+        """Return the total."""
+        return PeerLoad(self.in_flight_thousandths / 1000.0, self.open_flows, self.cold_openings)
+
+
 class PeerReports:
-    """The latest report of each other host in this host's data centre."""
+    """The latest report of each other host in this host's data centre.
+
+    A report may omit upstreams and services, whose earlier samples stay in use for
+    ``SAMPLE_LIFETIME_S``.
+    """
 
     def __init__(self) -> None:
-        self._reports: dict[HostName, tuple[HostReport, Seconds]] = {}
+        self._hosts: dict[HostName, _HostSamples] = {}
+        self._starts = ReportOrder()
+        self._totals: dict[UpstreamName, _Total] = {}
         self._loads: dict[UpstreamName, PeerLoad] = {}
 
     @property
     def hosts(self) -> Collection[HostName]:
         """The other hosts whose reports are in use."""
-        return self._reports.keys()
+        return self._hosts.keys()
 
     def put(self, report: HostReport, now: Seconds) -> bool:
-        """Use a report, unless a later one of the same start is known."""
-        known = self._reports.get(report.host)
-        if known is not None:
-            latest = known[0]
-            if latest.start == report.start and latest.sequence >= report.sequence:
-                return False
-            self._add(latest, -1)
-        self._reports[report.host] = (report, now)
-        self._add(report, 1)
+        """Use a report; return False if it is not later than the one in use.
+
+        Samples of a start are not used with those of another.
+        """
+        if not self._starts.accept(report.host, report.start, report.sequence, now):
+            return False
+        host = self._hosts.get(report.host)
+        if host is not None and host.report is not None and host.report.start != report.start:
+            self._remove(report.host)
+            host = None
+        if host is None:
+            host = self._hosts[report.host] = _HostSamples()
+        host.report, host.received_at = report, now
+        for service in report.services:
+            host.services[service.service] = (service, now)
+        for upstream in report.upstreams:
+            self._replace(host, upstream, now)
         return True
 
     def expire(self, now: Seconds) -> list[HostName]:
         """Drop reports older than ``REPORT_LIFETIME_S``; return the hosts that sent them."""
         old = [
-            host
-            for host, (_, received_at) in self._reports.items()
-            if now - received_at >= REPORT_LIFETIME_S
+            name
+            for name, host in self._hosts.items()
+            if now - host.received_at >= REPORT_LIFETIME_S
         ]
-        for host in old:
-            self._add(self._reports.pop(host)[0], -1)
+        for name in old:
+            self._remove(name)
+        for host in self._hosts.values():
+            self._drop_old_samples(host, now)
         return old
 
     def load(self, upstream: UpstreamName) -> PeerLoad:
@@ -127,42 +182,48 @@
 
     def samples(self, upstream: UpstreamName) -> Iterable[tuple[UpstreamSample, Seconds]]:
         """Return the other hosts' samples of an upstream, and when each was received."""
-        return [
-            (sample, received_at)
-            for report, received_at in self._reports.values()
-            for sample in report.upstreams
-            if sample.upstream == upstream
-        ]
+        samples = (host.upstreams.get(upstream) for host in self._hosts.values())
+        return [sample for sample in samples if sample is not None]
 
     def reach(self, service: ServiceName) -> Reach:
         """Return how many other hosts report a service, and how many cannot reach it."""
-        samples = [
-            sample
-            for report, _ in self._reports.values()
-            for sample in report.services
-            if sample.service == service
-        ]
+        samples = self._service_samples(service)
         return Reach(len(samples), sum(sample.is_out_of_reach for sample in samples))
 
     def openings_per_s(self, service: ServiceName) -> float:
         """Return the rate of opening packets for a service at other hosts."""
-        return sum(
-            sample.openings_per_s
-            for report, _ in self._reports.values()
-            for sample in report.services
-            if sample.service == service
-        )
-
-    def _add(self, report: HostReport, sign: int) -> None:
-        for sample in report.upstreams:
-            load = self._loads.get(sample.upstream, NO_LOAD)
-            total = PeerLoad(
-                load.in_flight + sign * sample.in_flight,
-                load.open_flows + sign * sample.open_flows,
-                load.cold_openings + sign * sample.cold_openings,
-            )
-            if sign < 0 and not (total.open_flows or total.cold_openings):
-                # Without flows the rest is a rounding error.
-                self._loads.pop(sample.upstream, None)
-            else:
-                self._loads[sample.upstream] = total
+        return sum(sample.openings_per_s for sample in self._service_samples(service))
+
+    def _service_samples(self, service: ServiceName) -> list[ServiceSample]:
+        samples = (host.services.get(service) for host in self._hosts.values())
+        return [sample[0] for sample in samples if sample is not None]
+
+    def _replace(self, host: _HostSamples, sample: UpstreamSample, now: Seconds) -> None:
+        previous = host.upstreams.get(sample.upstream)
+        host.upstreams[sample.upstream] = (sample, now)
+        self._add(sample, 1)
+        if previous is not None:
+            self._add(previous[0], -1)
+
+    def _remove(self, name: HostName) -> None:
+        for sample, _ in self._hosts.pop(name).upstreams.values():
+            self._add(sample, -1)
+
+    def _drop_old_samples(self, host: _HostSamples, now: Seconds) -> None:
+        oldest = now - SAMPLE_LIFETIME_S
+        for upstream in [name for name, (_, at) in host.upstreams.items() if at <= oldest]:
+            self._add(host.upstreams.pop(upstream)[0], -1)
+        for service in [name for name, (_, at) in host.services.items() if at <= oldest]:
+            del host.services[service]
+
+    def _add(self, sample: UpstreamSample, sign: int) -> None:
+        upstream = sample.upstream
+        total = self._totals.get(upstream)
+        if total is None:
+            total = self._totals[upstream] = _Total()
+        total.add(sample, sign)
+        if total.samples:
+            self._loads[upstream] = total.load()
+        else:
+            del self._totals[upstream]
+            self._loads.pop(upstream, None)
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -139,6 +139,7 @@
             return self._refuse(route, flow)
         if upstream.is_cold(now):
             upstream.next_cold_opening_at = now + self._catalog.cold_opening_interval_s
+            upstream.cold_openings += 1
         self._check_scheduler.on_opening(self._flows.open(packet.flow, upstream, now), now)
         return Forward(upstream)
 
@@ -176,6 +177,9 @@
         reason = self.refusal_reason(route)
         if flow is not None and reason is ResetReason.COLD_UPSTREAMS:
             return Forward(flow.upstream)
+        if route.shares:
+            main = max(route.shares, key=lambda share: share.weight)
+            self._counters.refused[main.service] += 1
         return Reset(reason)
 
     def refusal_reason(self, route: Route) -> ResetReason:
--- a/banyanline/core/steering/upstreams.py
+++ b/banyanline/core/steering/upstreams.py
@@ -38,10 +38,12 @@
 
     ``removed_at`` is None while the upstream has an entry. ``next_cold_opening_at`` is
     the earliest time when this host may send it an opening packet while it is cold, and
-    None if no such time has been set since it became cold.
+    None if no such time has been set since it became cold. ``cold_openings`` counts the
+    opening packets sent to it while cold since this host last reported it.
     """
 
     __slots__ = (
+        "cold_openings",
         "cold_until",
         "created",
         "entry",
@@ -61,6 +63,7 @@
         self.removed_at: Seconds | None = None
         self.cold_until: Seconds = NEVER
         self.next_cold_opening_at: Seconds | None = None
+        self.cold_openings = 0
         self.open_flows = 0
         self.pending_opens = 0
         self.responses = ResponseTracker()
@@ -126,6 +129,16 @@
         self._rebuild_indexes()
         return self._by_cookie.get(cookie)
 
+    def name_of(self, cookie: Cookie) -> UpstreamName | None:
+        """Return the name of the upstream that a cookie identifies, or None."""
+        upstream = self.by_cookie(cookie)
+        return None if upstream is None else upstream.name
+
+    def cookie_of(self, name: UpstreamName) -> Cookie | None:
+        """Return the cookie of a known upstream, or None."""
+        upstream = self._by_name.get(name)
+        return None if upstream is None else upstream.entry.cookie
+
     def owns_cookie(self, upstream: Upstream) -> bool:
         """Whether the upstream's cookie identifies it rather than an upstream created earlier."""
         return self.by_cookie(upstream.entry.cookie) is upstream
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -143,6 +143,11 @@
         known = [at for at in (self._synced_at, self._client.answered_at) if at is not None]
         return max(known, default=None)
 
+    @property
+    def uses_relays(self) -> bool:
+        """Whether hosts have the time to poll seeds in place of the store."""
+        return self._uses_relays
+
     def set_source(self, store: Endpoint, contact_s: Seconds, change_bound_s: Seconds) -> None:
         """Set the store endpoint and time bounds for the next calls.
 
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -20,6 +20,7 @@
 
     from banyanline.core.steering.steering import Steering
     from banyanline.core.types import Seconds
+    from banyanline.net.steering.report_exchange import ReportCounts
     from banyanline.platform.store import StoreFailureReason
 
 
@@ -33,6 +34,7 @@
     store_age_s: Callable[[], Seconds]
     unusable_items: Callable[[], int]
     log_lines_left_out: Callable[[], int]
+    reports: Callable[[], ReportCounts]
 
 
 class SteeringMetrics:
@@ -75,6 +77,14 @@
         self._flows = self._gauge("flows", "Flows that this host tracks.")
         self._upstreams = self._gauge("upstreams", "Upstreams by service and state.")
         self._in_flight = self._gauge("requests_in_flight", "Requests in flight at upstreams.")
+        self._peers = self._gauge("peers", "Other hosts whose reports are in use.")
+        self._reports = self._counter("reports_total", "Reports sent and received.")
+        self._report_bytes = self._counter(
+            "report_bytes_total", "Bytes of reports sent and received, without headers."
+        )
+        self._rejected = self._counter(
+            "reports_rejected_total", "Received reports that were not used."
+        )
         self._latency = aioprometheus.Histogram(
             f"{PREFIX}_response_seconds",
             "Time from a request to the first acknowledgement of its response, in seconds.",
@@ -87,6 +97,7 @@
         sources = self._sources
         self._copy_counters()
         self._copy_state()
+        self._copy_reports()
         self._store_calls.set({}, sources.store_calls())
         copy_counts(self._store_failures, "reason", sources.store_failures())
         self._store_age.set({}, sources.store_age_s())
@@ -112,6 +123,15 @@
         for service, histogram in counters.responses.items():
             self._latency.set_value({"service": service}, bucket_counts(histogram))
 
+    def _copy_reports(self) -> None:
+        counts = self._sources.reports()
+        self._peers.set({}, len(self._sources.steering.peers.hosts))
+        self._reports.set({"direction": "sent"}, counts.sent)
+        self._reports.set({"direction": "received"}, counts.received)
+        self._report_bytes.set({"direction": "sent"}, counts.sent_bytes)
+        self._report_bytes.set({"direction": "received"}, counts.received_bytes)
+        copy_counts(self._rejected, "reason", counts.rejected)
+
     def _copy_state(self) -> None:
         steering = self._sources.steering
         catalog = steering.catalog
--- /dev/null
+++ b/banyanline/net/steering/peer_discovery.py
@@ -0,0 +1,123 @@
+"""Finds the other hosts of this data centre: asks seeds for them, and answers such requests.
+
+A request tells the seed where the asking host receives reports, so that the seed can
+name it to others. Hosts of earlier versions respond with status 404.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+from urllib.parse import parse_qs, urlencode, urlsplit
+
+from banyanline.core.steering.peer_registry import MAX_NAMED_PEERS, PeerRegistry
+from banyanline.core.types import Endpoint
+from banyanline.net.pages import PageResponse
+from banyanline.net.steering.report_codec import (
+    ENDPOINT_BYTES,
+    MAX_NAME_CHARACTERS,
+    decode_endpoints,
+    encode_endpoints,
+)
+from banyanline.platform.host_settings import parse_endpoint
+from banyanline.transport.http import HttpFailed, http_get
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from banyanline.core.types import DataCentreName, Seconds
+    from banyanline.net.steering.report_exchange import ReportExchange
+    from banyanline.net.steering.seeds import Seeds
+
+PEERS_PATH = "/peers"
+INITIAL_DELAY_S = 0.2
+INITIAL_INTERVAL_S = 1.0
+MAX_INTERVAL_S = 30.0
+"""Hosts that hear each other learn of others from reports."""
+
+ANSWER_TIMEOUT_S = 1.0
+MAX_ENDPOINTS = 2 * MAX_NAMED_PEERS
+_CONTENT_TYPE = {"Content-Type": "application/octet-stream"}
+_HTTP_OK = 200
+
+
+class PeersQuery(NamedTuple):
+    """A request for the hosts of a data centre, by the host that receives reports there."""
+
+    data_centre: DataCentreName
+    endpoint: Endpoint
+
+
+def parse_peers_query(target: str) -> PeersQuery | PageResponse:
+    """Parse a request target; return an error response if it is invalid.
+
+    >>> parse_peers_query("/peers?data_centre=north&endpoint=192.0.2.1:7720").data_centre
+    'north'
+    """
+    fields = {name: values[0] for name, values in parse_qs(urlsplit(target).query).items()}
+    data_centre = fields.get("data_centre", "")
+    try:
+        endpoint = parse_endpoint("endpoint", fields.get("endpoint", ""))
+    except ValueError as error:
+        return PageResponse(400, f"{error}\n".encode())
+    if not 0 < len(data_centre) <= MAX_NAME_CHARACTERS:
+        return PageResponse(400, b"data_centre is missing or too long\n")
+    return PeersQuery(data_centre, endpoint)
+
+
+class PeerDiscovery:
+    """Asks seeds for the hosts of this data centre, and answers the requests of others."""
+
+    def __init__(
+        self,
+        data_centre: DataCentreName,
+        seeds: Seeds,
+        reports: ReportExchange,
+        clock: Callable[[], Seconds],
+        rng: random.Random,
+    ) -> None:
+        self._data_centre = data_centre
+        self._seeds = seeds
+        self._reports = reports
+        self._clock = clock
+        self._rng = rng
+        self._registry = PeerRegistry()
+
+    async def run(self) -> None:
+        """Ask seeds, forever: often at first and while no other host is heard, then rarely."""
+        await asyncio.sleep(INITIAL_DELAY_S)
+        interval_s = INITIAL_INTERVAL_S
+        while True:
+            await self._ask()
+            await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
+            has_peers = bool(self._reports.hosts)
+            interval_s = min(MAX_INTERVAL_S, 2.0 * interval_s) if has_peers else INITIAL_INTERVAL_S
+
+    def respond(self, target: str) -> PageResponse:
+        """Answer a request, and name the asking host to others from now on."""
+        query = parse_peers_query(target)
+        if isinstance(query, PageResponse):
+            return query
+        now = self._clock()
+        endpoints = self._registry.endpoints(query.data_centre, now)
+        if query.data_centre == self._data_centre and self._reports.endpoint is not None:
+            endpoints += [self._reports.endpoint, *self._reports.recent_peers()]
+            self._reports.learn([query.endpoint])
+        self._registry.register(query.endpoint, query.data_centre, now)
+        return PageResponse(_HTTP_OK, encode_endpoints(endpoints), _CONTENT_TYPE)
+
+    async def _ask(self) -> None:
+        """Ask any seed: hosts that always asked the nearest would not learn of the others'."""
+        seed, endpoint = self._seeds.choose(), self._reports.endpoint
+        if seed is None or endpoint is None:
+            return
+        fields = {"data_centre": self._data_centre, "endpoint": str(endpoint)}
+        result = await http_get(
+            seed,
+            f"{PEERS_PATH}?{urlencode(fields)}",
+            timeout_s=ANSWER_TIMEOUT_S,
+            max_body_bytes=MAX_ENDPOINTS * ENDPOINT_BYTES,
+        )
+        if not isinstance(result, HttpFailed) and result.status == _HTTP_OK:
+            self._reports.learn(decode_endpoints(result.body))
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -6,6 +6,7 @@
 import random
 import signal
 from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
 
 import structlog
 
@@ -19,7 +20,9 @@
 from banyanline.net.steering.change_log import UpstreamAvailabilityLog
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.packet_path import PacketPath
+from banyanline.net.steering.peer_discovery import PEERS_PATH, PeerDiscovery
 from banyanline.net.steering.peers import PeerReader
+from banyanline.net.steering.report_exchange import ReportExchange, ReportSource
 from banyanline.net.steering.seeds import Seeds
 from banyanline.net.steering.views import MAX_CONNECTIONS, ViewServer
 from banyanline.platform.endpoints import METRICS_PORT, READY_TARGET
@@ -62,6 +65,15 @@
         self._steering = Steering(self._catalog, settings.data_centre, rng)
         self._packet_path = PacketPath(loop, settings.packets, self._steering, packets)
         self._seeds = Seeds(settings.control, rng, settings.data_centre)
+        self._reports = ReportExchange(
+            ReportSource(settings.host, settings.data_centre, self._steering),
+            Endpoint(settings.packets.ip, settings.internal_ports.start),
+            settings.link_mbps,
+            rng,
+        )
+        self._discovery = PeerDiscovery(
+            settings.data_centre, self._seeds, self._reports, self._clock, rng
+        )
         self._feed = StoreFeed(
             StoreClient(settings.store, self._clock),
             self._catalog,
@@ -113,6 +125,8 @@
         self._tasks = [
             asyncio.create_task(keep_running("feed", self._feed.run)),
             asyncio.create_task(keep_running("peers", self._peers.run)),
+            asyncio.create_task(keep_running("reports", self._reports.run)),
+            asyncio.create_task(keep_running("discovery", self._discovery.run)),
             asyncio.create_task(keep_running("tick", self._tick)),
         ]
         for defect in settings.defects:
@@ -149,6 +163,7 @@
         for task in self._tasks:
             task.cancel()
         self._packet_path.close()
+        self._reports.close()
         log.info("host_stopped", after_s=round(self._clock() - began_at, 3), checks=shutdown.checks)
 
     def _apply_settings(self, settings: HostSettings) -> None:
@@ -157,6 +172,7 @@
             packets=self._settings.packets,
             readiness=self._settings.readiness,
             control=self._settings.control,
+            internal_ports=self._settings.internal_ports,
             data_centre=self._settings.data_centre,
             host=self._settings.host,
         )
@@ -172,6 +188,7 @@
             now = self._clock()
             self._packet_path.check_for_pause(now)
             self._steering.on_tick(now)
+            self._reports.on_tick(now)
             self._update_host_count()
             self._availability_log.update(now)
             if self._settings_file.has_changed():
@@ -230,6 +247,7 @@
             self._store_age_s,
             lambda: len(self._feed.unusable_items),
             lambda: self._output.dropped_lines,
+            lambda: self._reports.counts,
         )
         return SteeringMetrics(sources)
 
@@ -238,11 +256,17 @@
         return float("inf") if synced_at is None else self._clock() - synced_at
 
     async def _respond_control(self, target: str, _accepts: Sequence[str]) -> PageResponse:
+        if urlsplit(target).path == PEERS_PATH:
+            return self._discovery.respond(target)
         return await self._view_server.respond(target)
 
     def _set_sources(self, settings: HostSettings) -> None:
         self._seeds.set(settings.seeds)
         self._feed.set_source(settings.store, settings.contact_s, settings.change_bound_s)
+        if self._feed.uses_relays and settings.internal_ports:
+            self._reports.open()
+        else:
+            self._reports.close()
 
     def _on_change(self) -> None:
         self._packet_path.release_held()
--- /dev/null
+++ b/banyanline/net/steering/report_exchange.py
@@ -0,0 +1,218 @@
+"""Sends this host's reports to the other hosts of its data centre, and receives theirs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+import structlog
+
+from banyanline.core.steering.peer_membership import MAX_SHARED_PEERS, PeerMembership
+from banyanline.core.steering.report_budget import MAX_REPORT_BYTES, report_budget
+from banyanline.core.steering.report_composer import HostIdentity, ReportComposer
+from banyanline.core.types import Endpoint
+from banyanline.net.steering.report_codec import MalformedReport, ReportCodec, envelope_bytes
+from banyanline.transport.datagram import DatagramSocket
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Collection, Iterable, Sequence
+
+    from banyanline.core.steering.steering import Steering
+    from banyanline.core.types import DataCentreName, HostName, Seconds, ServiceName
+    from banyanline.transport.datagram import SocketAddress
+
+START_BITS = 32
+BATCH_REPORTS = 8
+BATCH_GAP_S = 0.05
+"""Pause between batches of reports, so that callers' packets do not queue behind them."""
+
+JITTER = 0.1
+RECEIVE_BUFFER_BYTES = 256 * 1024
+REJECTION_LOG_INTERVAL_S = 10.0
+
+log = structlog.get_logger()
+
+
+class RejectReason(StrEnum):
+    """Why a received report is not used."""
+
+    MALFORMED = "malformed"
+    DATA_CENTRE = "data_centre"
+    ADDRESS = "address"
+    """The name is that of another host that is being heard, or there are too many hosts."""
+    OUTDATED = "outdated"
+    """A later report of the host was received before; not an error."""
+
+
+class ReportCounts:
+    """Reports and their bytes, without headers, since the process started."""
+
+    __slots__ = ("received", "received_bytes", "rejected", "sent", "sent_bytes")
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.sent_bytes = 0
+        self.received = 0
+        self.received_bytes = 0
+        self.rejected: Counter[RejectReason] = Counter()
+
+
+class ReportSource(NamedTuple):
+    """What a host reports: its steering decisions, and which services it cannot reach."""
+
+    host: HostName
+    data_centre: DataCentreName
+    steering: Steering
+    is_out_of_reach: Callable[[ServiceName, Seconds], bool] = lambda _service, _now: False
+
+
+class ReportExchange:
+    """Exchanges reports on one UDP port and puts those received into ``Steering.peers``.
+
+    Nothing is sent before :meth:`open`.
+    """
+
+    def __init__(
+        self, source: ReportSource, endpoint: Endpoint, link_mbps: float, rng: random.Random
+    ) -> None:
+        self._source = source
+        self._endpoint = endpoint
+        self._link_mbps = link_mbps
+        self._rng = rng
+        self._membership = PeerMembership(endpoint, rng)
+        identity = HostIdentity(source.host, source.data_centre, rng.getrandbits(START_BITS))
+        self._composer = ReportComposer(source.steering, identity, source.is_out_of_reach)
+        upstreams = source.steering.catalog.upstreams
+        self._codec = ReportCodec(upstreams.cookie_of, upstreams.name_of)
+        self._counts = ReportCounts()
+        self._unlogged: Counter[RejectReason] = Counter()
+        self._next_log_at = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._socket: DatagramSocket | None = None
+
+    @property
+    def endpoint(self) -> Endpoint | None:
+        """Where this host receives reports, or None while it does not."""
+        return None if self._socket is None else self._endpoint
+
+    @property
+    def counts(self) -> ReportCounts:
+        """Reports sent, received and rejected."""
+        return self._counts
+
+    @property
+    def hosts(self) -> Collection[HostName]:
+        """The hosts that are heard."""
+        return self._source.steering.peers.hosts
+
+    def recent_peers(self) -> list[Endpoint]:
+        """Return where a few hosts that were heard recently receive reports."""
+        return self._membership.recent(self._loop.time())
+
+    def open(self) -> None:
+        """Start to receive reports; without its port the host goes on without them."""
+        if self._socket is not None:
+            return
+        try:
+            self._socket = DatagramSocket(
+                self._loop,
+                self._endpoint,
+                self._on_datagram,
+                max_bytes=MAX_REPORT_BYTES + 1,
+                receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
+            )
+        except OSError as error:
+            log.warning("reports_not_exchanged", endpoint=str(self._endpoint), detail=str(error))
+
+    def close(self) -> None:
+        """Stop to receive and send reports."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def learn(self, endpoints: Iterable[Endpoint]) -> None:
+        """Record the endpoints of other hosts of this data centre, as a seed names them."""
+        if self._socket is not None:
+            self._membership.learn(endpoints, self._loop.time())
+
+    def on_tick(self, now: Seconds) -> None:
+        """Drop the reports of hosts that are not heard any more; call this once a second."""
+        for host in self._source.steering.peers.expire(now):
+            log.info("peer_lost", peer=host, peers=len(self._source.steering.peers.hosts))
+
+    async def run(self) -> None:
+        """Send reports, forever."""
+        while True:
+            destinations = [] if self._socket is None else self._membership.due(self._loop.time())
+            budget = report_budget(len(destinations), self._link_mbps)
+            interval_s = budget.interval_s * self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+            if not destinations:
+                await asyncio.sleep(interval_s)
+                continue
+            self._rng.shuffle(destinations)
+            data = self._encode_report(budget.max_bytes)
+            for begin in range(0, len(destinations), BATCH_REPORTS):
+                self._send(data, destinations[begin : begin + BATCH_REPORTS])
+                await asyncio.sleep(BATCH_GAP_S)
+                interval_s -= BATCH_GAP_S
+            await asyncio.sleep(interval_s)
+
+    def _encode_report(self, max_bytes: int) -> bytes:
+        now = self._loop.time()
+        source = self._source
+        envelope = envelope_bytes(source.host, source.data_centre, MAX_SHARED_PEERS)
+        report = self._composer.compose(now, max_bytes - envelope, self._codec.size)
+        return self._codec.encode(report, self._membership.recent(now))
+
+    def _send(self, data: bytes, destinations: Sequence[Endpoint]) -> None:
+        for destination in destinations:
+            if self._socket is not None and self._socket.send(data, destination):
+                self._counts.sent += 1
+                self._counts.sent_bytes += len(data)
+
+    def _on_datagram(self, data: bytes, address: SocketAddress) -> None:
+        self._counts.received += 1
+        self._counts.received_bytes += len(data)
+        rejected = self._receive(data, Endpoint(*address))
+        if rejected is not None:
+            self._counts.rejected[rejected] += 1
+            if rejected is not RejectReason.OUTDATED:
+                self._log_rejection(rejected, Endpoint(*address))
+
+    def _receive(self, data: bytes, sender: Endpoint) -> RejectReason | None:
+        """Use a report; return why it is not used, or None."""
+        received = self._codec.decode(data) if len(data) <= MAX_REPORT_BYTES else None
+        if received is None or isinstance(received, MalformedReport):
+            return RejectReason.MALFORMED
+        report, now = received.report, self._loop.time()
+        if report.data_centre != self._source.data_centre:
+            return RejectReason.DATA_CENTRE
+        is_own_name = report.host == self._source.host
+        if is_own_name or not self._membership.on_report(report.host, sender, now):
+            return RejectReason.ADDRESS
+        self._membership.learn(received.peers, now)
+        peers = self._source.steering.peers
+        is_new = report.host not in peers.hosts
+        if not peers.put(report, now):
+            return RejectReason.OUTDATED
+        if is_new:
+            log.info("peer_joined", peer=report.host, address=str(sender), peers=len(peers.hosts))
+        return None
+
+    def _log_rejection(self, reason: RejectReason, sender: Endpoint) -> None:
+        """Log a rejected report, at most one in a while, with the number since the last."""
+        self._unlogged[reason] += 1
+        now = self._loop.time()
+        if now < self._next_log_at:
+            return
+        self._next_log_at = now + REJECTION_LOG_INTERVAL_S
+        log.warning(
+            "report_rejected",
+            reason=reason.value,
+            sender=str(sender),
+            rejected=self._unlogged.total(),
+        )
+        self._unlogged.clear()
--- a/banyanline/net/steering/status.py
+++ b/banyanline/net/steering/status.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING, NotRequired, TypedDict
 
+from banyanline.core.steering.peer_reports import NO_LOAD, PeerLoad
 from banyanline.core.steering.report import report_flow, report_upstream
 from banyanline.net.admin import parse_endpoint
 from banyanline.platform.entries import CONFIGURATION_KEY
@@ -24,7 +25,8 @@
 class UpstreamRow(TypedDict):
     """State of one upstream as seen by this host.
 
-    Ages are in seconds, None if the event never happened.
+    Ages are in seconds, None if the event never happened. The totals are those of all hosts
+    of the data centre that are heard, this one included.
     """
 
     upstream: str
@@ -38,6 +40,8 @@
     doubt_age_s: float | None
     failed_check_age_s: float | None
     revision: int
+    total_in_flight: NotRequired[float]
+    total_open_flows: NotRequired[int]
 
 
 class DefectRow(TypedDict):
@@ -64,6 +68,8 @@
     upstreams: list[UpstreamRow]
     unreadable: NotRequired[list[DefectRow]]
     """Not present on pages of earlier versions."""
+    peers: NotRequired[int]
+    """Number of other hosts whose reports are in use; not present on pages of earlier versions."""
     resets: dict[str, int]
     drops: dict[str, int]
     checks: dict[str, int]
@@ -84,8 +90,8 @@
     new_flow: str
 
 
-def upstream_row(report: UpstreamReport) -> UpstreamRow:
-    """Convert a report on an upstream to a row of the page."""
+def upstream_row(report: UpstreamReport, peers: PeerLoad = NO_LOAD) -> UpstreamRow:
+    """Convert a report on an upstream to a row of the page; ``peers`` is other hosts' load."""
     upstream = report.upstream
     expected_s = report.expected_s
     return UpstreamRow(
@@ -100,6 +106,8 @@
         doubt_age_s=report.doubt_age_s,
         failed_check_age_s=report.failed_check_age_s,
         revision=upstream.revision,
+        total_in_flight=round(report.under_way + peers.in_flight, 3),
+        total_open_flows=upstream.open_flows + peers.open_flows,
     )
 
 
@@ -127,8 +135,12 @@
         routes=len(catalog.table.routes) if catalog.table else 0,
         flows=len(steering.flows),
         data_centres_out=sorted(catalog.data_centres_out),
-        upstreams=[upstream_row(report_upstream(catalog, each, now)) for each in upstreams],
+        upstreams=[
+            upstream_row(report_upstream(catalog, each, now), steering.peers.load(each.name))
+            for each in upstreams
+        ],
         unreadable=_defect_rows(catalog.table, unusable_items),
+        peers=len(steering.peers.hosts),
         resets={reason.value: count for reason, count in counters.resets.items()},
         drops={reason.value: count for reason, count in counters.drops.items()},
         checks={result.value: count for result, count in counters.checks.items()},
--- a/banyanline/platform/host_settings.py
+++ b/banyanline/platform/host_settings.py
@@ -15,6 +15,7 @@
 from banyanline.platform.early_start import SETTINGS_PATH_VARIABLE
 
 DEFAULT_HEARTBEAT_MS = 1200.0
+DEFAULT_LINK_MBPS = 5.0
 
 _MAX_PORT = 65_535
 
@@ -27,7 +28,8 @@
     own use. ``seeds`` are control endpoints of a few hosts and may be stale. Bounds are
     in seconds and apply to a host that has been healthy for ``contact_s``.
     ``change_bound_s`` is the shortest of the times within which the host must act on
-    a change in the platform. ``defects`` are the optional fields that could not be read and
+    a change in the platform. ``link_mbps`` is the capacity of the host's link in each
+    direction, in Mbit/s. ``defects`` are the optional fields that could not be read and
     have their defaults.
     """
 
@@ -44,6 +46,7 @@
     max_flow_s: float
     contact_s: float
     change_bound_s: float
+    link_mbps: float
     defects: tuple[Defect, ...] = ()
 
 
@@ -72,6 +75,10 @@
     evacuation_ms: float = 5000.0
 
 
+class _Limits(msgspec.Struct):
+    link_mbps: float = DEFAULT_LINK_MBPS
+
+
 class _Store(msgspec.Struct):
     address: str
 
@@ -92,6 +99,7 @@
     internal_port_range: tuple[int, int] = (0, 0)
     heartbeat_ms: float = DEFAULT_HEARTBEAT_MS
     bounds: Any = msgspec.field(default_factory=dict)
+    limits: Any = msgspec.field(default_factory=dict)
 
 
 def settings_path() -> Path | None:
@@ -194,6 +202,7 @@
         max_flow_s=bounds.max_flow_s,
         contact_s=bounds.contact_ms / 1000.0,
         change_bound_s=_change_bound_s(bounds),
+        link_mbps=_read_link_mbps(reader, optional.limits),
         defects=reader.defects,
     )
 
@@ -224,5 +233,10 @@
     return range(0)
 
 
+def _read_link_mbps(reader: DocumentReader, fields: Any) -> float:
+    limits = reader.convert("limits", fields, _Limits) or _Limits()
+    return reader.positive("limits.link_mbps", limits.link_mbps, DEFAULT_LINK_MBPS)
+
+
 def _change_bound_s(bounds: _Bounds) -> float:
     return min(bounds.drain_ms, bounds.config_apply_ms, bounds.evacuation_ms) / 1000.0
--- a/banyanline/tests/test_docs.py
+++ b/banyanline/tests/test_docs.py
@@ -14,6 +14,7 @@
 from banyanline.core.steering.upstreams import UpstreamAvailability
 from banyanline.net.metrics import GAUGE_DOCS, PREFIX, Gauges, IoCounts, Metrics, MetricSources
 from banyanline.net.steering.metrics import SteeringMetrics, SteeringSources
+from banyanline.net.steering.report_exchange import ReportCounts
 
 ROOT = Path(__file__).resolve().parents[2]
 PAGES = sorted([ROOT / "README.md", *(ROOT / "docs").rglob("*.md")])
@@ -71,7 +72,7 @@
 def test_platform_page_lists_its_metrics() -> None:
     steering = Steering(Catalog(), "here", random.Random(1))
     sources = SteeringSources(
-        steering, lambda: 0.0, lambda: 0, dict, lambda: 0.0, lambda: 0, lambda: 0
+        steering, lambda: 0.0, lambda: 0, dict, lambda: 0.0, lambda: 0, lambda: 0, ReportCounts
     )
     body, _ = SteeringMetrics(sources).render()
     page = (ROOT / "docs/operators/platform.md").read_text(encoding="utf-8")
--- a/bench/tests/test_steering_process.py
+++ b/bench/tests/test_steering_process.py
@@ -456,6 +456,34 @@
                 seed.signal(signal.SIGCONT)
 
 
+class TestReports:
+    """Hosts that poll different seeds, and the seeds themselves, report to each other."""
+
+    HOSTS = 5
+
+    async def until_peers(self, running: Fleet, number: int) -> None:
+        """Wait until each host hears this many others."""
+        for host in running.hosts:
+            while f"banyanline_peers {number}" not in await host.metrics():
+                await asyncio.sleep(0.2)
+
+    async def test_hosts_hear_each_other_and_a_host_that_restarts(self, tmp_path):
+        async with fleet(tmp_path, hosts=self.HOSTS, change_bound_ms=5000) as running:
+            await self.until_peers(running, self.HOSTS - 1)
+            await running.hosts[-1].kill()
+            await until_logged(running, "event=peer_lost host=host-0 peer=host-4")
+            running.hosts[-1].start()
+            await running.hosts[-1].wait_for_status(200)
+            await self.until_peers(running, self.HOSTS - 1)
+            assert "event=report_rejected" not in running.hosts[0].log_text
+
+    async def test_no_reports_are_sent_where_hosts_read_the_store(self, tmp_path):
+        async with fleet(tmp_path, hosts=2) as running:
+            await asyncio.sleep(2.0)
+            page = await running.hosts[0].metrics()
+            assert 'banyanline_reports_total{direction="sent"} 0' in page
+
+
 async def test_a_reload_that_comes_too_early_ends_nothing(tmp_path):
     async with fleet(tmp_path) as running:
         host = running.hosts[0]
