--- a/properties/test_decoders_platform.py
+++ b/properties/test_decoders_platform.py
@@ -6,12 +6,21 @@
 import json
 import zlib
 
+import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from banyanline.core.steering.model import FleetView
 from banyanline.core.steering.packet import CallerPacket
 from banyanline.net.pages import PageResponse
+from banyanline.net.steering.peer_discovery import PeersQuery, parse_peers_query
+from banyanline.net.steering.report_codec import (
+    PREFIX,
+    MalformedReport,
+    ReceivedReport,
+    ReportCodec,
+    decode_endpoints,
+)
 from banyanline.net.steering.views import (
     ViewQuery,
     decode_deflated_view,
@@ -137,6 +146,26 @@
         assert isinstance(parse_query(target), ViewQuery | PageResponse)
 
 
+@FUZZ
+@given(
+    st.binary(max_size=80),
+    st.lists(st.text(max_size=3) | st.integers(0, 2**63) | st.floats() | st.binary() | st.none()),
+)
+def test_a_report_of_any_bytes_or_fields(data: bytes, fields: list[object]) -> None:
+    codec = ReportCodec({"orders-1": 7}.get, {7: "orders-1"}.get)
+    encoded = msgspec.msgpack.encode(fields[:9])
+    for datagram in (data, PREFIX + data, PREFIX + encoded):
+        assert isinstance(codec.decode(datagram), ReceivedReport | MalformedReport)
+    assert len(decode_endpoints(data)) <= len(data) // 6
+
+
+@FUZZ
+@given(st.text(max_size=80))
+def test_a_request_for_peers_of_any_text(text: str) -> None:
+    for target in (f"/peers?{text}", f"/peers?data_centre=north&endpoint={text}"):
+        assert isinstance(parse_peers_query(target), PeersQuery | PageResponse)
+
+
 @FUZZ
 @given(st.integers(min_value=1, max_value=(1 << 64) - 1))
 def test_ids_of_8_bytes(number: int) -> None:
