--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -38,6 +38,7 @@
     from banyanline.core.steering.flows import Flow
     from banyanline.core.steering.model import Route
     from banyanline.core.steering.packet import CallerPacket
+    from banyanline.core.steering.peer_reports import HostReport
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import DataCentreName, Seconds, ServiceName
 
@@ -124,6 +125,14 @@
         self._check_scheduler.on_result(check, result, now)
         self._update_readiness(now)
 
+    def on_report(self, report: HostReport, now: Seconds) -> bool:
+        """Use the report of another host; return False if it is not later than the one in use."""
+        if not self._peers.put(report, now):
+            return False
+        if not self._readiness.is_ready or any(each.is_out_of_reach for each in report.services):
+            self._update_readiness(now)
+        return True
+
     def on_tick(self, now: Seconds) -> None:
         """Remove expired flows and upstreams; call this about once a second."""
         table = self._catalog.table
@@ -152,6 +161,7 @@
             return self._refuse(route, flow)
         if upstream.is_cold(now):
             upstream.next_cold_opening_at = now + self._catalog.cold_opening_interval_s
+            upstream.cold_openings += 1
         self._check_scheduler.on_opening(self._flows.open(packet.flow, upstream, now), now)
         self._readiness.on_opening(upstream.entry.service, now)
         return Forward(upstream)
@@ -190,6 +200,9 @@
         reason = self.refusal_reason(route)
         if flow is not None and reason is ResetReason.COLD_UPSTREAMS:
             return Forward(flow.upstream)
+        if route.shares:
+            main = max(route.shares, key=lambda share: share.weight)
+            self._counters.refused[main.service] += 1
         return Reset(reason)
 
     def refusal_reason(self, route: Route) -> ResetReason:
--- a/banyanline/net/steering/packet_path.py
+++ b/banyanline/net/steering/packet_path.py
@@ -92,6 +92,10 @@
             self._drop_until = now + DROP_AFTER_PAUSE_S
             log.warning("host_paused", pause_s=round(paused_s, 3))
 
+    def start_due_checks(self) -> None:
+        """Start health checks that are due without a packet; call about once a second."""
+        self._checker.start_due()
+
     def release_held(self) -> None:
         """Steer the packets that were held until there was a configuration."""
         if not (self._held and self._steering.catalog.is_configured):
