Conclude that an upstream is lost only if another one answers

Change: a check fails only if two attempts are unanswered and another upstream, the reference, answered an attempt that began no earlier than the second (core/steering/check_evidence.py). Attempts stay open until the check ends. Without such an answer the next attempt follows, up to six, and then the check is inconclusive.

--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -16,11 +16,22 @@
 class SteeringCounters:
     """Counts of packets and health checks by outcome since the host started.
 
+    ``references`` counts the attempts at upstreams that a check is compared with.
     ``responses`` holds response times in seconds, from a request to the first
     acknowledgement of its response.
     """
 
-    __slots__ = ("checks", "copies", "drops", "forwarded", "held", "placed", "resets", "responses")
+    __slots__ = (
+        "checks",
+        "copies",
+        "drops",
+        "forwarded",
+        "held",
+        "placed",
+        "references",
+        "resets",
+        "responses",
+    )
 
     def __init__(self) -> None:
         self.forwarded = 0
@@ -29,5 +40,6 @@
         self.copies: Counter[ServiceName] = Counter()
         self.resets: Counter[ResetReason] = Counter()
         self.checks: Counter[CheckResult] = Counter()
+        self.references: Counter[CheckResult] = Counter()
         self.drops: Counter[DropReason] = Counter()
         self.responses: defaultdict[ServiceName, LatencyHistogram] = defaultdict(LatencyHistogram)
--- a/banyanline/core/steering/failure_detection.py
+++ b/banyanline/core/steering/failure_detection.py
@@ -6,7 +6,8 @@
 
 - An upstream that left one packet unanswered is *suspect*. New flows avoid it,
   which costs nothing if the suspicion is wrong.
-- An upstream that accepts no TCP connection when it is checked is *lost* to this host.
+- An upstream that accepts no TCP connection when it is checked, while another upstream
+  does (``check_evidence.py``), is *lost* to this host.
   Its flows on routes whose requests may be repeated are reset at their next packet, and
   new flows avoid it until a connection succeeds. Unanswered packets alone are no proof:
   the flow may continue through another host, so that its responses are not seen here, or
@@ -41,14 +42,16 @@
 
 
 class CheckResult(StrEnum):
-    """The result of a health check, an attempt to connect to an upstream.
+    """The result of a health check, which attempts to connect to an upstream.
 
-    ``UNKNOWN`` says nothing about the upstream: this host was too slow, or could not make
-    the attempt.
+    ``INCONCLUSIVE`` and ``UNKNOWN`` say nothing about the upstream: no other upstream
+    answered meanwhile either, so that the cause may be this host; or this host could not
+    make the attempt.
     """
 
     ANSWERED = "answered"
     UNANSWERED = "unanswered"
+    INCONCLUSIVE = "inconclusive"
     UNKNOWN = "unknown"
 
 
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from banyanline.core.steering.catalog import COLD_OPENING_INTERVAL_S
+from banyanline.core.steering.check_evidence import HostPath
 from banyanline.core.steering.check_schedule import CheckScheduler
 from banyanline.core.steering.counters import SteeringCounters
 from banyanline.core.steering.failure_detection import is_gone
@@ -64,6 +65,7 @@
         self._counters = SteeringCounters()
         self._flows = FlowTable(self._counters)
         self._check_scheduler = CheckScheduler(catalog)
+        self._host_path = HostPath(catalog.upstreams)
 
     @property
     def catalog(self) -> Catalog:
@@ -111,6 +113,11 @@
         """The schedule of health checks of upstreams."""
         return self._check_scheduler
 
+    @property
+    def host_path(self) -> HostPath:
+        """What health checks have shown about this host's own link and processor."""
+        return self._host_path
+
     def on_check(self, check: DueCheck, result: CheckResult, now: Seconds) -> None:
         """Handle the result of a health check."""
         self._counters.checks[result] += 1
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -53,6 +53,9 @@
         self._checks = self._counter(
             "checks_total", "Health checks of upstreams by TCP connection."
         )
+        self._references = self._counter(
+            "reference_checks_total", "Attempts at upstreams that health checks are compared with."
+        )
         self._store_calls = self._counter("store_calls_total", "Calls to the platform's store.")
         self._store_failures = self._counter(
             "store_failures_total", "Failed calls to the platform's store."
@@ -109,6 +112,7 @@
         copy_counts(self._resets, "reason", counters.resets)
         copy_counts(self._drops, "reason", counters.drops)
         copy_counts(self._checks, "result", counters.checks)
+        copy_counts(self._references, "result", counters.references)
         for service, histogram in counters.responses.items():
             self._latency.set_value({"service": service}, bucket_counts(histogram))
 
