--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -16,6 +16,7 @@
 class SteeringCounters:
     """Counts of packets and health checks by outcome since the host started.
 
+    ``references`` counts the attempts at upstreams that a check is compared with.
     ``responses`` holds response times in seconds, from a request to the first
     acknowledgement of its response. ``refused`` counts the opening packets for which a
     service had no upstream, with retransmissions.
@@ -29,6 +30,7 @@
         "held",
         "placed",
         "refused",
+        "references",
         "resets",
         "responses",
     )
@@ -41,5 +43,6 @@
         self.refused: Counter[ServiceName] = Counter()
         self.resets: Counter[ResetReason] = Counter()
         self.checks: Counter[CheckResult] = Counter()
+        self.references: Counter[CheckResult] = Counter()
         self.drops: Counter[DropReason] = Counter()
         self.responses: defaultdict[ServiceName, LatencyHistogram] = defaultdict(LatencyHistogram)
