--- a/banyanline/core/steering/peer_reports.py
+++ b/banyanline/core/steering/peer_reports.py
@@ -93,10 +93,10 @@
 class _HostSamples:
     """The samples of one host: those of its latest report, and earlier ones that it left out."""
 
-    __slots__ = ("received_at", "report", "services", "upstreams")
+    __slots__ = ("received_at", "services", "start", "upstreams")
 
-    def __init__(self) -> None:
-        self.report: HostReport | None = None
+    def __init__(self, start: int) -> None:
+        self.start = start
         self.received_at: Seconds = 0.0
         self.services: dict[ServiceName, tuple[ServiceSample, Seconds]] = {}
         self.upstreams: dict[UpstreamName, tuple[UpstreamSample, Seconds]] = {}
@@ -151,12 +151,12 @@
         if not self._starts.accept(report.host, report.start, report.sequence, now):
             return False
         host = self._hosts.get(report.host)
-        if host is not None and host.report is not None and host.report.start != report.start:
+        if host is not None and host.start != report.start:
             self._remove(report.host)
             host = None
         if host is None:
-            host = self._hosts[report.host] = _HostSamples()
-        host.report, host.received_at = report, now
+            host = self._hosts[report.host] = _HostSamples(report.start)
+        host.received_at = now
         for service in report.services:
             host.services[service.service] = (service, now)
         for upstream in report.upstreams:
@@ -201,27 +201,29 @@
     def _replace(self, host: _HostSamples, sample: UpstreamSample, now: Seconds) -> None:
         previous = host.upstreams.get(sample.upstream)
         host.upstreams[sample.upstream] = (sample, now)
-        self._add(sample, 1)
-        if previous is not None:
-            self._add(previous[0], -1)
+        self._change_total(sample.upstream, sample, previous and previous[0])
 
     def _remove(self, name: HostName) -> None:
-        for sample, _ in self._hosts.pop(name).upstreams.values():
-            self._add(sample, -1)
+        for upstream, (sample, _) in self._hosts.pop(name).upstreams.items():
+            self._change_total(upstream, None, sample)
 
     def _drop_old_samples(self, host: _HostSamples, now: Seconds) -> None:
         oldest = now - SAMPLE_LIFETIME_S
         for upstream in [name for name, (_, at) in host.upstreams.items() if at <= oldest]:
-            self._add(host.upstreams.pop(upstream)[0], -1)
+            self._change_total(upstream, None, host.upstreams.pop(upstream)[0])
         for service in [name for name, (_, at) in host.services.items() if at <= oldest]:
             del host.services[service]
 
-    def _add(self, sample: UpstreamSample, sign: int) -> None:
-        upstream = sample.upstream
+    def _change_total(
+        self, upstream: UpstreamName, added: UpstreamSample | None, removed: UpstreamSample | None
+    ) -> None:
         total = self._totals.get(upstream)
         if total is None:
             total = self._totals[upstream] = _Total()
-        total.add(sample, sign)
+        if added is not None:
+            total.add(added, 1)
+        if removed is not None:
+            total.add(removed, -1)
         if total.samples:
             self._loads[upstream] = total.load()
         else:
--- a/banyanline/core/steering/responses.py
+++ b/banyanline/core/steering/responses.py
@@ -95,9 +95,9 @@
         self._response_total_s: Seconds = 0.0
 
     @property
-    def is_active(self) -> bool:
-        """Whether a request was in flight in the current period."""
-        return bool(self._in_flight) or self._busy_s > 0.0
+    def activity(self) -> int:
+        """Number of requests in flight, and of responses in the current period."""
+        return len(self._in_flight) + self._responses
 
     def under_way(self, now: Seconds) -> int:
         """Return the number of requests in flight."""
--- a/banyanline/net/steering/report_exchange.py
+++ b/banyanline/net/steering/report_exchange.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import socket
 from collections import Counter
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
@@ -14,21 +16,25 @@
 from banyanline.core.steering.report_composer import HostIdentity, ReportComposer
 from banyanline.core.types import Endpoint
 from banyanline.net.steering.report_codec import MalformedReport, ReportCodec, envelope_bytes
-from banyanline.transport.datagram import DatagramSocket
+from banyanline.transport.datagram import open_socket
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Collection, Iterable, Sequence
+    from collections.abc import Callable, Collection, Iterable
 
     from banyanline.core.steering.steering import Steering
     from banyanline.core.types import DataCentreName, HostName, Seconds, ServiceName
     from banyanline.transport.datagram import SocketAddress
 
 START_BITS = 32
-BATCH_REPORTS = 8
-BATCH_GAP_S = 0.05
-"""Pause between batches of reports, so that callers' packets do not queue behind them."""
+STEP_S = 0.2
+"""Time between reads of the socket: one wake-up for several reports costs less."""
 
+STEPS_PER_REPORT = 5
+"""Steps in which a report is sent to all, so that callers' packets do not queue behind it."""
+
+MAX_READS_PER_STEP = 500
+CLOSED_STEP_S = 1.0
 JITTER = 0.1
 RECEIVE_BUFFER_BYTES = 256 * 1024
 REJECTION_LOG_INTERVAL_S = 10.0
@@ -91,7 +97,11 @@
         self._unlogged: Counter[RejectReason] = Counter()
         self._next_log_at = 0.0
         self._loop = asyncio.get_running_loop()
-        self._socket: DatagramSocket | None = None
+        self._socket: socket.socket | None = None
+        self._next_report_at = 0.0
+        self._report = b""
+        self._pending: list[Endpoint] = []
+        self._batch = 0
 
     @property
     def endpoint(self) -> Endpoint | None:
@@ -117,13 +127,7 @@
         if self._socket is not None:
             return
         try:
-            self._socket = DatagramSocket(
-                self._loop,
-                self._endpoint,
-                self._on_datagram,
-                max_bytes=MAX_REPORT_BYTES + 1,
-                receive_buffer_bytes=RECEIVE_BUFFER_BYTES,
-            )
+            self._socket = open_socket(self._endpoint, receive_buffer_bytes=RECEIVE_BUFFER_BYTES)
         except OSError as error:
             log.warning("reports_not_exchanged", endpoint=str(self._endpoint), detail=str(error))
 
@@ -144,34 +148,52 @@
             log.info("peer_lost", peer=host, peers=len(self._source.steering.peers.hosts))
 
     async def run(self) -> None:
-        """Send reports, forever."""
+        """Receive and send reports, forever."""
         while True:
-            destinations = [] if self._socket is None else self._membership.due(self._loop.time())
-            budget = report_budget(len(destinations), self._link_mbps)
-            interval_s = budget.interval_s * self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
-            if not destinations:
-                await asyncio.sleep(interval_s)
-                continue
-            self._rng.shuffle(destinations)
-            data = self._encode_report(budget.max_bytes)
-            for begin in range(0, len(destinations), BATCH_REPORTS):
-                self._send(data, destinations[begin : begin + BATCH_REPORTS])
-                await asyncio.sleep(BATCH_GAP_S)
-                interval_s -= BATCH_GAP_S
-            await asyncio.sleep(interval_s)
-
-    def _encode_report(self, max_bytes: int) -> bytes:
-        now = self._loop.time()
+            await asyncio.sleep(STEP_S if self._socket is not None else CLOSED_STEP_S)
+            if self._socket is not None:
+                self._step(self._socket, self._loop.time())
+
+    def _step(self, sock: socket.socket, now: Seconds) -> None:
+        self._drain(sock)
+        if now >= self._next_report_at:
+            self._begin_report(now)
+        for _ in range(min(self._batch, len(self._pending))):
+            self._send(sock, self._pending.pop())
+
+    def _begin_report(self, now: Seconds) -> None:
+        """Compose the next report and choose its destinations."""
+        self._pending = self._membership.due(now)
+        self._rng.shuffle(self._pending)
+        self._batch = math.ceil(len(self._pending) / STEPS_PER_REPORT)
+        budget = report_budget(len(self._pending), self._link_mbps)
+        jitter = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+        self._next_report_at = now + budget.interval_s * jitter
+        if self._pending:
+            self._report = self._encode_report(budget.max_bytes, now)
+
+    def _encode_report(self, max_bytes: int, now: Seconds) -> bytes:
         source = self._source
         envelope = envelope_bytes(source.host, source.data_centre, MAX_SHARED_PEERS)
         report = self._composer.compose(now, max_bytes - envelope, self._codec.size)
         return self._codec.encode(report, self._membership.recent(now))
 
-    def _send(self, data: bytes, destinations: Sequence[Endpoint]) -> None:
-        for destination in destinations:
-            if self._socket is not None and self._socket.send(data, destination):
-                self._counts.sent += 1
-                self._counts.sent_bytes += len(data)
+    def _send(self, sock: socket.socket, destination: Endpoint) -> None:
+        """Send the report once, without waiting; one that cannot be sent counts as lost."""
+        try:
+            sock.sendto(self._report, destination)
+        except OSError:
+            return
+        self._counts.sent += 1
+        self._counts.sent_bytes += len(self._report)
+
+    def _drain(self, sock: socket.socket) -> None:
+        for _ in range(MAX_READS_PER_STEP):
+            try:
+                data, address = sock.recvfrom(MAX_REPORT_BYTES + 1)
+            except OSError:
+                return
+            self._on_datagram(data, address)
 
     def _on_datagram(self, data: bytes, address: SocketAddress) -> None:
         self._counts.received += 1
--- a/bench/steering/fleet.py
+++ b/bench/steering/fleet.py
@@ -29,6 +29,7 @@
 OTHER_SERVICE = ("198.18.0.2", 8443)
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
+METRICS_POLL_S = 0.2
 MAX_SEEDS = 3
 
 _SETTINGS = """\
@@ -140,6 +141,11 @@
         assert isinstance(result, HttpResponse), result
         return result.body.decode()
 
+    async def wait_for_metric(self, line: str) -> None:
+        """Wait until the metrics page contains this line, while the process runs."""
+        while line not in (await self.metrics()).splitlines():
+            await asyncio.sleep(METRICS_POLL_S)
+
     async def wait_for_status(self, status: int | None, timeout_s: float = START_TIMEOUT_S) -> None:
         """Wait until the readiness page has this status code; raises TimeoutError."""
         async with asyncio.timeout(timeout_s):
