--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -29,8 +29,8 @@
         "forwarded",
         "held",
         "placed",
-        "refused",
         "references",
+        "refused",
         "resets",
         "responses",
     )
