Let a host that joined lately claim keys while a data centre is out

Cause: make demo failed by the check not_served: 36 to 62 POST requests ended as unknown:witness_unreachable within 0.05 s while a data centre was out of service. In a traced run all 111 came from the balancer that joined at the start of the demo. A host without a whole request lifetime of history answered every claim of a service as final while any of its upstreams was out of service, although it had seen who owned these upstreams before. Beside that, an owner called a claim final while only the configurations of the two hosts differed, which lasts for a moment.

Change: such a host claims if it saw each of these upstreams lose its owner, with a lease that had been fresh for a startup period by then and has been since. A host that joined or was partitioned closer to the change still answers unknown: it may name an owner that the other side had replaced. An owner that still, or again, has the upstream in service replies not_owner, so that the claimer asks again.

--- a/banyanline/core/context.py
+++ b/banyanline/core/context.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from banyanline.core.bootstrap import Bootstrap
+from banyanline.core.bootstrap import STARTUP_PERIOD_S, Bootstrap
 from banyanline.core.counters import Counters
 from banyanline.core.directory import Directory
 from banyanline.core.effects import (
@@ -211,6 +211,14 @@
             return True
         return now - lease_fresh_since >= self._limits.request_lifetime_s
 
+    def has_observed_since(self, at: Seconds, now: Seconds) -> bool:
+        """Whether this process has observed every change of home or owner since ``at``.
+
+        Its view may be incomplete for as long as a startup period after its lease began.
+        """
+        lease_fresh_since = self.membership.lease_fresh_since(now)
+        return lease_fresh_since is not None and at >= lease_fresh_since + STARTUP_PERIOD_S
+
     def is_initial_member(self, now: Seconds) -> bool:
         """Whether this process is an initial member of the fleet."""
         return self._bootstrap.is_initial_member(self.membership.view, now)
--- a/banyanline/core/directory.py
+++ b/banyanline/core/directory.py
@@ -79,12 +79,16 @@
         configured = self._services.get(service)
         return configured.idle_timeout_s if configured is not None else float("inf")
 
-    def has_unreachable_upstreams(self, service: ServiceName) -> bool:
-        """Whether any of the service's upstreams is in a data centre that is out of service."""
+    def unreachable_upstreams(self, service: ServiceName) -> list[UpstreamName]:
+        """Return the service's upstreams in data centres that are out of service."""
         configured = self._services.get(service)
-        return configured is not None and any(
-            upstream.name not in self._reachable for upstream in configured.upstreams
-        )
+        if configured is None:
+            return []
+        return [
+            upstream.name
+            for upstream in configured.upstreams
+            if upstream.name not in self._reachable
+        ]
 
     def available_upstreams(self, service: ServiceName) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that accept new work.
--- a/banyanline/core/home/claims.py
+++ b/banyanline/core/home/claims.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import NamedTuple, TypeAlias
 
 from banyanline.core.context import Context
@@ -23,7 +24,8 @@
     Outcome,
     RequestKey,
 )
-from banyanline.core.types import HostName, Seconds, UpstreamName
+from banyanline.core.placement import PreviousOwner
+from banyanline.core.types import HostName, Seconds, ServiceName, UpstreamName
 
 RESEND_INTERVAL_S = 0.1
 
@@ -108,19 +110,17 @@
         """Return the claim for each host; ``None`` if a host that must reply is dead or unknown.
 
         Claims go to the current owners, and to the last owner of each upstream that has
-        since been removed or whose data centre was taken out of service. A host that joined
-        after that does not know these upstreams.
+        since been removed or whose data centre was taken out of service.
         """
         context = self._context
-        if not context.has_full_history(now) and context.directory.has_unreachable_upstreams(
-            key.service
-        ):
+        last_owners = context.ownership.orphaned_upstreams(key.service, now)
+        if not self._knows_last_owners(key.service, last_owners, now):
             return None
         former_upstreams: dict[HostName, list[UpstreamName]] = {}
-        for upstream, host in context.ownership.orphaned_upstreams(key.service, now).items():
-            if not context.membership.view.is_alive(host):
+        for upstream, owner in last_owners.items():
+            if not context.membership.view.is_alive(owner.host):
                 return None
-            former_upstreams.setdefault(host, []).append(upstream)
+            former_upstreams.setdefault(owner.host, []).append(upstream)
         owners = context.owners_of_service(key.service)
         return {
             host: Claim(
@@ -134,6 +134,25 @@
             for host in sorted(owners.keys() | former_upstreams.keys())
         }
 
+    def _knows_last_owners(
+        self,
+        service: ServiceName,
+        last_owners: Mapping[UpstreamName, PreviousOwner],
+        now: Seconds,
+    ) -> bool:
+        """Return whether the last owners of all unreachable upstreams are certain.
+
+        A host that joined lately knows only those of upstreams that went out of service
+        since then.
+        """
+        context = self._context
+        if context.has_full_history(now):
+            return True
+        return all(
+            name in last_owners and context.has_observed_since(last_owners[name].until, now)
+            for name in context.directory.unreachable_upstreams(service)
+        )
+
     def resend(self, key: RequestKey) -> bool:
         """Resend the claim to owners that have not replied; false if no claim is pending."""
         pending = self._pending.get(key)
--- a/banyanline/core/owner/claims.py
+++ b/banyanline/core/owner/claims.py
@@ -67,6 +67,9 @@
     def _obstacle(self, message: Claim, now: Seconds) -> ClaimObstacle | None:
         for name in message.former_upstreams:
             removed = self._removed.get(name)
+            if removed is None and name in self._context.directory.reachable:
+                # The claimer's configuration differs from this one only for a moment.
+                return ClaimObstacle.NOT_OWNER
             if removed is None or removed.ownership.may_have_dispatched(
                 message.previous_homes, False, now
             ):
--- a/banyanline/core/placement/ownership.py
+++ b/banyanline/core/placement/ownership.py
@@ -157,7 +157,7 @@
 
     def orphaned_upstreams(
         self, service: ServiceName, now: Seconds
-    ) -> dict[UpstreamName, HostName]:
+    ) -> dict[UpstreamName, PreviousOwner]:
         """Return the upstreams of a service that lost their owner and have no new one.
 
         This happens when an upstream is removed or its data centre is taken out of service.
@@ -168,7 +168,7 @@
             if key.service == service and key not in self._owners:
                 previous = self.previous_owners(key, now)
                 if previous:
-                    orphaned_upstreams[key.name] = previous[0].host
+                    orphaned_upstreams[key.name] = previous[0]
         return orphaned_upstreams
 
     def update(self, upstreams: Iterable[Upstream], view: View, now: Seconds) -> list[UpstreamKey]:
--- a/banyanline/tests/test_claims.py
+++ b/banyanline/tests/test_claims.py
@@ -169,6 +169,13 @@
         pytest.param(
             {"former_upstreams": ("orders-z",)}, None, 6.0, LOST, id="was not the last owner"
         ),
+        pytest.param(
+            {"former_upstreams": ("orders-a",)},
+            None,
+            6.0,
+            Inconclusive(ClaimObstacle.NOT_OWNER),
+            id="in service according to this owner",
+        ),
         pytest.param(
             {"upstreams": ("orders-z",)},
             REFUSED.outcome,
