Send a request anew after a joined dispatch was lost; count abandoned claims

Cause: an idempotent request whose refusal needs a claim may join the dispatch of an earlier home. is_joined stayed set if that dispatch failed, so that the retry only asked the next owner for an outcome that it cannot know: the caller got unknown:owner_lost in place of a response. Claims that were dropped, as an owner was lost or the request ended, were counted as started and never as ended.

Change: each new attempt clears is_joined. claims_total counts these claims as abandoned.

--- a/banyanline/core/home/claims.py
+++ b/banyanline/core/home/claims.py
@@ -163,8 +163,9 @@
         return True
 
     def drop(self, key: RequestKey) -> None:
-        """Drop a claim."""
-        self._pending.pop(key, None)
+        """Abandon the claim of a key, if one is pending."""
+        if self._pending.pop(key, None) is not None:
+            self._context.counters.claims["abandoned"] += 1
 
     def receive(self, sender: HostName, reply: ClaimReply) -> ClaimState:
         """Process an owner's reply and return the state of the claim."""
@@ -199,10 +200,10 @@
         return pending.refusal or ClaimGranted()
 
     def abandon_awaiting(self, host: HostName) -> list[RequestKey]:
-        """Drop the claims that await a reply of a dead host and return their keys."""
+        """Abandon the claims that await a reply of a dead host and return their keys."""
         keys = [key for key, claim in self._pending.items() if host in claim.awaited_owners]
         for key in keys:
-            del self._pending[key]
+            self.drop(key)
         return keys
 
     def _next_ballot(self) -> Ballot:
--- a/banyanline/core/home/requests.py
+++ b/banyanline/core/home/requests.py
@@ -294,6 +294,7 @@
         context.ensure_same_service(entry.key.service, upstream)
         entry.upstream = upstream
         entry.attempt += 1
+        entry.is_joined = False
         self._policies.record_dispatch(entry.key.service, upstream)
         self._send_dispatch(entry, owner, now)
 
--- a/banyanline/tests/test_claims.py
+++ b/banyanline/tests/test_claims.py
@@ -139,6 +139,26 @@
     assert len(claims) == 0
 
 
+def reply_all(claims: PendingClaims, ballot: Ballot) -> None:
+    for host in ("a-1", "b-1", "c-1"):
+        claims.receive(host, ClaimReply(KEY, ballot, NotDispatched()))
+
+
+@pytest.mark.parametrize(
+    ("end", "course"),
+    [
+        pytest.param(reply_all, "free", id="decided"),
+        pytest.param(lambda claims, _: claims.abandon_awaiting("c-1"), "abandoned", id="dead host"),
+        pytest.param(lambda claims, _: claims.drop(KEY), "abandoned", id="deadline"),
+    ],
+)
+def test_every_started_claim_is_counted_once_as_ended(end, course):
+    claims, ballot, _ = start_claim()
+    end(claims, ballot)
+    claims.drop(KEY)
+    assert claims._context.counters.claims == {"started": 1, course: 1}
+
+
 def single_host_node() -> Node:
     """Return the node of a single-host fleet, which owns all upstreams."""
     new_node = node(HOSTS[:1])
--- a/properties/test_requests.py
+++ b/properties/test_requests.py
@@ -27,8 +27,9 @@
     StreamKey,
     Unknown,
 )
+from banyanline.core.types import UpstreamState
 from properties.fleets import TAKEOVER_S, home_of, make_caller, owner_of, started_fleet, total
-from properties.simulation import ORDERS, READINGS
+from properties.simulation import ORDERS, READINGS, make_configuration
 
 CALLER = make_caller()
 PATIENCE_S = 4.0
@@ -48,12 +49,35 @@
     return datagram
 
 
-def dispatch(fleet, owner, upstream="orders-0", service=ORDERS):
-    request = fleet.request(service, CALLER, 7, "k")
+def put_all_in_state(fleet, state):
+    configuration = make_configuration(fleet.configuration.revision + 1)
+    services = tuple(
+        service._replace(
+            upstreams=tuple(upstream._replace(state=state) for upstream in service.upstreams)
+        )
+        for service in configuration.services
+    )
+    fleet.configure(configuration._replace(services=services))
+    fleet.run(1.0)
+
+
+def dispatch(fleet, owner, upstream="orders-0", service=ORDERS, code=Code.POST):
+    request = fleet.request(service, CALLER, 7, "k", code)
     key = RequestKey(service, *CALLER, 7, b"\x00\x07")
     incarnation = fleet.nodes[owner].context.incarnation
     return Dispatch(
-        1, incarnation, key, upstream, 3000, NO_BALLOT, 1, False, False, False, False, request
+        1,
+        incarnation,
+        key,
+        upstream,
+        3000,
+        NO_BALLOT,
+        1,
+        code is Code.GET,
+        False,
+        False,
+        False,
+        request,
     )
 
 
@@ -88,6 +112,30 @@
     assert fleet.upstreams.executions["k"] == 1
 
 
+def test_get_whose_earlier_dispatch_is_lost_runs_at_another_upstream():
+    fleet = started_fleet()
+    home = home_of(fleet, ORDERS, CALLER)
+    upstream, owner = next(
+        (f"orders-{idx}", owner_of(fleet, f"orders-{idx}"))
+        for idx in range(6)
+        if owner_of(fleet, f"orders-{idx}") != home
+    )
+    fleet.upstreams.service_time_s = PATIENCE_S
+    fleet.nodes[owner].receive_from_peer(
+        "earlier-home", dispatch(fleet, owner, upstream, code=Code.GET), fleet.now
+    )
+    put_all_in_state(fleet, UpstreamState.LEAVING)
+    post(fleet, code=Code.GET)
+    fleet.run(0.1)
+    assert fleet.nodes[home].context.counters.claims["carried"] == 1
+    put_all_in_state(fleet, UpstreamState.IN_SERVICE)
+    fleet.upstreams.service_time_s = 0.02
+    fleet.crash(owner)
+    fleet.run(PATIENCE_S)
+    (response,) = fleet.responses_to(CALLER, 7)
+    assert response.code is Code.CONTENT
+
+
 @pytest.mark.parametrize(
     ("service", "datagram", "drop"),
     [
