Give each attempt at a download its own key in the bench

Cause: a caller that is told to restart a download (4.08) begins it again under the same key. If the second attempt was refused, the check refused_but_ran found the blocks that the first attempt had run, though the refusal is true of the new request.

Change: the caller sends the number of earlier attempts in an elective option, which balancers forward, and the upstream adds it to the key that it records. The URI, and with it the transfer, stays the same. A refused attempt that ran is found as before.

--- a/bench/standins/caller.py
+++ b/bench/standins/caller.py
@@ -10,7 +10,11 @@
 from bench.network.fabric import ServiceRoute
 from bench.scenarios.observations import Observations, Outcome, RequestRecord
 from bench.standins import coap
-from bench.standins.download_content import BLOCK_EXPONENT, is_complete_download
+from bench.standins.download_content import (
+    BLOCK_EXPONENT,
+    block_request_key,
+    is_complete_download,
+)
 from bench.standins.responses import classify_response, classify_status
 from bench.standins.sockets import Address, UdpSocket
 
@@ -149,32 +153,37 @@
         """Run a block-wise download and record the outcome of the whole.
 
         Restarts the download on response 4.08 (Request Entity Incomplete), by which
-        the balancer asks for a restart.
+        the balancer asks for a restart. Each attempt is a request of its own: if one is
+        refused, an earlier one may have run.
         """
         key = self.new_key()
         started_at = time.monotonic()
         deadline = started_at + self._times.patience_s
-        for _ in range(MAX_DOWNLOAD_ATTEMPTS):
-            attempt = await self._try_download(service, key, deadline)
+        for number in range(MAX_DOWNLOAD_ATTEMPTS):
+            attempt = await self._try_download(service, key, number, deadline)
             if not attempt.must_restart:
                 break
         self.record(attempt.key, "sheet", service, started_at, attempt.outcome, attempt.detail)
 
-    async def _try_download(self, service: str, key: str, deadline: float) -> _DownloadAttempt:
+    async def _try_download(
+        self, service: str, key: str, attempt: int, deadline: float
+    ) -> _DownloadAttempt:
         """Fetch all blocks in order; stop at the first error or mismatch."""
         content = b""
         etag: bytes | None = None
         for number in range(MAX_DOWNLOAD_BLOCKS):
             request = self.new_request(coap.GET, service, "sheet", query=(f"k={key}",))
             block = coap.Block(number, False, BLOCK_EXPONENT)
-            message = await self.send_confirmable(service, request._replace(block=block), deadline)
+            request = request._replace(block=block, attempt=attempt)
+            message = await self.send_confirmable(service, request, deadline)
             if message is not None and message.code == coap.INCOMPLETE:
                 return _DownloadAttempt(
                     key, Outcome.WRONG, "download must be restarted (4.08)", must_restart=True
                 )
             outcome, detail = classify_status(message)
             if outcome is not Outcome.ANSWERED:
-                return _DownloadAttempt(f"{key}/{number}" if number else key, outcome, detail)
+                request_key = block_request_key(key, attempt, number)
+                return _DownloadAttempt(request_key, outcome, detail)
             received_block = message.opt.block2
             if received_block is None or received_block.block_number != number:
                 return _DownloadAttempt(key, Outcome.WRONG, "unexpected block number")
--- a/bench/standins/coap.py
+++ b/bench/standins/coap.py
@@ -8,9 +8,14 @@
 from aiocoap import error
 from aiocoap.message import Message
 from aiocoap.numbers.codes import Code
+from aiocoap.numbers.optionnumbers import OptionNumber
 from aiocoap.numbers.types import Type
+from aiocoap.optiontypes import OpaqueOption
 
 DEADLINE_OPTION = 65020
+ATTEMPT_OPTION = 65052
+"""Elective and safe to forward: how often the caller began this download before."""
+
 SERVICE_UNAVAILABLE = Code.SERVICE_UNAVAILABLE
 GATEWAY_TIMEOUT = Code.GATEWAY_TIMEOUT
 INCOMPLETE = Code.REQUEST_ENTITY_INCOMPLETE
@@ -43,7 +48,10 @@
 
 
 class Request(NamedTuple):
-    """Fields of a request that a stand-in sends."""
+    """Fields of a request that a stand-in sends.
+
+    ``attempt`` is how often the caller began the same download before.
+    """
 
     code: Any
     message_id: int
@@ -54,6 +62,7 @@
     observe: int | None = None
     block: Block | None = None
     message_type: MessageType = MessageType.CON
+    attempt: int = 0
 
 
 class Response(NamedTuple):
@@ -83,6 +92,9 @@
     message.opt.observe = request.observe
     if request.block is not None:
         message.opt.block2 = tuple(request.block)
+    if request.attempt:
+        option = OpaqueOption(OptionNumber(ATTEMPT_OPTION), bytes((request.attempt,)))
+        message.opt.add_option(option)
     return bytes(message.encode())
 
 
@@ -129,7 +141,16 @@
 
 def remaining_time_ms(message: Any) -> int | None:
     """Return the milliseconds to the deadline that the balancer set, or None."""
-    options = message.opt.get_option(DEADLINE_OPTION)
+    return _uint_option(message, DEADLINE_OPTION)
+
+
+def attempt(message: Any) -> int:
+    """Return how often the caller began this download before."""
+    return _uint_option(message, ATTEMPT_OPTION) or 0
+
+
+def _uint_option(message: Any, number: int) -> int | None:
+    options = message.opt.get_option(number)
     if not options:
         return None
     return int.from_bytes(options[0].encode(), "big")
--- a/bench/standins/coap_upstream.py
+++ b/bench/standins/coap_upstream.py
@@ -13,7 +13,12 @@
 from typing import Any, NamedTuple
 
 from bench.standins import coap
-from bench.standins.download_content import BLOCK_EXPONENT, download_content, download_etag
+from bench.standins.download_content import (
+    BLOCK_EXPONENT,
+    block_request_key,
+    download_content,
+    download_etag,
+)
 from bench.standins.sockets import Address
 from bench.standins.upstream import Upstream, is_health_request
 
@@ -211,9 +216,9 @@
 
 
 def _request_key(message: Any) -> str:
-    """Return the request key set by the caller; each later block of a download has its own."""
+    """Return the request key set by the caller; each block of a download has its own."""
     if message.code == coap.POST:
         return str(message.payload.decode("utf-8", "replace").partition(" ")[0])
     key = coap.query_value(message, "k")
     block = message.opt.block2
-    return f"{key}/{block.block_number}" if block and block.block_number else key
+    return block_request_key(key, coap.attempt(message), block.block_number if block else 0)
--- a/bench/standins/download_content.py
+++ b/bench/standins/download_content.py
@@ -30,6 +30,16 @@
     return b"".join(chunks)[:DOWNLOAD_BYTES]
 
 
+def block_request_key(key: str, attempt: int, number: int) -> str:
+    """Return the key of the request for one block; each attempt and later block has its own.
+
+    >>> block_request_key("c1-7", 0, 0), block_request_key("c1-7", 1, 2)
+    ('c1-7', 'c1-7~1/2')
+    """
+    begun = f"{key}~{attempt}" if attempt else key
+    return f"{begun}/{number}" if number else begun
+
+
 def download_etag(upstream: str, version: str) -> bytes:
     """Return the entity tag of the content (RFC 7252, section 5.10.6)."""
     return hashlib.blake2b(f"{upstream} {version}".encode(), digest_size=8).digest()
--- a/bench/tests/test_stand_ins.py
+++ b/bench/tests/test_stand_ins.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import random
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -25,6 +25,20 @@
 TIMES = CallerTiming(patience_s=1.0, ack_timeout_s=0.3)
 
 
+class Step(NamedTuple):
+    """What a scripted service does with one request: run it, and a response of its own."""
+
+    runs: bool
+    response: coap.Response | None = None
+
+
+REFUSAL = coap.Response(coap.SERVICE_UNAVAILABLE, b"not-run:queue_full")
+RUN = Step(runs=True)
+REFUSE = Step(runs=False, response=REFUSAL)
+RUN_AND_REFUSE = Step(runs=True, response=REFUSAL)
+RESTART = Step(runs=False, response=coap.Response(coap.INCOMPLETE))
+
+
 class Site:
     """Two upstreams and a caller on loopback, without balancers."""
 
@@ -69,6 +83,32 @@
         self.opened += [near, far]
         return near.address
 
+    def new_scripted_service(self, steps):
+        """Return a service address that handles one request after another by ``steps``."""
+        script = iter(steps)
+        last: dict[str, Any] = {}
+
+        def from_caller(data, source):
+            step = next(script)
+            last.update(caller=source, response=step.response)
+            if step.runs:
+                far.send(data, self.upstreams[0].spec.address)
+            if step.response is not None:
+                message = coap.decode(data)
+                response = coap.encode_response(
+                    step.response, coap.MessageType.ACK, message.mid, message.token
+                )
+                near.send(response, source)
+
+        def from_upstream(data, source):
+            if last["response"] is None:
+                near.send(data, last["caller"])
+
+        near = UdpSocket((self.plan.service(0), SERVICE_PORT), from_caller)
+        far = UdpSocket((self.plan.balancer(0), 0), from_upstream)
+        self.opened += [near, far]
+        return near.address
+
     def close(self) -> None:
         for upstream in self.upstreams:
             upstream.stop()
@@ -117,6 +157,24 @@
     assert [record.outcome for record in site.observations.requests] == [outcome]
 
 
+@pytest.mark.parametrize(
+    ("steps", "is_counted_as_run"),
+    [
+        pytest.param([RUN, RESTART, REFUSE], False, id="second attempt refused"),
+        pytest.param([RUN, RUN, RESTART, RUN, REFUSE], False, id="its second block refused"),
+        pytest.param([RUN_AND_REFUSE], True, id="refused though it ran"),
+        pytest.param([RUN, RESTART, RUN_AND_REFUSE], True, id="second attempt refused but ran"),
+    ],
+)
+async def test_refused_download_is_judged_by_its_last_attempt(site, steps, is_counted_as_run):
+    caller = site.new_caller(site.new_scripted_service(steps))
+    await caller.download(SERVICE)
+    await asyncio.sleep(0.05)
+    (record,) = site.observations.requests
+    assert record.outcome is Outcome.REFUSED
+    assert site.executions.was_executed(record.key) is is_counted_as_run
+
+
 async def test_cold_upstream_restarts_on_overload(site):
     site.upstreams[0].stop()
     site.upstreams[0] = upstream = site.new_upstream(0, cold=True)
