Place flows by the load that all hosts of the data centre report

Cause: each host placed flows by its own part of the load, one of many, so that the busiest upstream got more than its share and a host that started knew nothing. Change: with reports of other hosts, the upstreams of the own data centre get shares of the new flows by their whole load; the shares are bounded, as all hosts see the same old reports. Without reports decisions are as before.

--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -73,9 +73,8 @@
     def _rank(
         self, upstream: Upstream, median_response_s: Seconds | None, now: Seconds
     ) -> tuple[bool, bool, bool, float]:
-        cost = self._cost(upstream, _slowness(upstream, median_response_s, now), now)
-        has_failed_check = upstream.failure_detector.has_failed_check
-        return (has_failed_check, upstream.is_cold(now), is_suspect(upstream, now), cost)
+        cost = self._cost(upstream, slowness_of(upstream, median_response_s, now), now)
+        return (*availability_rank(upstream, now), cost)
 
     def _cost(self, upstream: Upstream, slowness: float, now: Seconds) -> float:
         """Return the expected wait in requests of median duration, plus the cost of distance."""
@@ -89,7 +88,13 @@
         return cost
 
 
-def _slowness(upstream: Upstream, median_response_s: Seconds | None, now: Seconds) -> float:
+def availability_rank(upstream: Upstream, now: Seconds) -> tuple[bool, bool, bool]:
+    """Return the rank of an upstream by what may keep it from responding, best first."""
+    has_failed_check = upstream.failure_detector.has_failed_check
+    return (has_failed_check, upstream.is_cold(now), is_suspect(upstream, now))
+
+
+def slowness_of(upstream: Upstream, median_response_s: Seconds | None, now: Seconds) -> float:
     """Return the ratio of response time to median, or 1 if unknown or below ``SLOW_RATIO``."""
     expected_s = upstream.responses.expected_s(now)
     if not median_response_s or expected_s is None or expected_s < SLOW_RATIO * median_response_s:
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -24,6 +24,7 @@
     ResetReason,
 )
 from banyanline.core.steering.packet import NO_COOKIE
+from banyanline.core.steering.peer_placement import PeerPlacement
 from banyanline.core.steering.peer_reports import PeerReports
 from banyanline.core.steering.placement import Placement
 
@@ -61,6 +62,7 @@
         self._peers = peers or PeerReports()
         self._rng = rng
         self._placement = placement or Placement(data_centre, rng)
+        self._peer_placement = PeerPlacement(data_centre, rng, self._peers)
         self._counters = SteeringCounters()
         self._flows = FlowTable(self._counters)
         self._check_scheduler = CheckScheduler(catalog)
@@ -148,9 +150,8 @@
             usable = self._catalog.usable(service)
             if self._catalog.has_cold_limit(service):
                 usable = [each for each in usable if self._admits_opening(each, now)]
-            chosen = self._placement.choose(
-                usable, tried, self._flows.median_response_s(service), now
-            )
+            placement = self._peer_placement if self._peer_placement.is_active else self._placement
+            chosen = placement.choose(usable, tried, self._flows.median_response_s(service), now)
             if chosen is not None:
                 return chosen
         return None
--- /dev/null
+++ b/banyanline/tests/reports.py
@@ -0,0 +1,63 @@
+"""Simulated hosts of one data centre that exchange reports."""
+
+from __future__ import annotations
+
+import random
+
+from banyanline.core.steering.model import UpstreamEntry
+from banyanline.core.steering.peer_reports import HostReport, UpstreamSample
+from banyanline.tests.steering import HERE, Host, packet
+
+
+def report(
+    *samples: UpstreamSample, host: str = "front-2", sequence: int = 1, data_centre: str = HERE
+) -> HostReport:
+    return HostReport(host, data_centre, 1, sequence, (), samples)
+
+
+class Fleet:
+    """Hosts that see the same upstreams; routers spread the openings over the hosts."""
+
+    def __init__(self, count: int, *entries: UpstreamEntry, seed: int = 1) -> None:
+        self.hosts = [Host(*entries, seed=seed + number) for number in range(count)]
+        self.rng = random.Random(seed)
+        self._sequence = 0
+
+    def advance(self, seconds: float) -> None:
+        for host in self.hosts:
+            host.now += seconds
+
+    def exchange(self, responses: dict[str, tuple[int, float]] | None = None) -> None:
+        """Send the report of each host to all others.
+
+        ``responses`` holds the number and the mean time of the responses of each upstream,
+        of which each host reports an equal part.
+        """
+        self._sequence += 1
+        reports = [self._report(number, responses or {}) for number in range(len(self.hosts))]
+        for number, host in enumerate(self.hosts):
+            for other, each in enumerate(reports):
+                if other != number:
+                    host.steering.peers.put(each, host.now)
+            host.steering.on_tick(host.now)
+
+    def open(self, flow: int) -> str:
+        """Open a flow through a random host; return its upstream."""
+        return self.rng.choice(self.hosts).open(flow)
+
+    def send(self, flow: int, name: str, *, ends: bool = False) -> None:
+        """Send a packet of an open flow through a random host."""
+        host = self.rng.choice(self.hosts)
+        host.send(packet(flow, cookie=host.cookie(name), ends=ends))
+
+    def _report(self, number: int, responses: dict[str, tuple[int, float]]) -> HostReport:
+        host = self.hosts[number]
+        samples = []
+        for upstream in host.catalog.upstreams:
+            count, took_s = responses.get(upstream.name, (0, 0.0))
+            part = count // len(self.hosts)
+            in_flight = float(upstream.responses.under_way(host.now))
+            samples.append(
+                UpstreamSample(upstream.name, in_flight, upstream.open_flows, part, took_s)
+            )
+        return report(*samples, host=f"front-{number}", sequence=self._sequence)
