Give upstreams shares of the flows by the speed that they have shown

Cause: an upstream counted as slow only from twice the median response time on, so that upstreams at 0.7 and 1.7 of the usual speed got the same share; and one host sees few of their responses. Change: the mean response times of all hosts' reports, weighted by their number, give each upstream a speed relative to its service and data centre, which multiplies its slots. Old responses lose weight, and an upstream without responses returns to the speed 1.

--- a/banyanline/core/steering/peer_placement.py
+++ b/banyanline/core/steering/peer_placement.py
@@ -10,6 +10,7 @@
 
 from typing import TYPE_CHECKING
 
+from banyanline.core.steering.peer_responses import PeerResponses
 from banyanline.core.steering.placement import FLOW_WEIGHT, availability_rank, slowness_of
 
 if TYPE_CHECKING:
@@ -17,7 +18,7 @@
     from collections.abc import Collection, Sequence
 
     from banyanline.core.steering.peer_reports import PeerReports
-    from banyanline.core.steering.upstreams import Upstream
+    from banyanline.core.steering.upstreams import Upstream, UpstreamTable
     from banyanline.core.types import DataCentreName, Seconds, ServiceName
 
 LOAD_GAIN = 2.0
@@ -32,7 +33,7 @@
 
 
 class PeerPlacement:
-    """Chooses upstreams by their load from all hosts of this data centre.
+    """Chooses upstreams by their capacity, and their load from all hosts of this data centre.
 
     Upstreams in other data centres are chosen only if none here is available, as the
     reports do not include their hosts' load.
@@ -42,6 +43,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self._peers = peers
+        self._responses = PeerResponses()
         self._positions: dict[ServiceName, float] = {}
 
     @property
@@ -49,6 +51,19 @@
         """Whether there are reports of other hosts."""
         return bool(self._peers.hosts)
 
+    @property
+    def responses(self) -> PeerResponses:
+        """What the reports say of response times."""
+        return self._responses
+
+    def on_tick(self, upstreams: UpstreamTable, now: Seconds) -> None:
+        """Use the reports that arrived; call this about once a second."""
+        self._responses.update(self._peers, upstreams, now)
+
+    def capacity(self, upstream: Upstream) -> float:
+        """Return the slots of an upstream times its speed."""
+        return upstream.entry.slots * self._responses.speed(upstream.name)
+
     def choose(
         self,
         upstreams: Sequence[Upstream],
@@ -70,12 +85,12 @@
         shares = self._shares(candidates, median_response_s, now)
         return candidates[self._draw(candidates[0].entry.service, shares)]
 
-    def load_per_slot(self, upstream: Upstream, now: Seconds) -> float:
+    def load(self, upstream: Upstream, now: Seconds) -> float:
         """Return the load from all hosts of this data centre, in requests in flight."""
         peer_load = self._peers.load(upstream.name)
         requests = requests_in_flight(upstream, now) + peer_load.in_flight
         flows = upstream.open_flows + peer_load.open_flows
-        return (requests + FLOW_WEIGHT * flows) / upstream.entry.slots
+        return requests + FLOW_WEIGHT * flows
 
     def _here(self, upstreams: Sequence[Upstream]) -> list[Upstream]:
         return [each for each in upstreams if each.entry.data_centre == self._data_centre]
@@ -84,13 +99,17 @@
         self, upstreams: Sequence[Upstream], median_response_s: Seconds | None, now: Seconds
     ) -> list[float]:
         """Return the relative shares of new flows."""
-        loads = [self.load_per_slot(upstream, now) for upstream in upstreams]
+        capacities = [self.capacity(upstream) for upstream in upstreams]
+        loads = [
+            self.load(upstream, now) / capacity
+            for upstream, capacity in zip(upstreams, capacities, strict=True)
+        ]
         gain = LOAD_GAIN * len(loads) / (sum(loads) or 1.0)
         return [
-            upstream.entry.slots
+            capacity
             * min(max(1.0 + LOAD_GAIN - gain * load, MIN_SHARE), MAX_SHARE)
             / slowness_of(upstream, median_response_s, now)
-            for upstream, load in zip(upstreams, loads, strict=True)
+            for upstream, load, capacity in zip(upstreams, loads, capacities, strict=True)
         ]
 
     def _draw(self, service: ServiceName, shares: Sequence[float]) -> int:
--- a/banyanline/core/steering/peer_reports.py
+++ b/banyanline/core/steering/peer_reports.py
@@ -98,6 +98,11 @@
         """The other hosts whose reports are in use."""
         return self._reports.keys()
 
+    @property
+    def reports(self) -> Collection[tuple[HostReport, Seconds]]:
+        """The reports in use, and when each was received."""
+        return self._reports.values()
+
     def put(self, report: HostReport, now: Seconds) -> bool:
         """Use a report, unless a later one of the same start is known."""
         known = self._reports.get(report.host)
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -77,6 +77,11 @@
         """The reports of the other hosts in this data centre."""
         return self._peers
 
+    @property
+    def peer_placement(self) -> PeerPlacement:
+        """The placement of flows by the reports of the other hosts."""
+        return self._peer_placement
+
     @property
     def flows(self) -> FlowTable:
         """The flows that this host tracks."""
@@ -124,6 +129,7 @@
         idle_s = min(table.idle_timeout_s, MAX_IDLE_S) if table else MAX_IDLE_S
         self._flows.expire(now - idle_s, now - OPENING_LIFETIME_S)
         self._catalog.upstreams.forget_removed(now)
+        self._peer_placement.on_tick(self._catalog.upstreams, now)
 
     def _on_opening(self, packet: CallerPacket, now: Seconds) -> Outcome:
         if not self._catalog.is_configured:
--- a/banyanline/tests/reports.py
+++ b/banyanline/tests/reports.py
@@ -45,10 +45,10 @@
         """Open a flow through a random host; return its upstream."""
         return self.rng.choice(self.hosts).open(flow)
 
-    def send(self, flow: int, name: str, *, ends: bool = False) -> None:
-        """Send a packet of an open flow through a random host."""
-        host = self.rng.choice(self.hosts)
-        host.send(packet(flow, cookie=host.cookie(name), ends=ends))
+    def send(self, flow: int, name: str, *, ends: bool = False, everywhere: bool = False) -> None:
+        """Send a packet of an open flow through a random host, or through each."""
+        for host in self.hosts if everywhere else [self.rng.choice(self.hosts)]:
+            host.send(packet(flow, cookie=host.cookie(name), ends=ends))
 
     def _report(self, number: int, responses: dict[str, tuple[int, float]]) -> HostReport:
         host = self.hosts[number]
