Send flows to other data centres by the wait here and the room there

Change: with reports, the own data centre is used until requests wait for a tenth of the route's objective or two are in flight for each slot. Then a share of the flows, up to a half, goes to data centres that respond sooner; it grows and shrinks step by step. The load that corrects an upstream's share is a moving average, as the latest one made the shares of flows with one request oscillate. Flows placed elsewhere are counted.

--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -16,17 +16,29 @@
 class SteeringCounters:
     """Counts of packets and health checks by outcome since the host started.
 
+    ``elsewhere`` counts the placed flows whose upstream is in another data centre.
     ``responses`` holds response times in seconds, from a request to the first
     acknowledgement of its response.
     """
 
-    __slots__ = ("checks", "copies", "drops", "forwarded", "held", "placed", "resets", "responses")
+    __slots__ = (
+        "checks",
+        "copies",
+        "drops",
+        "elsewhere",
+        "forwarded",
+        "held",
+        "placed",
+        "resets",
+        "responses",
+    )
 
     def __init__(self) -> None:
         self.forwarded = 0
         self.held = 0
         self.placed: Counter[ServiceName] = Counter()
         self.copies: Counter[ServiceName] = Counter()
+        self.elsewhere: Counter[ServiceName] = Counter()
         self.resets: Counter[ResetReason] = Counter()
         self.checks: Counter[CheckResult] = Counter()
         self.drops: Counter[DropReason] = Counter()
--- a/banyanline/core/steering/peer_placement.py
+++ b/banyanline/core/steering/peer_placement.py
@@ -8,24 +8,31 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
-from banyanline.core.steering.peer_responses import PeerResponses
+from banyanline.core.steering.overflow import Overflow, in_flight_from_all
+from banyanline.core.steering.peer_responses import PeerResponses, group_of
 from banyanline.core.steering.placement import FLOW_WEIGHT, availability_rank, slowness_of
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Collection, Sequence
 
+    from banyanline.core.steering.model import Route
     from banyanline.core.steering.peer_reports import PeerReports
+    from banyanline.core.steering.peer_responses import Group
     from banyanline.core.steering.upstreams import Upstream, UpstreamTable
-    from banyanline.core.types import DataCentreName, Seconds, ServiceName
+    from banyanline.core.types import DataCentreName, Seconds, ServiceName, UpstreamName
 
-LOAD_GAIN = 2.0
+LOAD_GAIN = 1.0
 """Change of an upstream's share for each change of its load, both relative to the mean."""
 
-MIN_SHARE = 0.25
-MAX_SHARE = 2.0
+LOAD_WEIGHT = 0.25
+"""Weight of the latest load in its moving average; with more, shares of short flows oscillate."""
+
+MIN_FACTOR = 0.25
+MAX_FACTOR = 2.0
 """Limits of an upstream's share of new flows, relative to its capacity."""
 
 GOLDEN_STEP = 0.618034
@@ -35,15 +42,17 @@
 class PeerPlacement:
     """Chooses upstreams by their capacity, and their load from all hosts of this data centre.
 
-    Upstreams in other data centres are chosen only if none here is available, as the
-    reports do not include their hosts' load.
+    Upstreams in other data centres are chosen if none here is available, or by
+    :class:`Overflow`: the reports do not include the load from their hosts.
     """
 
     def __init__(self, data_centre: DataCentreName, rng: random.Random, peers: PeerReports) -> None:
-        self._data_centre = data_centre
         self._rng = rng
         self._peers = peers
         self._responses = PeerResponses()
+        self._overflow = Overflow(data_centre, rng, peers, self._responses)
+        self._loads: dict[UpstreamName, float] = {}
+        self._weights: dict[UpstreamName, float] = {}
         self._positions: dict[ServiceName, float] = {}
 
     @property
@@ -59,6 +68,10 @@
     def on_tick(self, upstreams: UpstreamTable, now: Seconds) -> None:
         """Use the reports that arrived; call this about once a second."""
         self._responses.update(self._peers, upstreams, now)
+        if self.is_active:
+            self._weights = self._weigh(upstreams, now)
+        else:
+            self._loads = {}
 
     def capacity(self, upstream: Upstream) -> float:
         """Return the slots of an upstream times its speed."""
@@ -68,48 +81,61 @@
         self,
         upstreams: Sequence[Upstream],
         tried: Collection[Upstream],
+        route: Route,
         median_response_s: Seconds | None,
         now: Seconds,
     ) -> Upstream | None:
-        """Return the upstream for a flow, preferring one that was not tried before.
+        """Return the upstream for a flow of a route, preferring one that was not tried before.
 
-        ``median_response_s`` is the median response time of the service, if it is known.
+        ``upstreams`` are of one service, whose median response time is ``median_response_s``
+        if it is known.
         """
         if not upstreams:
             return None
         untried = [upstream for upstream in upstreams if upstream not in tried]
-        candidates = _most_available(untried or upstreams, now)
-        candidates = self._here(candidates) or candidates
+        available = _most_available(untried or upstreams, now)
+        candidates = self._overflow.select(available, route.objective_s, now)
         if len(candidates) == 1:
             return candidates[0]
         shares = self._shares(candidates, median_response_s, now)
         return candidates[self._draw(candidates[0].entry.service, shares)]
 
-    def load(self, upstream: Upstream, now: Seconds) -> float:
-        """Return the load from all hosts of this data centre, in requests in flight."""
-        peer_load = self._peers.load(upstream.name)
-        requests = requests_in_flight(upstream, now) + peer_load.in_flight
-        flows = upstream.open_flows + peer_load.open_flows
-        return requests + FLOW_WEIGHT * flows
+    def _weigh(self, upstreams: UpstreamTable, now: Seconds) -> dict[UpstreamName, float]:
+        """Return the capacity of each upstream, corrected by its load.
 
-    def _here(self, upstreams: Sequence[Upstream]) -> list[Upstream]:
-        return [each for each in upstreams if each.entry.data_centre == self._data_centre]
+        The load is compared with the mean of its service and data centre.
+        """
+        loads: defaultdict[Group, dict[UpstreamName, float]] = defaultdict(dict)
+        for upstream in upstreams:
+            if upstream.accepts_flows:
+                load = self._load(upstream, now) / self.capacity(upstream)
+                known = self._loads.get(upstream.name, load)
+                loads[group_of(upstream)][upstream.name] = known + LOAD_WEIGHT * (load - known)
+        self._loads = {name: load for group in loads.values() for name, load in group.items()}
+        gains = {
+            group: LOAD_GAIN * len(each) / (sum(each.values()) or 1.0)
+            for group, each in loads.items()
+        }
+        return {
+            upstream.name: self.capacity(upstream)
+            * _limited(1.0 + LOAD_GAIN - gains[group_of(upstream)] * self._loads[upstream.name])
+            for upstream in upstreams
+            if upstream.name in self._loads
+        }
+
+    def _load(self, upstream: Upstream, now: Seconds) -> float:
+        """Return the load from all hosts of this data centre, in requests in flight."""
+        flows = upstream.open_flows + self._peers.load(upstream.name).open_flows
+        return in_flight_from_all(upstream, self._peers, now) + FLOW_WEIGHT * flows
 
     def _shares(
         self, upstreams: Sequence[Upstream], median_response_s: Seconds | None, now: Seconds
     ) -> list[float]:
         """Return the relative shares of new flows."""
-        capacities = [self.capacity(upstream) for upstream in upstreams]
-        loads = [
-            self.load(upstream, now) / capacity
-            for upstream, capacity in zip(upstreams, capacities, strict=True)
-        ]
-        gain = LOAD_GAIN * len(loads) / (sum(loads) or 1.0)
         return [
-            capacity
-            * min(max(1.0 + LOAD_GAIN - gain * load, MIN_SHARE), MAX_SHARE)
+            self._weights.get(upstream.name, upstream.entry.slots)
             / slowness_of(upstream, median_response_s, now)
-            for upstream, load, capacity in zip(upstreams, loads, capacities, strict=True)
+            for upstream in upstreams
         ]
 
     def _draw(self, service: ServiceName, shares: Sequence[float]) -> int:
@@ -126,9 +152,8 @@
         return len(shares) - 1
 
 
-def requests_in_flight(upstream: Upstream, now: Seconds) -> int:
-    """Return the requests and opening packets of this host without a response."""
-    return upstream.responses.under_way(now) + upstream.pending_opens
+def _limited(factor: float) -> float:
+    return min(max(factor, MIN_FACTOR), MAX_FACTOR)
 
 
 def _most_available(upstreams: Sequence[Upstream], now: Seconds) -> list[Upstream]:
--- a/banyanline/core/steering/peer_responses.py
+++ b/banyanline/core/steering/peer_responses.py
@@ -104,7 +104,7 @@
             is_queued = (
                 peers.load(upstream.name).in_flight >= QUEUED_PER_SLOT * upstream.entry.slots
             )
-            if is_queued and sample.response_s < self._groups[_group_of(upstream)].mean_s:
+            if is_queued and sample.response_s < self._groups[group_of(upstream)].mean_s:
                 continue
             known = self._sums.get(upstream.name, ResponseSum())
             total_s = sample.responses * sample.response_s
@@ -115,7 +115,7 @@
         for name, known in self._sums.items():
             upstream = upstreams.get(name)
             if upstream is not None and known.responses >= MIN_RESPONSES:
-                groups[_group_of(upstream)][name] = known
+                groups[group_of(upstream)][name] = known
         self._sums = {name: known for group in groups.values() for name, known in group.items()}
         self._speeds = {
             name: _damped(self.speed(name), speed)
@@ -143,7 +143,7 @@
     groups: defaultdict[Group, ResponseSum] = defaultdict(ResponseSum)
     for report in reports:
         for upstream, sample in _known_samples(report, upstreams):
-            group = _group_of(upstream)
+            group = group_of(upstream)
             total_s = sample.responses * sample.response_s
             groups[group] = groups[group].plus(sample.responses, total_s)
     return groups
@@ -159,5 +159,6 @@
             yield upstream, sample
 
 
-def _group_of(upstream: Upstream) -> Group:
+def group_of(upstream: Upstream) -> Group:
+    """Return the service and the data centre of an upstream."""
     return upstream.entry.service, upstream.entry.data_centre
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -59,6 +59,7 @@
         peers: PeerReports | None = None,
     ) -> None:
         self._catalog = catalog
+        self._data_centre = data_centre
         self._peers = peers or PeerReports()
         self._rng = rng
         self._placement = placement or Placement(data_centre, rng)
@@ -105,7 +106,10 @@
             counters.forwarded += 1
             if packet.opens_flow:
                 openings = counters.copies if packet.ack else counters.placed
-                openings[outcome.upstream.entry.service] += 1
+                entry = outcome.upstream.entry
+                openings[entry.service] += 1
+                if not packet.ack and entry.data_centre != self._data_centre:
+                    counters.elsewhere[entry.service] += 1
         elif isinstance(outcome, Reset):
             counters.resets[outcome.reason] += 1
         elif isinstance(outcome, Drop):
@@ -156,8 +160,11 @@
             usable = self._catalog.usable(service)
             if self._catalog.has_cold_limit(service):
                 usable = [each for each in usable if self._admits_opening(each, now)]
-            placement = self._peer_placement if self._peer_placement.is_active else self._placement
-            chosen = placement.choose(usable, tried, self._flows.median_response_s(service), now)
+            median_s = self._flows.median_response_s(service)
+            if self._peer_placement.is_active:
+                chosen = self._peer_placement.choose(usable, tried, route, median_s, now)
+            else:
+                chosen = self._placement.choose(usable, tried, median_s, now)
             if chosen is not None:
                 return chosen
         return None
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -45,6 +45,9 @@
         self._placed = self._counter(
             "flows_placed_total", "Opening packets forwarded, without retransmissions."
         )
+        self._elsewhere = self._counter(
+            "flows_placed_elsewhere_total", "Of these, flows to upstreams in other data centres."
+        )
         self._copies = self._counter(
             "opening_copies_total", "Retransmitted opening packets forwarded."
         )
@@ -105,6 +108,7 @@
         self._packets.set({"outcome": "forwarded"}, counters.forwarded)
         self._packets.set({"outcome": "held"}, counters.held)
         copy_counts(self._placed, "service", counters.placed)
+        copy_counts(self._elsewhere, "service", counters.elsewhere)
         copy_counts(self._copies, "service", counters.copies)
         copy_counts(self._resets, "reason", counters.resets)
         copy_counts(self._drops, "reason", counters.drops)
--- a/banyanline/tests/reports.py
+++ b/banyanline/tests/reports.py
@@ -18,8 +18,12 @@
 class Fleet:
     """Hosts that see the same upstreams; routers spread the openings over the hosts."""
 
-    def __init__(self, count: int, *entries: UpstreamEntry, seed: int = 1) -> None:
-        self.hosts = [Host(*entries, seed=seed + number) for number in range(count)]
+    def __init__(
+        self, count: int, *entries: UpstreamEntry, seed: int = 1, data_centre: str = HERE
+    ) -> None:
+        self.hosts = [
+            Host(*entries, seed=seed + number, data_centre=data_centre) for number in range(count)
+        ]
         self.rng = random.Random(seed)
         self._sequence = 0
 
@@ -27,14 +31,14 @@
         for host in self.hosts:
             host.now += seconds
 
-    def exchange(self, responses: dict[str, tuple[int, float]] | None = None) -> None:
+    def exchange(self, served: dict[str, UpstreamSample] | None = None) -> None:
         """Send the report of each host to all others.
 
-        ``responses`` holds the number and the mean time of the responses of each upstream,
-        of which each host reports an equal part.
+        ``served`` holds the requests in flight and the responses of each upstream, of which
+        each host reports an equal part.
         """
         self._sequence += 1
-        reports = [self._report(number, responses or {}) for number in range(len(self.hosts))]
+        reports = [self._report(number, served or {}) for number in range(len(self.hosts))]
         for number, host in enumerate(self.hosts):
             for other, each in enumerate(reports):
                 if other != number:
@@ -50,14 +54,16 @@
         for host in self.hosts if everywhere else [self.rng.choice(self.hosts)]:
             host.send(packet(flow, cookie=host.cookie(name), ends=ends))
 
-    def _report(self, number: int, responses: dict[str, tuple[int, float]]) -> HostReport:
+    def _report(self, number: int, served: dict[str, UpstreamSample]) -> HostReport:
         host = self.hosts[number]
         samples = []
         for upstream in host.catalog.upstreams:
-            count, took_s = responses.get(upstream.name, (0, 0.0))
-            part = count // len(self.hosts)
-            in_flight = float(upstream.responses.under_way(host.now))
+            sample = served.get(upstream.name, UpstreamSample(upstream.name))
             samples.append(
-                UpstreamSample(upstream.name, in_flight, upstream.open_flows, part, took_s)
+                sample._replace(
+                    in_flight=sample.in_flight / len(self.hosts),
+                    open_flows=upstream.open_flows,
+                    responses=sample.responses // len(self.hosts),
+                )
             )
         return report(*samples, host=f"front-{number}", sequence=self._sequence)
--- a/banyanline/tests/test_peer_placement.py
+++ b/banyanline/tests/test_peer_placement.py
@@ -75,7 +75,7 @@
 @pytest.mark.parametrize(
     ("loads", "expected"),
     [
-        pytest.param({"orders-1": 9.0}, (0.2, 0.8), id="loaded by other hosts"),
+        pytest.param({"orders-1": 9.0}, (0.1, 0.9), id="loaded by other hosts"),
         pytest.param({"orders-1": 9.0, "orders-2": 9.0}, (0.5, 0.5), id="both loaded alike"),
         pytest.param({}, (0.5, 0.5), id="no load"),
     ],
@@ -84,6 +84,7 @@
     host = Host(entry("orders-1"), entry("orders-2"), entry("orders-3", data_centre=THERE))
     samples = [UpstreamSample(name, load, 1) for name, load in loads.items()]
     host.steering.peers.put(report(*samples), host.now)
+    host.wait(1.0)
     found = Counter(host.place(flow) for flow in range(10))
     assert found["orders-1"] / 10 == pytest.approx(expected[0], abs=0.21)
     assert found["orders-2"] / 10 == pytest.approx(expected[1], abs=0.21)
--- a/banyanline/tests/test_peer_responses.py
+++ b/banyanline/tests/test_peer_responses.py
@@ -36,9 +36,9 @@
     """Place the requests of each second anew; return the used share of each upstream."""
     found = []
     flow = 0
-    responses: dict[str, tuple[int, float]] = {}
+    served: dict[str, UpstreamSample] = {}
     for _ in range(seconds):
-        fleet.exchange(responses)
+        fleet.exchange(served)
         counts: dict[str, int] = {}
         for _ in range(SAMPLE_FLOWS):
             flow += 1
@@ -46,8 +46,13 @@
             fleet.send(flow, name, ends=True, everywhere=True)
             counts[name] = counts.get(name, 0) + 1
         used = used_shares(counts)
-        responses = {
-            name: (int(counts[name] / SAMPLE_FLOWS * REQUESTS_PER_S), response_s(speed, used[name]))
+        served = {
+            name: UpstreamSample(
+                name,
+                in_flight=SLOTS * min(used[name], 1.0),
+                responses=int(counts[name] / SAMPLE_FLOWS * REQUESTS_PER_S),
+                response_s=response_s(speed, used[name]),
+            )
             for name, speed in SPEEDS.items()
         }
         found.append(used)
