Reserve upstreams and refuse flows by priority while there is too little room

Cause: a route's priority was decoded and never used. With three times the requests that fit, orders fared no better than status updates, as nothing decided who is admitted. Change: while the requests in flight in the own data centre reach half of what can be answered, and no other data centre has room, up to half of the upstreams are reserved for new flows of the first priority, in an order that all hosts agree on. From three fifths on a growing share of the new flows is reset (no_room), by the load of the upstreams that they may use. room_changed, reserved_upstreams and the reset reason show it.

--- /dev/null
+++ b/banyanline/core/steering/admission.py
@@ -0,0 +1,170 @@
+"""Decides which new flows are admitted while a service has too little room.
+
+Flows stay open for many requests, so that refusing new flows relieves little. While there is
+too little room, some upstreams are therefore reserved for the new flows of the most important
+routes, whose requests then find short queues. Other flows share the rest, and new ones are
+refused with a probability that follows the load there.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+from banyanline.core.steering.demand import importance_of
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection, Mapping, Sequence
+
+    from banyanline.core.steering.demand import Demand, Importance
+    from banyanline.core.steering.model import Route
+    from banyanline.core.steering.overflow import DataCentreLoad, Overflow
+    from banyanline.core.steering.upstreams import Upstream
+    from banyanline.core.types import Seconds, ServiceName, UpstreamName
+
+FULL_PER_SLOT = 5.0
+"""Requests in flight per slot from which an upstream's queue is taken to be full."""
+
+SHORT_RATIO = 0.5
+"""Load relative to what can be answered from which a service is short of room."""
+
+REFUSE_RATIO = 0.6
+"""Load relative to what can be answered from which some flows are refused."""
+
+MAX_REFUSED_SHARE = 0.9
+"""Largest share of the new flows that is refused, so that no route gets nothing."""
+
+MAX_RESERVED_SHARE = 0.5
+"""Largest share of the upstreams that is reserved."""
+
+UPDATE_INTERVAL_S = 1.0
+
+HOLD_S = 3.0
+"""How long upstreams stay reserved after the last sign of too little room."""
+
+
+class _ServiceState:
+    """The room of one service.
+
+    ``refused_share`` is that of the most important flows (True) and of others (False).
+    """
+
+    __slots__ = ("refused_share", "reserved", "short_until", "top", "updated_at", "upstreams")
+
+    def __init__(self) -> None:
+        self.top: Importance | None = None
+        self.upstreams = 0
+        self.updated_at = float("-inf")
+        self.short_until = float("-inf")
+        self.reserved: Collection[UpstreamName] = frozenset()
+        self.refused_share: dict[bool, float] = {True: 0.0, False: 0.0}
+
+
+class Admission:
+    """Reserves upstreams and refuses flows of each service that is short of room."""
+
+    def __init__(self, rng: random.Random, overflow: Overflow, demand: Demand) -> None:
+        self._rng = rng
+        self._overflow = overflow
+        self._demand = demand
+        self._states: dict[ServiceName, _ServiceState] = {}
+
+    def shortages(self, now: Seconds) -> Mapping[ServiceName, int]:
+        """Return the services that are short of room, and how many upstreams are reserved."""
+        return {
+            service: len(state.reserved)
+            for service, state in self._states.items()
+            if now < state.short_until
+        }
+
+    def update(self, upstreams: Sequence[Upstream], route: Route, now: Seconds) -> None:
+        """Compare the load of a service's available upstreams with what they can answer."""
+        service = upstreams[0].entry.service
+        state = self._states.setdefault(service, _ServiceState())
+        here = self._overflow.here(upstreams)
+        is_due = now - state.updated_at >= UPDATE_INTERVAL_S or len(here) != state.upstreams
+        if not (here and is_due):
+            return
+        state.updated_at = now
+        state.upstreams = len(here)
+        load = self._overflow.load(here, now)
+        limit = _answerable_per_slot(load, route.patience_s)
+        demanded = max(load.in_flight, self._demand.in_flight(service)) / load.slots
+        has_room_elsewhere = self._overflow.with_room(upstreams, load, route.objective_s)
+        if demanded >= SHORT_RATIO * limit and not has_room_elsewhere:
+            state.short_until = now + HOLD_S
+        state.top = None
+        state.reserved = frozenset()
+        if now < state.short_until:
+            self._reserve(state, here, demanded)
+        self._set_refused_shares(state, here, limit, now)
+
+    def select(
+        self, upstreams: Sequence[Upstream], route: Route, now: Seconds
+    ) -> Sequence[Upstream]:
+        """Return the upstreams that a flow of the route may use."""
+        state = self._states.get(upstreams[0].entry.service)
+        if state is None or now >= state.short_until or not state.reserved:
+            return upstreams
+        is_top = _is_top(state, route)
+        if is_top and state.refused_share[True] > state.refused_share[False]:
+            return upstreams
+        return [each for each in upstreams if (each.name in state.reserved) is is_top] or upstreams
+
+    def admits(self, route: Route, upstream: Upstream, now: Seconds) -> bool:
+        """Whether a new flow of the route is admitted to the upstream chosen for it."""
+        state = self._states.get(upstream.entry.service)
+        if state is None or now >= state.short_until:
+            return True
+        return self._rng.random() >= state.refused_share[_is_top(state, route)]
+
+    def _reserve(self, state: _ServiceState, here: Sequence[Upstream], demanded: float) -> None:
+        """Reserve upstreams for the most important flows, in an order that all hosts agree on.
+
+        ``demanded`` is the load per slot from all flows.
+        """
+        top = self._demand.top(here[0].entry.service)
+        if top is None:
+            return
+        share = min(top.share * demanded, MAX_RESERVED_SHARE)
+        count = min(max(round(share * len(here)), 1), int(MAX_RESERVED_SHARE * len(here)))
+        ordered = sorted((upstream.name for upstream in here), key=_reservation_order)
+        state.top = top.importance
+        state.reserved = frozenset(ordered[:count])
+
+    def _set_refused_shares(
+        self, state: _ServiceState, here: Sequence[Upstream], limit: float, now: Seconds
+    ) -> None:
+        reserved = [upstream for upstream in here if upstream.name in state.reserved]
+        others = [upstream for upstream in here if upstream.name not in state.reserved]
+        for is_top, allowed in ((True, reserved or others), (False, others)):
+            load = self._overflow.load(allowed, now).per_slot / limit
+            state.refused_share[is_top] = _refused_share(load)
+
+
+def _is_top(state: _ServiceState, route: Route) -> bool:
+    return state.top is None or importance_of(route) <= state.top
+
+
+def _answerable_per_slot(load: DataCentreLoad, patience_s: Seconds) -> float:
+    """Return the load per slot up to which requests are answered, within the patience.
+
+    >>> from banyanline.core.steering.overflow import DataCentreLoad
+    >>> round(_answerable_per_slot(DataCentreLoad(16.0, 4, 0.4), 0.3), 3)
+    3.0
+    """
+    if not load.response_s:
+        return FULL_PER_SLOT
+    work_s = load.response_s / max(1.0, load.per_slot)
+    return min(FULL_PER_SLOT, max(1.0, patience_s / work_s))
+
+
+def _refused_share(load: float) -> float:
+    """Return the share of flows to refuse at a load relative to what can be answered."""
+    share = (load - REFUSE_RATIO) / (1.0 - REFUSE_RATIO)
+    return min(max(share, 0.0), MAX_REFUSED_SHARE)
+
+
+def _reservation_order(name: UpstreamName) -> tuple[int, UpstreamName]:
+    return zlib.crc32(name.encode()), name
--- a/banyanline/core/steering/outcomes.py
+++ b/banyanline/core/steering/outcomes.py
@@ -15,6 +15,7 @@
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
     COLD_UPSTREAMS = "cold_upstreams"
+    NO_ROOM = "no_room"
     ROUTE_REMOVED = "route_removed"
     UPSTREAM_LOST = "upstream_lost"
 
--- a/banyanline/core/steering/peer_placement.py
+++ b/banyanline/core/steering/peer_placement.py
@@ -11,6 +11,8 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
+from banyanline.core.steering.admission import Admission
+from banyanline.core.steering.demand import Demand
 from banyanline.core.steering.overflow import Overflow, in_flight_from_all
 from banyanline.core.steering.peer_responses import PeerResponses, group_of
 from banyanline.core.steering.placement import FLOW_WEIGHT, availability_rank, slowness_of
@@ -51,6 +53,8 @@
         self._peers = peers
         self._responses = PeerResponses()
         self._overflow = Overflow(data_centre, rng, peers, self._responses)
+        self._demand = Demand(data_centre, peers)
+        self._admission = Admission(rng, self._overflow, self._demand)
         self._loads: dict[UpstreamName, float] = {}
         self._weights: dict[UpstreamName, float] = {}
         self._positions: dict[ServiceName, float] = {}
@@ -65,10 +69,25 @@
         """What the reports say of response times."""
         return self._responses
 
+    @property
+    def admission(self) -> Admission:
+        """Who is admitted while there is too little room."""
+        return self._admission
+
+    def on_opening(self, route: Route, now: Seconds) -> None:
+        """Record the first opening packet of a flow."""
+        if self.is_active:
+            self._demand.on_opening(route, now)
+
+    def admits(self, route: Route, upstream: Upstream, now: Seconds) -> bool:
+        """Whether a new flow may be opened at the upstream chosen for it."""
+        return not self.is_active or self._admission.admits(route, upstream, now)
+
     def on_tick(self, upstreams: UpstreamTable, now: Seconds) -> None:
         """Use the reports that arrived; call this about once a second."""
         self._responses.update(self._peers, upstreams, now)
         if self.is_active:
+            self._demand.update(upstreams, now)
             self._weights = self._weigh(upstreams, now)
         else:
             self._loads = {}
@@ -94,7 +113,9 @@
             return None
         untried = [upstream for upstream in upstreams if upstream not in tried]
         available = _most_available(untried or upstreams, now)
+        self._admission.update(available, route, now)
         candidates = self._overflow.select(available, route.objective_s, now)
+        candidates = self._admission.select(candidates, route, now)
         if len(candidates) == 1:
             return candidates[0]
         shares = self._shares(candidates, median_response_s, now)
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -146,9 +146,14 @@
             return Forward(flow.upstream)
         if flow is not None:
             self._on_retransmission(flow, now)
+        else:
+            self._peer_placement.on_opening(route, now)
         upstream = self.choose(route, flow.tried if flow else (), now)
         if upstream is None:
             return self._refuse(route, flow)
+        is_first = flow is None and not packet.ack
+        if is_first and not self._peer_placement.admits(route, upstream, now):
+            return Reset(ResetReason.NO_ROOM)
         if upstream.is_cold(now):
             upstream.next_cold_opening_at = now + self._catalog.cold_opening_interval_s
         self._check_scheduler.on_opening(self._flows.open(packet.flow, upstream, now), now)
--- a/banyanline/net/steering/change_log.py
+++ b/banyanline/net/steering/change_log.py
@@ -17,8 +17,11 @@
 from banyanline.platform.entries import CONFIGURATION_KEY
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from banyanline.core.steering.admission import Admission
     from banyanline.core.steering.catalog import Catalog
-    from banyanline.core.types import Seconds, UpstreamName
+    from banyanline.core.types import Seconds, ServiceName, UpstreamName
 
 UNHEALTHY = (UpstreamAvailability.SUSPECT, UpstreamAvailability.LOST)
 
@@ -111,3 +114,23 @@
         self._unhealthy = {
             name: availability for name, availability in self._unhealthy.items() if known.get(name)
         }
+
+
+class RoomLog:
+    """Logs when a service becomes short of room, and when it has room again."""
+
+    def __init__(self, admission: Admission) -> None:
+        self._admission = admission
+        self._shortages: Mapping[ServiceName, int] = {}
+
+    def update(self, now: Seconds) -> None:
+        """Log the changes since the last call."""
+        shortages = self._admission.shortages(now)
+        for service in shortages.keys() ^ self._shortages.keys():
+            log.info(
+                "room_changed",
+                service=service,
+                short=service in shortages,
+                reserved=shortages.get(service, 0),
+            )
+        self._shortages = shortages
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -77,6 +77,9 @@
         )
         self._flows = self._gauge("flows", "Flows that this host tracks.")
         self._upstreams = self._gauge("upstreams", "Upstreams by service and state.")
+        self._reserved = self._gauge(
+            "reserved_upstreams", "Upstreams reserved for important routes, by service."
+        )
         self._in_flight = self._gauge("requests_in_flight", "Requests in flight at upstreams.")
         self._latency = aioprometheus.Histogram(
             f"{PREFIX}_response_seconds",
@@ -132,6 +135,9 @@
             for availability in UpstreamAvailability:
                 labels = {"service": service, "state": availability.value}
                 self._upstreams.set(labels, states[service, availability])
+        shortages = steering.peer_placement.admission.shortages(now)
+        for service in {upstream.entry.service for upstream in catalog.upstreams}:
+            self._reserved.set({"service": service}, shortages.get(service, 0))
         self._in_flight.set(
             {}, sum(upstream.responses.under_way(now) for upstream in catalog.upstreams)
         )
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -16,7 +16,7 @@
 from banyanline.net.logs import log_loop_error
 from banyanline.net.pages import PageResponse, PageServer
 from banyanline.net.steering.background import keep_running
-from banyanline.net.steering.change_log import UpstreamAvailabilityLog
+from banyanline.net.steering.change_log import RoomLog, UpstreamAvailabilityLog
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.packet_path import PacketPath
 from banyanline.net.steering.peers import PeerReader
@@ -84,6 +84,7 @@
         )
         self._set_sources(settings)
         self._availability_log = UpstreamAvailabilityLog(self._catalog)
+        self._room_log = RoomLog(self._steering.peer_placement.admission)
         self._shutdown: GracefulShutdown | None = None
         self._servers = [PageServer(settings.readiness, self._respond_readiness)]
         if settings.control is not None:
@@ -174,6 +175,7 @@
             self._steering.on_tick(now)
             self._update_host_count()
             self._availability_log.update(now)
+            self._room_log.update(now)
             if self._settings_file.has_changed():
                 self.reload()
 
