--- a/banyanline/core/steering/admission.py
+++ b/banyanline/core/steering/admission.py
@@ -40,6 +40,9 @@
 
 UPDATE_INTERVAL_S = 1.0
 
+REFUSED_WEIGHT = 0.5
+"""Weight of the latest share of refused flows in its moving average."""
+
 HOLD_S = 3.0
 """How long upstreams stay reserved after the last sign of too little room."""
 
@@ -91,8 +94,9 @@
         load = self._overflow.load(here, now)
         limit = _answerable_per_slot(load, route.patience_s)
         demanded = max(load.in_flight, self._demand.in_flight(service)) / load.slots
-        has_room_elsewhere = self._overflow.with_room(upstreams, load, route.objective_s)
-        if demanded >= SHORT_RATIO * limit and not has_room_elsewhere:
+        short_per_slot = SHORT_RATIO * limit
+        has_room_elsewhere = self._overflow.elsewhere(upstreams, short_per_slot * load.work_s)
+        if demanded >= short_per_slot and not has_room_elsewhere:
             state.short_until = now + HOLD_S
         state.top = None
         state.reserved = frozenset()
@@ -140,7 +144,8 @@
         others = [upstream for upstream in here if upstream.name not in state.reserved]
         for is_top, allowed in ((True, reserved or others), (False, others)):
             load = self._overflow.load(allowed, now).per_slot / limit
-            state.refused_share[is_top] = _refused_share(load)
+            known = state.refused_share[is_top]
+            state.refused_share[is_top] = known + REFUSED_WEIGHT * (_refused_share(load) - known)
 
 
 def _is_top(state: _ServiceState, route: Route) -> bool:
@@ -154,10 +159,9 @@
     >>> round(_answerable_per_slot(DataCentreLoad(16.0, 4, 0.4), 0.3), 3)
     3.0
     """
-    if not load.response_s:
+    if not load.work_s:
         return FULL_PER_SLOT
-    work_s = load.response_s / max(1.0, load.per_slot)
-    return min(FULL_PER_SLOT, max(1.0, patience_s / work_s))
+    return min(FULL_PER_SLOT, max(1.0, patience_s / load.work_s))
 
 
 def _refused_share(load: float) -> float:
--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -18,7 +18,8 @@
 
     ``elsewhere`` counts the placed flows whose upstream is in another data centre.
     ``responses`` holds response times in seconds, from a request to the first
-    acknowledgement of its response.
+    acknowledgement of its response. ``refused`` counts the opening packets for which a
+    service had no upstream, with retransmissions.
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         "forwarded",
         "held",
         "placed",
+        "refused",
         "resets",
         "responses",
     )
@@ -39,6 +41,7 @@
         self.placed: Counter[ServiceName] = Counter()
         self.copies: Counter[ServiceName] = Counter()
         self.elsewhere: Counter[ServiceName] = Counter()
+        self.refused: Counter[ServiceName] = Counter()
         self.resets: Counter[ResetReason] = Counter()
         self.checks: Counter[CheckResult] = Counter()
         self.drops: Counter[DropReason] = Counter()
--- a/banyanline/core/steering/overflow.py
+++ b/banyanline/core/steering/overflow.py
@@ -33,7 +33,7 @@
 MAX_SHARE = 0.5
 """Largest share of the new flows that goes elsewhere."""
 
-MAX_STEP = 0.15
+MAX_STEP = 0.1
 MIN_SHARE = 0.02
 DECREASE = 0.5
 
@@ -59,6 +59,11 @@
         """Requests in flight per slot."""
         return self.in_flight / self.slots
 
+    @property
+    def work_s(self) -> Seconds:
+        """The response time without the time in queues, 0 if it is unknown."""
+        return (self.response_s or 0.0) - self.wait_s
+
     @property
     def wait_s(self) -> Seconds:
         """The part of the response time that requests spend in queues (Little's law).
@@ -74,10 +79,11 @@
 class _Share:
     """The share of one route's flows that goes elsewhere."""
 
-    __slots__ = ("adjusted_at", "value")
+    __slots__ = ("adjusted_at", "is_crowded", "value")
 
     def __init__(self) -> None:
         self.value = 0.0
+        self.is_crowded = False
         self.adjusted_at = float("-inf")
 
     def adjust(self, factor: float, step: float, now: Seconds) -> None:
@@ -121,9 +127,8 @@
             self._adjust(share, upstreams, objective_s, now)
         if self._rng.random() >= share.value:
             return here
-        return self.with_room(upstreams, self.load(here, now), objective_s) or [
-            upstream for upstream in upstreams if upstream not in here
-        ]
+        bound_s = _room_bound_s(self.load(here, now), objective_s)
+        return self.elsewhere(upstreams, bound_s) or self.elsewhere(upstreams, float("inf"))
 
     def here(self, upstreams: Sequence[Upstream]) -> list[Upstream]:
         """Return the upstreams in the own data centre."""
@@ -136,11 +141,11 @@
         response_s = self._responses.mean_s(here[0].entry.service, self._data_centre)
         return DataCentreLoad(in_flight, slots, response_s)
 
-    def with_room(
-        self, upstreams: Sequence[Upstream], load: DataCentreLoad, objective_s: Seconds
-    ) -> list[Upstream]:
-        """Return the upstreams of other data centres that respond soon, or that are untried."""
-        bound_s = max(ROOM_RATIO * (load.response_s or 0.0), ROOM_SHARE * objective_s)
+    def elsewhere(self, upstreams: Sequence[Upstream], bound_s: Seconds) -> list[Upstream]:
+        """Return those in other data centres whose mean response time is below a bound.
+
+        Data centres without a known response time are included.
+        """
         has_room = {self._data_centre: False}
         found = []
         for upstream in upstreams:
@@ -157,20 +162,28 @@
     ) -> None:
         """Increase the share while there is a wait here, and decrease it without one.
 
-        In between the share stays, so that it settles.
+        In between the share stays, so that it settles. The wait must last, as it may be due
+        to flows from elsewhere, which return when they find no room.
         """
         load = self.load(self.here(upstreams), now)
+        was_crowded = share.is_crowded
         pressure = max(load.per_slot / CROWDED_PER_SLOT, load.wait_s / (WAIT_SHARE * objective_s))
+        share.is_crowded = pressure >= 1.0
         if pressure < CALM_PRESSURE:
             share.adjust(DECREASE, 0.0, now)
-        elif pressure < 1.0:
+        elif not (share.is_crowded and was_crowded):
             share.adjust(1.0, 0.0, now)
-        elif self.with_room(upstreams, load, objective_s):
+        elif self.elsewhere(upstreams, _room_bound_s(load, objective_s)):
             share.adjust(1.0, MAX_STEP * min(pressure - 1.0, 1.0), now)
         else:
             share.adjust(DECREASE, 0.0, now)
 
 
+def _room_bound_s(load: DataCentreLoad, objective_s: Seconds) -> Seconds:
+    """Return the response time below which another data centre has room."""
+    return max(ROOM_RATIO * (load.response_s or 0.0), ROOM_SHARE * objective_s)
+
+
 def in_flight_from_all(upstream: Upstream, peers: PeerReports, now: Seconds) -> float:
     """Return an upstream's requests in flight from all hosts of the own data centre."""
     own = upstream.responses.under_way(now) + upstream.pending_opens
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -156,6 +156,7 @@
             return Reset(ResetReason.NO_ROOM)
         if upstream.is_cold(now):
             upstream.next_cold_opening_at = now + self._catalog.cold_opening_interval_s
+            upstream.cold_openings += 1
         self._check_scheduler.on_opening(self._flows.open(packet.flow, upstream, now), now)
         return Forward(upstream)
 
@@ -195,6 +196,9 @@
         reason = self.refusal_reason(route)
         if flow is not None and reason is ResetReason.COLD_UPSTREAMS:
             return Forward(flow.upstream)
+        if route.shares:
+            main = max(route.shares, key=lambda share: share.weight)
+            self._counters.refused[main.service] += 1
         return Reset(reason)
 
     def refusal_reason(self, route: Route) -> ResetReason:
