Show the speed of upstreams in the status, and test placement without reports

Cause: operators could not see why an upstream gets more flows than another, and no test compared decisions without reports with those before. Change: a column speed in the status of a host that hears others; a test that steering without reports chooses what Placement chooses, with the same random source.

--- a/banyanline/cli/status.py
+++ b/banyanline/cli/status.py
@@ -52,7 +52,7 @@
     "failed_check_age_s",
 )
 
-_TOTAL_COLUMNS = ("total_in_flight", "total_open_flows")
+_TOTAL_COLUMNS = ("total_in_flight", "total_open_flows", "speed")
 """Columns of hosts that hear others of their data centre."""
 
 PROGRAM = new_program(
--- a/banyanline/net/steering/status.py
+++ b/banyanline/net/steering/status.py
@@ -42,6 +42,8 @@
     revision: int
     total_in_flight: NotRequired[float]
     total_open_flows: NotRequired[int]
+    speed: NotRequired[float]
+    """Relative to its service and data centre, as shown by response times; 1 if unknown."""
 
 
 class DefectRow(TypedDict):
@@ -90,7 +92,9 @@
     new_flow: str
 
 
-def upstream_row(report: UpstreamReport, peers: PeerLoad = NO_LOAD) -> UpstreamRow:
+def upstream_row(
+    report: UpstreamReport, peers: PeerLoad = NO_LOAD, speed: float = 1.0
+) -> UpstreamRow:
     """Convert a report on an upstream to a row of the page; ``peers`` is other hosts' load."""
     upstream = report.upstream
     expected_s = report.expected_s
@@ -108,6 +112,7 @@
         revision=upstream.revision,
         total_in_flight=round(report.under_way + peers.in_flight, 3),
         total_open_flows=upstream.open_flows + peers.open_flows,
+        speed=round(speed, 2),
     )
 
 
@@ -136,7 +141,11 @@
         flows=len(steering.flows),
         data_centres_out=sorted(catalog.data_centres_out),
         upstreams=[
-            upstream_row(report_upstream(catalog, each, now), steering.peers.load(each.name))
+            upstream_row(
+                report_upstream(catalog, each, now),
+                steering.peers.load(each.name),
+                steering.peer_placement.responses.speed(each.name),
+            )
             for each in upstreams
         ],
         unreadable=_defect_rows(catalog.table, unusable_items),
--- a/banyanline/tests/test_peer_placement.py
+++ b/banyanline/tests/test_peer_placement.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 
 import pytest
 
 from banyanline.core.steering.peer_reports import UpstreamSample
+from banyanline.core.steering.placement import Placement
 from banyanline.tests.reports import Fleet, report
-from banyanline.tests.steering import THERE, Host, entry
+from banyanline.tests.steering import HERE, THERE, Host, entry
 
 HOSTS = 31
 UPSTREAMS = 20
@@ -94,3 +96,16 @@
     host = Host(entry("orders-1", is_leaving=True), entry("orders-2", data_centre=THERE))
     host.steering.peers.put(report(), host.now)
     assert host.place() == "orders-2"
+
+
+def test_without_reports_flows_are_placed_by_the_own_load_alone():
+    names = [
+        entry(f"orders-{number}", data_centre=(HERE, THERE)[number % 2]) for number in range(6)
+    ]
+    host = Host(*names, seed=5)
+    placement = Placement(HERE, random.Random(5))
+    for flow in range(60):
+        host.wait(0.1)
+        expected = placement.choose(host.catalog.usable("orders"), (), None, host.now)
+        assert expected is not None
+        assert host.place(flow) == expected.name
