Sum reported responses as reports arrive

Cause: reports are no longer kept whole after a change in their exchange, and a sum once a second over whole reports missed those that were replaced in between. Change: PeerReports adds the responses of each report to a sum by upstream, which the estimate of speeds takes.

--- a/banyanline/core/steering/peer_reports.py
+++ b/banyanline/core/steering/peer_reports.py
@@ -16,7 +16,7 @@
 from banyanline.core.types import DataCentreName, HostName, Seconds, ServiceName, UpstreamName
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
 REPORT_LIFETIME_S = 4.0
 """How long a report is used; several reports may be lost in this time."""
@@ -83,6 +83,33 @@
 NO_LOAD = PeerLoad()
 
 
+class ResponseSum(NamedTuple):
+    """The number of responses and the sum of their times; both may be weighted."""
+
+    responses: float = 0.0
+    total_s: Seconds = 0.0
+
+    @property
+    def mean_s(self) -> Seconds:
+        """The mean response time.
+
+        >>> ResponseSum(4, 0.2).mean_s
+        0.05
+        """
+        return self.total_s / self.responses
+
+    def plus(self, responses: float, total_s: Seconds) -> ResponseSum:
+        """Return the sum with further responses."""
+        return ResponseSum(self.responses + responses, self.total_s + total_s)
+
+    def scaled(self, weight: float) -> ResponseSum:
+        """Return the sum with another weight."""
+        return ResponseSum(self.responses * weight, self.total_s * weight)
+
+
+NO_RESPONSES = ResponseSum()
+
+
 class Reach(NamedTuple):
     """How many other hosts report a service, and how many of them cannot reach it."""
 
@@ -137,21 +164,13 @@
         self._starts = ReportOrder()
         self._totals: dict[UpstreamName, _Total] = {}
         self._loads: dict[UpstreamName, PeerLoad] = {}
+        self._responses: dict[UpstreamName, ResponseSum] = {}
 
     @property
     def hosts(self) -> Collection[HostName]:
         """The other hosts whose reports are in use."""
         return self._hosts.keys()
 
-    @property
-    def reports(self) -> Collection[tuple[HostReport, Seconds]]:
-        """The latest reports, and when each was received."""
-        return [
-            (host.report, host.received_at)
-            for host in self._hosts.values()
-            if host.report is not None
-        ]
-
     def put(self, report: HostReport, now: Seconds) -> bool:
         """Use a report; return False if it is not later than the one in use.
 
@@ -194,6 +213,11 @@
         samples = (host.upstreams.get(upstream) for host in self._hosts.values())
         return [sample for sample in samples if sample is not None]
 
+    def take_responses(self) -> Mapping[UpstreamName, ResponseSum]:
+        """Return the responses of each upstream that were reported since the last call."""
+        responses, self._responses = self._responses, {}
+        return responses
+
     def reach(self, service: ServiceName) -> Reach:
         """Return how many other hosts report a service, and how many cannot reach it."""
         samples = self._service_samples(service)
@@ -211,6 +235,10 @@
         previous = host.upstreams.get(sample.upstream)
         host.upstreams[sample.upstream] = (sample, now)
         self._change_total(sample.upstream, sample, previous and previous[0])
+        if sample.responses:
+            known = self._responses.get(sample.upstream, NO_RESPONSES)
+            total_s = sample.responses * sample.response_s
+            self._responses[sample.upstream] = known.plus(sample.responses, total_s)
 
     def _remove(self, name: HostName) -> None:
         for upstream, (sample, _) in self._hosts.pop(name).upstreams.items():
--- a/banyanline/core/steering/peer_responses.py
+++ b/banyanline/core/steering/peer_responses.py
@@ -9,7 +9,9 @@
 
 import math
 from collections import defaultdict
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
+
+from banyanline.core.steering.peer_reports import ResponseSum
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -17,7 +19,7 @@
 
     from banyanline.core.steering.peer_reports import PeerReports
     from banyanline.core.steering.upstreams import Upstream, UpstreamTable
-    from banyanline.core.types import DataCentreName, HostName, Seconds, ServiceName, UpstreamName
+    from banyanline.core.types import DataCentreName, Seconds, ServiceName, UpstreamName
 
     Group: TypeAlias = tuple[ServiceName, DataCentreName]
 
@@ -43,30 +45,6 @@
 """Load per slot from which fast responses prove nothing: they may be rejections."""
 
 
-class ResponseSum(NamedTuple):
-    """The number of responses and the sum of their times; both may be weighted."""
-
-    responses: float = 0.0
-    total_s: Seconds = 0.0
-
-    @property
-    def mean_s(self) -> Seconds:
-        """The mean response time.
-
-        >>> ResponseSum(4, 0.2).mean_s
-        0.05
-        """
-        return self.total_s / self.responses
-
-    def plus(self, other: ResponseSum) -> ResponseSum:
-        """Return the sum with further responses."""
-        return ResponseSum(self.responses + other.responses, self.total_s + other.total_s)
-
-    def scaled(self, weight: float) -> ResponseSum:
-        """Return the sum with another weight."""
-        return ResponseSum(self.responses * weight, self.total_s * weight)
-
-
 class PeerResponses:
     """Speeds of upstreams relative to their group, and the latest mean response times of groups.
 
@@ -77,7 +55,6 @@
         self._sums: dict[UpstreamName, ResponseSum] = {}
         self._speeds: dict[UpstreamName, float] = {}
         self._groups: dict[Group, tuple[Seconds, Seconds]] = {}
-        self._used: dict[HostName, tuple[int, int]] = {}
         self._updated_at: Seconds = 0.0
 
     def speed(self, upstream: UpstreamName) -> float:
@@ -96,35 +73,21 @@
         self._sums = {name: each.scaled(weight) for name, each in self._sums.items()}
         latest = {
             upstream: responses
-            for name, responses in self._sum_new_reports(peers).items()
+            for name, responses in peers.take_responses().items()
             if (upstream := upstreams.get(name)) is not None
         }
         groups: defaultdict[Group, ResponseSum] = defaultdict(ResponseSum)
         for upstream, responses in latest.items():
-            groups[group_of(upstream)] = groups[group_of(upstream)].plus(responses)
+            groups[group_of(upstream)] = groups[group_of(upstream)].plus(*responses)
         for upstream, responses in latest.items():
             in_flight = peers.load(upstream.name).in_flight
             is_queued = in_flight >= QUEUED_PER_SLOT * upstream.entry.slots
             if not is_queued or responses.mean_s >= groups[group_of(upstream)].mean_s:
                 known = self._sums.get(upstream.name, ResponseSum())
-                self._sums[upstream.name] = known.plus(responses)
+                self._sums[upstream.name] = known.plus(*responses)
         self._keep_groups(groups, now)
         self._update_speeds(upstreams)
 
-    def _sum_new_reports(self, peers: PeerReports) -> dict[UpstreamName, ResponseSum]:
-        """Return the responses of each upstream in the reports that were not used before."""
-        counts: defaultdict[UpstreamName, int] = defaultdict(int)
-        totals_s: defaultdict[UpstreamName, Seconds] = defaultdict(float)
-        for report, _ in peers.reports:
-            if self._used.get(report.host) == (report.start, report.sequence):
-                continue
-            for sample in report.upstreams:
-                if sample.responses:
-                    counts[sample.upstream] += sample.responses
-                    totals_s[sample.upstream] += sample.responses * sample.response_s
-        self._used = {each.host: (each.start, each.sequence) for each, _ in peers.reports}
-        return {name: ResponseSum(count, totals_s[name]) for name, count in counts.items()}
-
     def _keep_groups(self, groups: dict[Group, ResponseSum], now: Seconds) -> None:
         """Use the latest mean response times; those of groups without responses expire."""
         for group, responses in groups.items():
@@ -153,7 +116,7 @@
     """Return the speed of each upstream of a group, with the credited responses."""
     mean_s = sum(each.mean_s for each in group.values()) / len(group)
     for name, known in group.items():
-        credited = known.plus(ResponseSum(PRIOR_RESPONSES, PRIOR_RESPONSES * mean_s))
+        credited = known.plus(PRIOR_RESPONSES, PRIOR_RESPONSES * mean_s)
         yield name, min(max(mean_s / credited.mean_s, MIN_SPEED), MAX_SPEED)
 
 
