Judge routes without patience or objective by the queues alone

Cause: a route whose objective is not given has 0, by which the wait was divided at the next choice under reports; a patience of 0 made every load too much. Retransmitted openings, and upstreams that turn suspect and well by turns, made the admission adapt faster than reports arrive. Change: 0 is unknown. Admission is updated for first openings, at most five times a second after a change. Measured: the new test divides by zero, or is short with room, without the change.

--- a/banyanline/core/steering/admission.py
+++ b/banyanline/core/steering/admission.py
@@ -40,6 +40,9 @@
 
 UPDATE_INTERVAL_S = 1.0
 
+CHANGED_INTERVAL_S = 0.2
+"""The same after a change in the number of available upstreams."""
+
 REFUSED_WEIGHT = 0.5
 """Weight of the latest share of refused flows in its moving average."""
 
@@ -86,8 +89,9 @@
         service = upstreams[0].entry.service
         state = self._states.setdefault(service, _ServiceState())
         here = self._overflow.here(upstreams)
-        is_due = now - state.updated_at >= UPDATE_INTERVAL_S or len(here) != state.upstreams
-        if not (here and is_due):
+        is_changed = len(here) != state.upstreams
+        interval_s = CHANGED_INTERVAL_S if is_changed else UPDATE_INTERVAL_S
+        if not here or now - state.updated_at < interval_s:
             return
         state.updated_at = now
         state.upstreams = len(here)
@@ -155,11 +159,13 @@
 def _answerable_per_slot(load: DataCentreLoad, patience_s: Seconds) -> float:
     """Return the load per slot up to which requests are answered, within the patience.
 
+    A patience of 0 is unknown.
+
     >>> from banyanline.core.steering.overflow import DataCentreLoad
     >>> round(_answerable_per_slot(DataCentreLoad(16.0, 4, 0.4), 0.3), 3)
     3.0
     """
-    if not load.work_s:
+    if not load.work_s or patience_s <= 0.0:
         return FULL_PER_SLOT
     return min(FULL_PER_SLOT, max(1.0, patience_s / load.work_s))
 
--- a/banyanline/core/steering/overflow.py
+++ b/banyanline/core/steering/overflow.py
@@ -167,7 +167,7 @@
         """
         load = self.load(self.here(upstreams), now)
         was_crowded = share.is_crowded
-        pressure = max(load.per_slot / CROWDED_PER_SLOT, load.wait_s / (WAIT_SHARE * objective_s))
+        pressure = _pressure(load, objective_s)
         share.is_crowded = pressure >= 1.0
         if pressure < CALM_PRESSURE:
             share.adjust(DECREASE, 0.0, now)
@@ -179,6 +179,14 @@
             share.adjust(DECREASE, 0.0, now)
 
 
+def _pressure(load: DataCentreLoad, objective_s: Seconds) -> float:
+    """Return the load or the wait relative to its bound; an objective of 0 is unknown."""
+    crowding = load.per_slot / CROWDED_PER_SLOT
+    if objective_s <= 0.0:
+        return crowding
+    return max(crowding, load.wait_s / (WAIT_SHARE * objective_s))
+
+
 def _room_bound_s(load: DataCentreLoad, objective_s: Seconds) -> Seconds:
     """Return the response time below which another data centre has room."""
     return max(ROOM_RATIO * (load.response_s or 0.0), ROOM_SHARE * objective_s)
--- a/banyanline/core/steering/peer_placement.py
+++ b/banyanline/core/steering/peer_placement.py
@@ -123,7 +123,8 @@
             return None
         untried = [upstream for upstream in upstreams if upstream not in tried]
         available = _most_available(untried or upstreams, now)
-        self._admission.update(available, route, now)
+        if not tried:
+            self._admission.update(available, route, now)
         candidates = self._overflow.select(available, route.objective_s, now)
         candidates = self._admission.select(candidates, route, now)
         if len(candidates) == 1:
--- a/banyanline/tests/test_admission.py
+++ b/banyanline/tests/test_admission.py
@@ -14,7 +14,17 @@
 from banyanline.core.steering.outcomes import Forward, Reset, ResetReason
 from banyanline.core.steering.peer_reports import UpstreamSample
 from banyanline.tests.reports import Fleet, report
-from banyanline.tests.steering import ORDERS, SHEETS, Host, entry, opening, packet, route, table
+from banyanline.tests.steering import (
+    ORDERS,
+    SHEETS,
+    THERE,
+    Host,
+    entry,
+    opening,
+    packet,
+    route,
+    table,
+)
 
 HOSTS = 6
 UPSTREAMS = 24
@@ -218,11 +228,11 @@
     return host
 
 
-def hear(host: Host, per_slot: float, sequence: int) -> None:
+def hear(host: Host, per_slot: float, sequence: int, *others: str) -> None:
     """Let a host hear of the load of its upstreams."""
+    names = [*(f"orders-{number}" for number in range(KEPT)), *others]
     samples = [
-        UpstreamSample(f"orders-{number}", per_slot * SLOTS, 1, 20, WORK_S * max(1.0, per_slot))
-        for number in range(KEPT)
+        UpstreamSample(name, per_slot * SLOTS, 1, 20, WORK_S * max(1.0, per_slot)) for name in names
     ]
     host.steering.peers.put(report(*samples, sequence=sequence), host.now)
     host.steering.on_tick(host.now)
@@ -272,6 +282,21 @@
     assert host.steering.counters.resets[ResetReason.NO_ROOM] == before
 
 
+@pytest.mark.parametrize(
+    ("per_slot", "is_short"),
+    [pytest.param(1.5, False, id="room"), pytest.param(4.5, True, id="too little room")],
+)
+def test_a_route_without_patience_and_objective_is_judged_by_the_queues(per_slot, is_short):
+    unknown = [each._replace(patience_s=0.0, objective_s=0.0) for each in ROUTES]
+    entries = [entry(f"orders-{number}") for number in range(KEPT)]
+    host = Host(*entries, entry("orders-far", data_centre=THERE))
+    host.configure(table(2, unknown))
+    hear(host, per_slot, 1, "orders-far")
+    host.place()
+    shortages = host.steering.peer_placement.admission.shortages(host.now)
+    assert ("orders" in shortages) is is_short
+
+
 def test_copies_of_an_opening_packet_are_never_refused():
     host = loaded_host(4.9)
     assert {type(host.send(opening(flow, copy=1))) for flow in range(4000, 4100)} == {Forward}
