--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -17,6 +17,7 @@
     """Counts of packets and health checks by outcome since the host started.
 
     ``references`` counts the attempts at upstreams that a check is compared with.
+    ``elsewhere`` counts the placed flows whose upstream is in another data centre.
     ``responses`` holds response times in seconds, from a request to the first
     acknowledgement of its response. ``refused`` counts the opening packets for which a
     service had no upstream, with retransmissions.
@@ -26,6 +27,7 @@
         "checks",
         "copies",
         "drops",
+        "elsewhere",
         "forwarded",
         "held",
         "placed",
@@ -40,6 +42,7 @@
         self.held = 0
         self.placed: Counter[ServiceName] = Counter()
         self.copies: Counter[ServiceName] = Counter()
+        self.elsewhere: Counter[ServiceName] = Counter()
         self.refused: Counter[ServiceName] = Counter()
         self.resets: Counter[ResetReason] = Counter()
         self.checks: Counter[CheckResult] = Counter()
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -25,6 +25,7 @@
     ResetReason,
 )
 from banyanline.core.steering.packet import NO_COOKIE
+from banyanline.core.steering.peer_placement import PeerPlacement
 from banyanline.core.steering.peer_reports import PeerReports
 from banyanline.core.steering.placement import Placement
 from banyanline.core.steering.readiness import Readiness
@@ -61,9 +62,11 @@
         peers: PeerReports | None = None,
     ) -> None:
         self._catalog = catalog
+        self._data_centre = data_centre
         self._peers = peers or PeerReports()
         self._rng = rng
         self._placement = placement or Placement(data_centre, rng)
+        self._peer_placement = PeerPlacement(data_centre, rng, self._peers)
         self._counters = SteeringCounters()
         self._flows = FlowTable(self._counters)
         self._check_scheduler = CheckScheduler(catalog)
@@ -85,6 +88,11 @@
         """Whether this host should take new callers."""
         return self._readiness
 
+    @property
+    def peer_placement(self) -> PeerPlacement:
+        """The placement of flows by the reports of the other hosts."""
+        return self._peer_placement
+
     @property
     def flows(self) -> FlowTable:
         """The flows that this host tracks."""
@@ -108,7 +116,10 @@
             counters.forwarded += 1
             if packet.opens_flow:
                 openings = counters.copies if packet.ack else counters.placed
-                openings[outcome.upstream.entry.service] += 1
+                entry = outcome.upstream.entry
+                openings[entry.service] += 1
+                if not packet.ack and entry.data_centre != self._data_centre:
+                    counters.elsewhere[entry.service] += 1
         elif isinstance(outcome, Reset):
             counters.resets[outcome.reason] += 1
         elif isinstance(outcome, Drop):
@@ -146,6 +157,7 @@
         idle_s = min(table.idle_timeout_s, MAX_IDLE_S) if table else MAX_IDLE_S
         self._flows.expire(now - idle_s, now - OPENING_LIFETIME_S)
         self._catalog.upstreams.forget_removed(now)
+        self._peer_placement.on_tick(self._catalog.upstreams, now)
         self._update_readiness(now)
 
     def _update_readiness(self, now: Seconds) -> None:
@@ -163,9 +175,14 @@
             return Forward(flow.upstream)
         if flow is not None:
             self._on_retransmission(flow, now)
+        else:
+            self._peer_placement.on_opening(route, now)
         upstream = self.choose(route, flow.tried if flow else (), now)
         if upstream is None:
             return self._refuse(route, flow)
+        is_first = flow is None and not packet.ack
+        if is_first and not self._peer_placement.admits(route, upstream, now):
+            return Reset(ResetReason.NO_ROOM)
         if upstream.is_cold(now):
             upstream.next_cold_opening_at = now + self._catalog.cold_opening_interval_s
             upstream.cold_openings += 1
@@ -179,9 +196,11 @@
             usable = self._catalog.usable(service)
             if self._catalog.has_cold_limit(service):
                 usable = [each for each in usable if self._admits_opening(each, now)]
-            chosen = self._placement.choose(
-                usable, tried, self._flows.median_response_s(service), now
-            )
+            median_s = self._flows.median_response_s(service)
+            if self._peer_placement.is_active:
+                chosen = self._peer_placement.choose(usable, tried, route, median_s, now)
+            else:
+                chosen = self._placement.choose(usable, tried, median_s, now)
             if chosen is not None:
                 return chosen
         return None
--- a/banyanline/net/steering/change_log.py
+++ b/banyanline/net/steering/change_log.py
@@ -17,6 +17,9 @@
 from banyanline.platform.entries import CONFIGURATION_KEY
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from banyanline.core.steering.admission import Admission
     from banyanline.core.steering.catalog import Catalog
     from banyanline.core.steering.readiness import Readiness
     from banyanline.core.types import Seconds, ServiceName, UpstreamName
@@ -128,3 +131,23 @@
             return
         self._cut_off = cut_off
         log.warning("readiness_changed", ready=not cut_off, out_of_reach=",".join(sorted(cut_off)))
+
+
+class RoomLog:
+    """Logs when a service becomes short of room, and when it has room again."""
+
+    def __init__(self, admission: Admission) -> None:
+        self._admission = admission
+        self._shortages: Mapping[ServiceName, int] = {}
+
+    def update(self, now: Seconds) -> None:
+        """Log the changes since the last call."""
+        shortages = self._admission.shortages(now)
+        for service in shortages.keys() ^ self._shortages.keys():
+            log.info(
+                "room_changed",
+                service=service,
+                short=service in shortages,
+                reserved=shortages.get(service, 0),
+            )
+        self._shortages = shortages
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -47,6 +47,9 @@
         self._placed = self._counter(
             "flows_placed_total", "Opening packets forwarded, without retransmissions."
         )
+        self._elsewhere = self._counter(
+            "flows_placed_elsewhere_total", "Of these, flows to upstreams in other data centres."
+        )
         self._copies = self._counter(
             "opening_copies_total", "Retransmitted opening packets forwarded."
         )
@@ -86,6 +89,9 @@
         )
         self._flows = self._gauge("flows", "Flows that this host tracks.")
         self._upstreams = self._gauge("upstreams", "Upstreams by service and state.")
+        self._reserved = self._gauge(
+            "reserved_upstreams", "Upstreams reserved for important routes, by service."
+        )
         self._in_flight = self._gauge("requests_in_flight", "Requests in flight at upstreams.")
         self._peers = self._gauge("peers", "Other hosts whose reports are in use.")
         self._reports = self._counter("reports_total", "Reports sent and received.")
@@ -126,6 +132,7 @@
         self._packets.set({"outcome": "forwarded"}, counters.forwarded)
         self._packets.set({"outcome": "held"}, counters.held)
         copy_counts(self._placed, "service", counters.placed)
+        copy_counts(self._elsewhere, "service", counters.elsewhere)
         copy_counts(self._copies, "service", counters.copies)
         copy_counts(self._resets, "reason", counters.resets)
         copy_counts(self._drops, "reason", counters.drops)
@@ -161,6 +168,9 @@
             for availability in UpstreamAvailability:
                 labels = {"service": service, "state": availability.value}
                 self._upstreams.set(labels, states[service, availability])
+        shortages = steering.peer_placement.admission.shortages(now)
+        for service in {upstream.entry.service for upstream in catalog.upstreams}:
+            self._reserved.set({"service": service}, shortages.get(service, 0))
         self._in_flight.set(
             {}, sum(upstream.responses.under_way(now) for upstream in catalog.upstreams)
         )
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -17,7 +17,11 @@
 from banyanline.net.logs import log_loop_error
 from banyanline.net.pages import PageResponse, PageServer
 from banyanline.net.steering.background import keep_running
-from banyanline.net.steering.change_log import ReadinessLog, UpstreamAvailabilityLog
+from banyanline.net.steering.change_log import (
+    ReadinessLog,
+    RoomLog,
+    UpstreamAvailabilityLog,
+)
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.packet_path import PacketPath
 from banyanline.net.steering.peer_discovery import PEERS_PATH, PeerDiscovery
@@ -97,6 +101,7 @@
         self._set_sources(settings)
         self._availability_log = UpstreamAvailabilityLog(self._catalog)
         self._readiness_log = ReadinessLog(self._steering.readiness)
+        self._room_log = RoomLog(self._steering.peer_placement.admission)
         self._shutdown: GracefulShutdown | None = None
         self._servers = [PageServer(settings.readiness, self._respond_readiness)]
         if settings.control is not None:
@@ -198,6 +203,7 @@
             self._update_host_count()
             self._availability_log.update(now)
             self._readiness_log.update()
+            self._room_log.update(now)
             if self._settings_file.has_changed():
                 self.reload()
 
@@ -277,6 +283,7 @@
     def _set_sources(self, settings: HostSettings) -> None:
         self._seeds.set(settings.seeds)
         self._feed.set_source(settings.store, settings.contact_s, settings.change_bound_s)
+        self._reports.set_link(settings.link_mbps)
         if self._feed.uses_relays and settings.internal_ports:
             self._reports.open()
         else:
