Pace the openings to upstreams that started or recovered

Cause: a cold upstream ranked behind all warm ones, so that it was idle for its cold period, and each host then saw an upstream without load.

Change: hosts that know their number share a window of openings per round trip, 1 at first, doubled by prompt answers and halved by late or missing ones. They take turns, from a random time on, and a host on its turn prefers the upstream until it has as many flows there as at others. Cold limits and failed checks rank first as before; hosts that do not know their number decide as before. Two log events, two metrics and a field of the status page show it.

If all upstreams are cold at once, decisions are as before.

--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from banyanline.core.steering.failure_detection import CheckResult
+    from banyanline.core.steering.opening_window import PaceStep
     from banyanline.core.steering.outcomes import DropReason, ResetReason
     from banyanline.core.types import ServiceName
 
@@ -20,7 +21,17 @@
     acknowledgement of its response.
     """
 
-    __slots__ = ("checks", "copies", "drops", "forwarded", "held", "placed", "resets", "responses")
+    __slots__ = (
+        "checks",
+        "copies",
+        "drops",
+        "forwarded",
+        "held",
+        "pace_steps",
+        "placed",
+        "resets",
+        "responses",
+    )
 
     def __init__(self) -> None:
         self.forwarded = 0
@@ -30,4 +41,5 @@
         self.resets: Counter[ResetReason] = Counter()
         self.checks: Counter[CheckResult] = Counter()
         self.drops: Counter[DropReason] = Counter()
+        self.pace_steps: Counter[PaceStep] = Counter()
         self.responses: defaultdict[ServiceName, LatencyHistogram] = defaultdict(LatencyHistogram)
--- a/banyanline/core/steering/failure_detection.py
+++ b/banyanline/core/steering/failure_detection.py
@@ -100,6 +100,10 @@
         """Whether the latest conclusive check failed and no response was observed since."""
         return self._check_failed_at > float("-inf")
 
+    def silent_for_s(self, now: Seconds) -> Seconds:
+        """Return the time since the first unanswered packet, 0 if there is none."""
+        return max(0.0, now - self._silent_since)
+
     def clear(self) -> None:
         """Discard the evidence of failure."""
         self._retransmitted_at = float("-inf")
@@ -151,7 +155,7 @@
         return FailureEvidence(
             len(self._unanswered_open),
             len(self._unanswered_opening),
-            round(max(0.0, now - self._silent_since), 3),
+            round(self.silent_for_s(now), 3),
             round(now - self._retransmitted_at, 3),
             round(now - self._responded_at, 3),
             round(now - self._check_failed_at, 3),
--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import DataCentreName, Seconds
@@ -27,6 +27,9 @@
 """Ratio of an upstream's response time to its service's median from which it counts as slow."""
 
 
+NOT_PACED: Mapping[Upstream, float] = {}
+
+
 class PlacementPolicy(NamedTuple):
     """Weights of the cost of an upstream, in requests in flight."""
 
@@ -39,7 +42,8 @@
     """Chooses the healthy upstream with the lowest expected wait.
 
     Suspect upstreams rank below healthy ones, and cold ones below suspect ones, as they
-    can take only a low rate of flows. Those that failed a health check rank last.
+    can take only a low rate of flows, unless they are paced. Those that failed a health
+    check rank last.
     """
 
     def __init__(
@@ -58,24 +62,33 @@
         tried: Collection[Upstream],
         median_response_s: Seconds | None,
         now: Seconds,
+        paced: Mapping[Upstream, float] = NOT_PACED,
     ) -> Upstream | None:
         """Return the upstream for a flow, preferring one that was not tried before.
 
         ``median_response_s`` is the median response time of the service, if it is known.
+        ``paced`` holds the extra costs of upstreams whose openings are paced.
         """
         if not upstreams:
             return None
         untried = [upstream for upstream in upstreams if upstream not in tried]
         return min(
-            untried or upstreams, key=lambda upstream: self._rank(upstream, median_response_s, now)
+            untried or upstreams,
+            key=lambda upstream: self._rank(upstream, median_response_s, now, paced),
         )
 
     def _rank(
-        self, upstream: Upstream, median_response_s: Seconds | None, now: Seconds
+        self,
+        upstream: Upstream,
+        median_response_s: Seconds | None,
+        now: Seconds,
+        paced: Mapping[Upstream, float],
     ) -> tuple[bool, bool, bool, float]:
         cost = self._cost(upstream, _slowness(upstream, median_response_s, now), now)
         has_failed_check = upstream.failure_detector.has_failed_check
-        return (has_failed_check, upstream.is_cold(now), is_suspect(upstream, now), cost)
+        cost += paced.get(upstream, 0.0)
+        is_reserve = upstream.is_cold(now) and upstream not in paced
+        return (has_failed_check, is_reserve, is_suspect(upstream, now), cost)
 
     def _cost(self, upstream: Upstream, slowness: float, now: Seconds) -> float:
         """Return the expected wait in requests of median duration, plus the cost of distance."""
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -23,6 +23,7 @@
     Reset,
     ResetReason,
 )
+from banyanline.core.steering.pace import Pace
 from banyanline.core.steering.packet import NO_COOKIE
 from banyanline.core.steering.peer_reports import PeerReports
 from banyanline.core.steering.placement import Placement
@@ -65,6 +66,7 @@
         self._flows = FlowTable(self._counters)
         self._check_scheduler = CheckScheduler(catalog)
         self._cold_limiter = ColdLimiter(catalog, self._peers, rng)
+        self._pace = Pace(catalog, data_centre, self._peers, rng, self._counters)
 
     @property
     def catalog(self) -> Catalog:
@@ -76,6 +78,11 @@
         """The reports of the other hosts in this data centre."""
         return self._peers
 
+    @property
+    def pace(self) -> Pace:
+        """The pace of openings at upstreams that have started or recovered."""
+        return self._pace
+
     @property
     def flows(self) -> FlowTable:
         """The flows that this host tracks."""
@@ -123,6 +130,7 @@
         idle_s = min(table.idle_timeout_s, MAX_IDLE_S) if table else MAX_IDLE_S
         self._flows.expire(now - idle_s, now - OPENING_LIFETIME_S)
         self._catalog.upstreams.forget_removed(now)
+        self._pace.on_tick(now)
 
     def _on_opening(self, packet: CallerPacket, now: Seconds) -> Outcome:
         if not self._catalog.is_configured:
@@ -139,6 +147,7 @@
         if upstream is None:
             return self._refuse(route, flow)
         self._cold_limiter.on_opening(upstream, now)
+        self._pace.on_opening(upstream, now)
         self._check_scheduler.on_opening(self._flows.open(packet.flow, upstream, now), now)
         return Forward(upstream)
 
@@ -150,9 +159,9 @@
                 for upstream in self._catalog.usable(service)
                 if self._cold_limiter.admits(upstream, now)
             ]
-            chosen = self._placement.choose(
-                usable, tried, self._flows.median_response_s(service), now
-            )
+            median_s = self._flows.median_response_s(service)
+            paced = self._pace.costs(usable, median_s, now)
+            chosen = self._placement.choose(usable, tried, median_s, now, paced)
             if chosen is not None:
                 return chosen
         return None
--- a/banyanline/net/steering/change_log.py
+++ b/banyanline/net/steering/change_log.py
@@ -13,11 +13,13 @@
     UpstreamChanged,
     UpstreamRemoved,
 )
+from banyanline.core.steering.opening_window import PaceStep
 from banyanline.core.steering.upstreams import UpstreamAvailability
 from banyanline.platform.entries import CONFIGURATION_KEY
 
 if TYPE_CHECKING:
     from banyanline.core.steering.catalog import Catalog
+    from banyanline.core.steering.opening_window import PaceChange
     from banyanline.core.types import Seconds, UpstreamName
 
 UNHEALTHY = (UpstreamAvailability.SUSPECT, UpstreamAvailability.LOST)
@@ -78,6 +80,15 @@
     )
 
 
+def log_pace(change: PaceChange) -> None:
+    """Log that the pacing of openings to an upstream has begun or ended."""
+    fields = {"upstream": change.upstream, "cause": change.cause.value, "window": change.size}
+    if change.step is PaceStep.ENDED:
+        log.info("upstream_pace_ended", **fields, age_s=change.age_s)
+    else:
+        log.info("upstream_paced", **fields)
+
+
 class UpstreamAvailabilityLog:
     """Logs when an upstream becomes suspect or lost, and when it recovers."""
 
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -53,6 +53,9 @@
         self._checks = self._counter(
             "checks_total", "Health checks of upstreams by TCP connection."
         )
+        self._pace_steps = self._counter(
+            "pace_steps_total", "Changes of the windows of openings to paced upstreams."
+        )
         self._store_calls = self._counter("store_calls_total", "Calls to the platform's store.")
         self._store_failures = self._counter(
             "store_failures_total", "Failed calls to the platform's store."
@@ -74,6 +77,7 @@
         )
         self._flows = self._gauge("flows", "Flows that this host tracks.")
         self._upstreams = self._gauge("upstreams", "Upstreams by service and state.")
+        self._paced = self._gauge("paced_upstreams", "Upstreams whose openings are paced.")
         self._in_flight = self._gauge("requests_in_flight", "Requests in flight at upstreams.")
         self._latency = aioprometheus.Histogram(
             f"{PREFIX}_response_seconds",
@@ -109,6 +113,7 @@
         copy_counts(self._resets, "reason", counters.resets)
         copy_counts(self._drops, "reason", counters.drops)
         copy_counts(self._checks, "result", counters.checks)
+        copy_counts(self._pace_steps, "step", counters.pace_steps)
         for service, histogram in counters.responses.items():
             self._latency.set_value({"service": service}, bucket_counts(histogram))
 
@@ -128,6 +133,7 @@
             for availability in UpstreamAvailability:
                 labels = {"service": service, "state": availability.value}
                 self._upstreams.set(labels, states[service, availability])
+        self._paced.set({}, len(steering.pace.windows))
         self._in_flight.set(
             {}, sum(upstream.responses.under_way(now) for upstream in catalog.upstreams)
         )
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -16,7 +16,7 @@
 from banyanline.net.logs import log_loop_error
 from banyanline.net.pages import PageResponse, PageServer
 from banyanline.net.steering.background import keep_running
-from banyanline.net.steering.change_log import UpstreamAvailabilityLog
+from banyanline.net.steering.change_log import UpstreamAvailabilityLog, log_pace
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.packet_path import PacketPath
 from banyanline.net.steering.peers import PeerReader
@@ -174,6 +174,8 @@
             self._steering.on_tick(now)
             self._update_host_count()
             self._availability_log.update(now)
+            for change in self._steering.pace.take_changes():
+                log_pace(change)
             if self._settings_file.has_changed():
                 self.reload()
 
--- a/banyanline/net/steering/status.py
+++ b/banyanline/net/steering/status.py
@@ -16,6 +16,7 @@
     from collections.abc import Mapping
 
     from banyanline.core.steering.model import RoutingTable
+    from banyanline.core.steering.opening_window import OpeningWindow
     from banyanline.core.steering.report import FlowReport, UpstreamReport
     from banyanline.core.steering.steering import Steering
     from banyanline.core.types import Endpoint, Seconds
@@ -38,6 +39,8 @@
     doubt_age_s: float | None
     failed_check_age_s: float | None
     revision: int
+    window: NotRequired[float | None]
+    """Openings per round trip from all hosts; None if they are not paced."""
 
 
 class DefectRow(TypedDict):
@@ -84,7 +87,7 @@
     new_flow: str
 
 
-def upstream_row(report: UpstreamReport) -> UpstreamRow:
+def upstream_row(report: UpstreamReport, window: OpeningWindow | None) -> UpstreamRow:
     """Convert a report on an upstream to a row of the page."""
     upstream = report.upstream
     expected_s = report.expected_s
@@ -100,6 +103,7 @@
         doubt_age_s=report.doubt_age_s,
         failed_check_age_s=report.failed_check_age_s,
         revision=upstream.revision,
+        window=None if window is None else window.size,
     )
 
 
@@ -127,7 +131,10 @@
         routes=len(catalog.table.routes) if catalog.table else 0,
         flows=len(steering.flows),
         data_centres_out=sorted(catalog.data_centres_out),
-        upstreams=[upstream_row(report_upstream(catalog, each, now)) for each in upstreams],
+        upstreams=[
+            upstream_row(report_upstream(catalog, each, now), steering.pace.windows.get(each))
+            for each in upstreams
+        ],
         unreadable=_defect_rows(catalog.table, unusable_items),
         resets={reason.value: count for reason, count in counters.resets.items()},
         drops={reason.value: count for reason, count in counters.drops.items()},
--- a/banyanline/tests/test_steering_status.py
+++ b/banyanline/tests/test_steering_status.py
@@ -79,6 +79,14 @@
     assert rows["orders-2"]["sign_age_s"] is None
 
 
+def test_the_window_of_a_paced_upstream_is_shown():
+    host = started(entry("orders-1"), entry("orders-2"), entry("orders-3", cold_for_s=2.0))
+    host.catalog.set_host_count(30)
+    host.open(1)
+    windows = {row["upstream"]: row["window"] for row in status_of(host)["upstreams"]}
+    assert windows == {"orders-1": None, "orders-2": None, "orders-3": 1.0}
+
+
 def test_unreadable_platform_data_is_shown():
     host = started(entry("orders-1"))
     defect = Defect("routes[2].route_type", "relay", "treated as non-idempotent")
