End a window in time also if turns are rare

The time limit of a window was only looked at on the host's turn. At a slow upstream, or with many hosts, that may be long after. The test fails without the change.

--- a/banyanline/core/steering/pace.py
+++ b/banyanline/core/steering/pace.py
@@ -161,6 +161,9 @@
         """Return the extra cost of an upstream; ends a window that is not needed any more."""
         now = moment.now
         window = self._windows.get(upstream) or self._begin(upstream, moment)
+        if not upstream.is_cold(now) and now - window.began_at >= MAX_PACED_S:
+            self._end(upstream, now)
+            return 0.0
         round_trip_s = _round_trip_s(upstream, moment)
         if now - window.sent_at < window.turn_s(self._hosts(upstream, moment), round_trip_s):
             return WAIT_COST
@@ -186,8 +189,8 @@
         return is_prompt
 
     def _is_over(self, upstream: Upstream, window: OpeningWindow, moment: _Moment) -> bool:
-        """Whether an upstream carries what others do, or need not be paced any longer."""
-        if window.size >= _free_window(upstream) or moment.now - window.began_at >= MAX_PACED_S:
+        """Whether an upstream carries what others do, or its window restrains nothing."""
+        if window.size >= _free_window(upstream):
             return True
         if not self._peers.hosts:
             return 0 < window.target <= upstream.open_flows
--- a/banyanline/tests/test_pace.py
+++ b/banyanline/tests/test_pace.py
@@ -20,7 +20,7 @@
 from banyanline.core.steering.failure_detection import CheckResult
 from banyanline.core.steering.model import UpstreamEntry
 from banyanline.core.steering.opening_window import OpeningWindow, PaceCause, PaceStep
-from banyanline.core.steering.pace import TURN_COST, WAIT_COST
+from banyanline.core.steering.pace import MAX_PACED_S, TURN_COST, WAIT_COST
 from banyanline.core.steering.peer_reports import HostReport, UpstreamSample
 from banyanline.tests.steering import HERE, Host, entry, packet
 
@@ -311,6 +311,13 @@
     ]
 
 
+def test_a_window_ends_in_time_if_turns_are_rare():
+    host = paced_host(hosts=3000)
+    assert cost(host) == WAIT_COST
+    host.wait(MAX_PACED_S)
+    assert cost(host) is None
+
+
 def test_a_host_that_knows_no_others_leaves_a_cold_upstream_idle_while_there_is_another():
     host = paced_host(hosts=None)
     assert cost(host) is None
