--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from banyanline.core.steering.failure_detection import CheckResult
+    from banyanline.core.steering.opening_window import PaceStep
     from banyanline.core.steering.outcomes import DropReason, ResetReason
     from banyanline.core.types import ServiceName
 
@@ -30,6 +31,7 @@
         "elsewhere",
         "forwarded",
         "held",
+        "pace_steps",
         "placed",
         "references",
         "refused",
@@ -48,4 +50,5 @@
         self.checks: Counter[CheckResult] = Counter()
         self.references: Counter[CheckResult] = Counter()
         self.drops: Counter[DropReason] = Counter()
+        self.pace_steps: Counter[PaceStep] = Counter()
         self.responses: defaultdict[ServiceName, LatencyHistogram] = defaultdict(LatencyHistogram)
--- a/banyanline/core/steering/peer_placement.py
+++ b/banyanline/core/steering/peer_placement.py
@@ -15,7 +15,12 @@
 from banyanline.core.steering.demand import Demand
 from banyanline.core.steering.overflow import Overflow, in_flight_from_all
 from banyanline.core.steering.peer_responses import PeerResponses, group_of
-from banyanline.core.steering.placement import FLOW_WEIGHT, availability_rank, slowness_of
+from banyanline.core.steering.placement import (
+    FLOW_WEIGHT,
+    NOT_PACED,
+    availability_rank,
+    slowness_of,
+)
 
 if TYPE_CHECKING:
     import random
@@ -113,20 +118,22 @@
         route: Route,
         median_response_s: Seconds | None,
         now: Seconds,
+        paced: Mapping[Upstream, float] = NOT_PACED,
     ) -> Upstream | None:
         """Return the upstream for a flow of a route, preferring one that was not tried before.
 
         ``upstreams`` are of one service, whose median response time is ``median_response_s``
-        if it is known.
+        if it is known. ``paced`` holds the extra costs of upstreams whose openings are paced.
         """
         if not upstreams:
             return None
         untried = [upstream for upstream in upstreams if upstream not in tried]
-        available = _most_available(untried or upstreams, now)
+        available = _most_available(untried or upstreams, now, paced)
         if not tried:
             self._admission.update(available, route, now)
         candidates = self._overflow.select(available, route.objective_s, now)
         candidates = self._admission.select(candidates, route, now)
+        candidates = _in_turn(candidates, paced)
         if len(candidates) == 1:
             return candidates[0]
         shares = self._shares(candidates, median_response_s, now)
@@ -201,7 +208,17 @@
         return len(shares) - 1
 
 
-def _most_available(upstreams: Sequence[Upstream], now: Seconds) -> list[Upstream]:
-    ranks = [availability_rank(upstream, now) for upstream in upstreams]
+def _most_available(
+    upstreams: Sequence[Upstream], now: Seconds, paced: Collection[Upstream]
+) -> list[Upstream]:
+    ranks = [availability_rank(upstream, now, paced) for upstream in upstreams]
     best = min(ranks)
     return [each for each, rank in zip(upstreams, ranks, strict=True) if rank == best]
+
+
+def _in_turn(upstreams: Sequence[Upstream], paced: Mapping[Upstream, float]) -> Sequence[Upstream]:
+    """Return the paced upstreams on this host's turn, or those whose turn need not come first."""
+    if not paced:
+        return upstreams
+    lowest = min(paced.get(upstream, 0.0) for upstream in upstreams)
+    return [each for each in upstreams if paced.get(each, 0.0) == lowest]
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -9,9 +9,9 @@
 
 from typing import TYPE_CHECKING
 
-from banyanline.core.steering.catalog import COLD_OPENING_INTERVAL_S
 from banyanline.core.steering.check_evidence import HostPath
 from banyanline.core.steering.check_schedule import CheckScheduler
+from banyanline.core.steering.cold_limit import ColdLimiter
 from banyanline.core.steering.counters import SteeringCounters
 from banyanline.core.steering.failure_detection import is_gone
 from banyanline.core.steering.flows import FlowTable
@@ -24,6 +24,7 @@
     Reset,
     ResetReason,
 )
+from banyanline.core.steering.pace import Pace
 from banyanline.core.steering.packet import NO_COOKIE
 from banyanline.core.steering.peer_placement import PeerPlacement
 from banyanline.core.steering.peer_reports import PeerReports
@@ -72,6 +73,8 @@
         self._check_scheduler = CheckScheduler(catalog)
         self._readiness = Readiness(catalog, self._peers, data_centre)
         self._host_path = HostPath(catalog.upstreams)
+        self._cold_limiter = ColdLimiter(catalog, self._peers, rng)
+        self._pace = Pace(catalog, data_centre, self._peers, rng, self._counters)
 
     @property
     def catalog(self) -> Catalog:
@@ -93,6 +96,11 @@
         """The placement of flows by the reports of the other hosts."""
         return self._peer_placement
 
+    @property
+    def pace(self) -> Pace:
+        """The pace of openings at upstreams that have started or recovered."""
+        return self._pace
+
     @property
     def flows(self) -> FlowTable:
         """The flows that this host tracks."""
@@ -157,6 +165,7 @@
         idle_s = min(table.idle_timeout_s, MAX_IDLE_S) if table else MAX_IDLE_S
         self._flows.expire(now - idle_s, now - OPENING_LIFETIME_S)
         self._catalog.upstreams.forget_removed(now)
+        self._pace.on_tick(now)
         self._peer_placement.on_tick(self._catalog.upstreams, now)
         self._update_readiness(now)
 
@@ -184,8 +193,9 @@
         if is_first and not self._peer_placement.admits(route, upstream, now):
             return Reset(ResetReason.NO_ROOM)
         if upstream.is_cold(now):
-            upstream.next_cold_opening_at = now + self._catalog.cold_opening_interval_s
             upstream.cold_openings += 1
+        self._cold_limiter.on_opening(upstream, now)
+        self._pace.on_opening(upstream, now)
         self._check_scheduler.on_opening(self._flows.open(packet.flow, upstream, now), now)
         self._readiness.on_opening(upstream.entry.service, now)
         return Forward(upstream)
@@ -193,30 +203,21 @@
     def choose(self, route: Route, tried: Collection[Upstream], now: Seconds) -> Upstream | None:
         """Return the upstream for a new flow of a route, without recording the choice."""
         for service in self._weighted_shuffle(route):
-            usable = self._catalog.usable(service)
-            if self._catalog.has_cold_limit(service):
-                usable = [each for each in usable if self._admits_opening(each, now)]
+            usable = [
+                upstream
+                for upstream in self._catalog.usable(service)
+                if self._cold_limiter.admits(upstream, now)
+            ]
             median_s = self._flows.median_response_s(service)
+            paced = self._pace.costs(usable, median_s, now)
             if self._peer_placement.is_active:
-                chosen = self._peer_placement.choose(usable, tried, route, median_s, now)
+                chosen = self._peer_placement.choose(usable, tried, route, median_s, now, paced)
             else:
-                chosen = self._placement.choose(usable, tried, median_s, now)
+                chosen = self._placement.choose(usable, tried, median_s, now, paced)
             if chosen is not None:
                 return chosen
         return None
 
-    def _admits_opening(self, upstream: Upstream, now: Seconds) -> bool:
-        """Whether an upstream is warm, or this host may send it an opening packet while cold.
-
-        Hosts of a large fleet start at random offsets, so that they do not send together.
-        """
-        if not upstream.is_cold(now):
-            return True
-        if upstream.next_cold_opening_at is None:
-            spread_s = self._catalog.cold_opening_interval_s - COLD_OPENING_INTERVAL_S
-            upstream.next_cold_opening_at = now + spread_s * self._rng.random()
-        return now >= upstream.next_cold_opening_at
-
     def _refuse(self, route: Route, flow: Flow | None) -> Outcome:
         """Refuse a flow for which no upstream can be chosen.
 
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -61,6 +61,9 @@
         self._references = self._counter(
             "reference_checks_total", "Attempts at upstreams that health checks are compared with."
         )
+        self._pace_steps = self._counter(
+            "pace_steps_total", "Changes of the windows of openings to paced upstreams."
+        )
         self._store_calls = self._counter("store_calls_total", "Calls to the platform's store.")
         self._store_failures = self._counter(
             "store_failures_total", "Failed calls to the platform's store."
@@ -92,6 +95,7 @@
         self._reserved = self._gauge(
             "reserved_upstreams", "Upstreams reserved for important routes, by service."
         )
+        self._paced = self._gauge("paced_upstreams", "Upstreams whose openings are paced.")
         self._in_flight = self._gauge("requests_in_flight", "Requests in flight at upstreams.")
         self._peers = self._gauge("peers", "Other hosts whose reports are in use.")
         self._reports = self._counter("reports_total", "Reports sent and received.")
@@ -138,6 +142,7 @@
         copy_counts(self._drops, "reason", counters.drops)
         copy_counts(self._checks, "result", counters.checks)
         copy_counts(self._references, "result", counters.references)
+        copy_counts(self._pace_steps, "step", counters.pace_steps)
         for service, histogram in counters.responses.items():
             self._latency.set_value({"service": service}, bucket_counts(histogram))
 
@@ -171,6 +176,7 @@
         shortages = steering.peer_placement.admission.shortages(now)
         for service in {upstream.entry.service for upstream in catalog.upstreams}:
             self._reserved.set({"service": service}, shortages.get(service, 0))
+        self._paced.set({}, len(steering.pace.windows))
         self._in_flight.set(
             {}, sum(upstream.responses.under_way(now) for upstream in catalog.upstreams)
         )
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -21,6 +21,7 @@
     ReadinessLog,
     RoomLog,
     UpstreamAvailabilityLog,
+    log_pace,
 )
 from banyanline.net.steering.feed import StoreFeed
 from banyanline.net.steering.packet_path import PacketPath
@@ -204,6 +205,8 @@
             self._availability_log.update(now)
             self._readiness_log.update()
             self._room_log.update(now)
+            for change in self._steering.pace.take_changes():
+                log_pace(change)
             if self._settings_file.has_changed():
                 self.reload()
 
--- a/banyanline/net/steering/status.py
+++ b/banyanline/net/steering/status.py
@@ -17,6 +17,7 @@
     from collections.abc import Mapping
 
     from banyanline.core.steering.model import RoutingTable
+    from banyanline.core.steering.opening_window import OpeningWindow
     from banyanline.core.steering.report import FlowReport, UpstreamReport
     from banyanline.core.steering.steering import Steering
     from banyanline.core.types import Endpoint, Seconds
@@ -44,6 +45,8 @@
     total_open_flows: NotRequired[int]
     speed: NotRequired[float]
     """Relative to its service and data centre, as shown by response times; 1 if unknown."""
+    window: NotRequired[float | None]
+    """Openings per round trip from all hosts; None if they are not paced."""
 
 
 class DefectRow(TypedDict):
@@ -93,7 +96,10 @@
 
 
 def upstream_row(
-    report: UpstreamReport, peers: PeerLoad = NO_LOAD, speed: float = 1.0
+    report: UpstreamReport,
+    window: OpeningWindow | None = None,
+    peers: PeerLoad = NO_LOAD,
+    speed: float = 1.0,
 ) -> UpstreamRow:
     """Convert a report on an upstream to a row of the page; ``peers`` is other hosts' load."""
     upstream = report.upstream
@@ -113,6 +119,7 @@
         total_in_flight=round(report.under_way + peers.in_flight, 3),
         total_open_flows=upstream.open_flows + peers.open_flows,
         speed=round(speed, 2),
+        window=None if window is None else window.size,
     )
 
 
@@ -143,6 +150,7 @@
         upstreams=[
             upstream_row(
                 report_upstream(catalog, each, now),
+                steering.pace.windows.get(each),
                 steering.peers.load(each.name),
                 steering.peer_placement.responses.speed(each.name),
             )
