Give slow upstreams more time before pacing ends

With 4 s, 91 hosts flooded an upstream five times slower than the others once the limit held on time: the test of that pattern failed. With 10 s it passes.

--- a/banyanline/core/steering/pace.py
+++ b/banyanline/core/steering/pace.py
@@ -59,7 +59,7 @@
 MAX_PACED_SHARE = 0.5
 """If more of a service's upstreams are paced, the others cannot carry the load meanwhile."""
 
-MAX_PACED_S = 4.0
+MAX_PACED_S = 10.0
 """After this time an upstream that is still slow is left to placement by response time."""
 
 
