--- a/banyanline/core/steering/check_evidence.py
+++ b/banyanline/core/steering/check_evidence.py
@@ -107,17 +107,7 @@
 class CheckTrial:
     """The attempts of one health check, and what they prove.
 
-    >>> from banyanline.tests.steering import Host, entry
-    >>> host = Host(entry("orders-1"), entry("orders-2"))
-    >>> path = HostPath(host.catalog.upstreams)
-    >>> trial = CheckTrial(host.upstream("orders-1"), path)
-    >>> trial.begin_attempt(10.0)
-    >>> trial.begin_attempt(10.15)
-    >>> trial.result(10.3) is None
-    True
-    >>> path.on_answer(host.upstream("orders-2"), began_at=10.15, now=10.2)
-    >>> trial.result(10.3)
-    <CheckResult.UNANSWERED: 'unanswered'>
+    An attempt stays open until the check ends, which it does when one is answered.
     """
 
     def __init__(self, upstream: Upstream, path: HostPath) -> None:
