--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -65,14 +65,16 @@
         self._steering = Steering(self._catalog, settings.data_centre, rng)
         self._packet_path = PacketPath(loop, settings.packets, self._steering, packets)
         self._seeds = Seeds(settings.control, rng, settings.data_centre)
+        # Its own source: placement draws the same numbers with and without reports.
+        reports_rng = random.Random()
         self._reports = ReportExchange(
             ReportSource(settings.host, settings.data_centre, self._steering),
             Endpoint(settings.packets.ip, settings.internal_ports.start),
             settings.link_mbps,
-            rng,
+            reports_rng,
         )
         self._discovery = PeerDiscovery(
-            settings.data_centre, self._seeds, self._reports, self._clock, rng
+            settings.data_centre, self._seeds, self._reports, self._clock, reports_rng
         )
         self._feed = StoreFeed(
             StoreClient(settings.store, self._clock),
