Let a host claim keys that joined while a data centre was out

Cause: a host that joined after a data centre went out of service cannot have seen who owned its upstreams, and ended every claim as final for a request lifetime. Besides, an owner forgot its part in an upstream after a request lifetime, while homes asked for it as long as their history reaches, which is longer where the idle timeout of flows is.

Change: such a host asks the hosts that would own these upstreams now. A last owner vouches to a claimer without a full history only if its own lease has been fresh since the change, as another host may otherwise have taken over. An upstream without an owner for a request lifetime hinders no claim.

--- a/banyanline/core/context.py
+++ b/banyanline/core/context.py
@@ -59,6 +59,7 @@
     ``wall_clock`` returns seconds since the epoch in UTC. It selects the patience
     windows, which follow the local time of day, and orders ballots. All durations
     are measured with the monotonic ``now`` that is passed with each event.
+    ``presumed_ownership`` assigns the upstreams that are out of service as if they were in it.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         membership: Membership,
         slots: SlotTable,
         ownership: OwnershipTable,
+        presumed_ownership: OwnershipTable,
         bootstrap: Bootstrap,
         incarnation: int,
         limits: Limits,
@@ -84,6 +86,7 @@
         self.membership = membership
         self.slots = slots
         self.ownership = ownership
+        self.presumed_ownership = presumed_ownership
         self.directory = Directory(EMPTY_CONFIGURATION)
         self.patience = PatienceTable(())
         self.counters = Counters()
@@ -181,6 +184,11 @@
         key = self.upstream_key(upstream)
         return None if key is None else self.ownership.owner(key)
 
+    def presumed_owner(self, upstream: UpstreamName) -> HostName | None:
+        """Return the likely last owner of an upstream that is out of service."""
+        key = self.upstream_key(upstream)
+        return None if key is None else self.presumed_ownership.owner(key)
+
     def upstream_key(self, upstream: UpstreamName) -> UpstreamKey | None:
         """Return the key of an upstream in the ownership table, or None if not configured."""
         configured = self.directory.upstream(upstream)
--- a/banyanline/core/directory.py
+++ b/banyanline/core/directory.py
@@ -27,6 +27,11 @@
             for name, upstream in self._upstreams.items()
             if upstream.data_centre in in_service
         }
+        self._unreachable = {
+            name: upstream
+            for name, upstream in self._upstreams.items()
+            if name not in self._reachable
+        }
         self._available = {
             service.name: tuple(
                 upstream
@@ -56,6 +61,11 @@
         """Upstreams that may receive packets: those whose data centre is in service."""
         return self._reachable
 
+    @property
+    def unreachable(self) -> dict[UpstreamName, Upstream]:
+        """Upstreams in data centres that are out of service."""
+        return self._unreachable
+
     @property
     def shortest_idle_timeout_s(self) -> Seconds:
         """The shortest idle timeout of all UDP services, infinite if there is none."""
@@ -81,14 +91,7 @@
 
     def unreachable_upstreams(self, service: ServiceName) -> list[UpstreamName]:
         """Return the service's upstreams in data centres that are out of service."""
-        configured = self._services.get(service)
-        if configured is None:
-            return []
-        return [
-            upstream.name
-            for upstream in configured.upstreams
-            if upstream.name not in self._reachable
-        ]
+        return [name for name, upstream in self._unreachable.items() if upstream.service == service]
 
     def available_upstreams(self, service: ServiceName) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that accept new work.
--- a/banyanline/core/home/claims.py
+++ b/banyanline/core/home/claims.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import NamedTuple, TypeAlias
 
 from banyanline.core.context import Context
@@ -24,7 +23,6 @@
     Outcome,
     RequestKey,
 )
-from banyanline.core.placement import PreviousOwner
 from banyanline.core.types import HostName, Seconds, ServiceName, UpstreamName
 
 RESEND_INTERVAL_S = 0.1
@@ -113,14 +111,11 @@
         since been removed or whose data centre was taken out of service.
         """
         context = self._context
-        last_owners = context.ownership.orphaned_upstreams(key.service, now)
-        if not self._knows_last_owners(key.service, last_owners, now):
-            return None
         former_upstreams: dict[HostName, list[UpstreamName]] = {}
-        for upstream, owner in last_owners.items():
-            if not context.membership.view.is_alive(owner.host):
+        for upstream, host in self._last_owners(key.service, now).items():
+            if host is None or not context.membership.view.is_alive(host):
                 return None
-            former_upstreams.setdefault(owner.host, []).append(upstream)
+            former_upstreams.setdefault(host, []).append(upstream)
         owners = context.owners_of_service(key.service)
         return {
             host: Claim(
@@ -134,24 +129,26 @@
             for host in sorted(owners.keys() | former_upstreams.keys())
         }
 
-    def _knows_last_owners(
-        self,
-        service: ServiceName,
-        last_owners: Mapping[UpstreamName, PreviousOwner],
-        now: Seconds,
-    ) -> bool:
-        """Return whether the last owners of all unreachable upstreams are certain.
+    def _last_owners(
+        self, service: ServiceName, now: Seconds
+    ) -> dict[UpstreamName, HostName | None]:
+        """Return the last owner of each upstream that has none now.
 
-        A host that joined lately knows only those of upstreams that went out of service
-        since then.
+        A host that joined lately did not see who owned the upstreams that went out of service
+        before. It asks the hosts that would own them now, which know whether they did.
         """
         context = self._context
+        observed = context.ownership.orphaned_upstreams(service, now)
+        owners: dict[UpstreamName, HostName | None] = {
+            name: owner.host for name, owner in observed.items()
+        }
         if context.has_full_history(now):
-            return True
-        return all(
-            name in last_owners and context.has_observed_since(last_owners[name].until, now)
-            for name in context.directory.unreachable_upstreams(service)
-        )
+            return owners
+        for name in context.directory.unreachable_upstreams(service):
+            owner = observed.get(name)
+            if owner is None or not context.has_observed_since(owner.until, now):
+                owners[name] = context.presumed_owner(name)
+        return owners
 
     def resend(self, key: RequestKey) -> bool:
         """Resend the claim to owners that have not replied; false if no claim is pending."""
--- a/banyanline/core/node.py
+++ b/banyanline/core/node.py
@@ -97,6 +97,7 @@
             membership,
             SlotTable(history_s),
             OwnershipTable(local.fabric_group, history_s),
+            OwnershipTable(local.fabric_group, history_s),
             self._bootstrap,
             settings.incarnation,
             settings.limits,
@@ -394,8 +395,10 @@
 
     def _placement_changed(self, now: Seconds) -> None:
         context = self._context
-        upstreams = context.directory.reachable.values()
-        context.ownership.update(upstreams, context.membership.view, now)
+        directory = context.directory
+        view = context.membership.view
+        context.ownership.update(directory.reachable.values(), view, now)
+        context.presumed_ownership.update(directory.unreachable.values(), view, now)
         self._owner.placement_changed(now)
         self._home.placement_changed(now)
 
--- a/banyanline/core/owner/claims.py
+++ b/banyanline/core/owner/claims.py
@@ -66,13 +66,10 @@
 
     def _obstacle(self, message: Claim, now: Seconds) -> ClaimObstacle | None:
         for name in message.former_upstreams:
-            removed = self._removed.get(name)
-            if removed is None and name in self._context.directory.reachable:
+            if name in self._context.directory.reachable:
                 # The claimer's configuration differs from this one only for a moment.
                 return ClaimObstacle.NOT_OWNER
-            if removed is None or removed.ownership.may_have_dispatched(
-                message.previous_homes, False, now
-            ):
+            if not self._is_last_owner_certain(name, message, now):
                 return ClaimObstacle.PREVIOUS_OWNER_LOST
         for name in message.upstreams:
             owned = self._owned.get(name)
@@ -89,6 +86,35 @@
                 return ClaimObstacle.PREVIOUS_OWNER_LOST
         return None
 
+    def _is_last_owner_certain(self, name: UpstreamName, message: Claim, now: Seconds) -> bool:
+        """Return whether this owner knows all dispatches to an upstream without an owner.
+
+        A claimer without a full history may be wrong about the last owner. If this host's
+        lease has expired since then, another host may have taken the upstream over.
+        """
+        removed = self._removed.get(name)
+        if removed is None:
+            return self._had_no_owner(name, now)
+        lease_fresh_since = self._context.membership.lease_fresh_since(now)
+        has_kept_lease = (
+            lease_fresh_since is not None
+            and lease_fresh_since
+            <= removed.ownership.until - self._context.limits.request_lifetime_s
+        )
+        if not message.has_full_history and not has_kept_lease:
+            return False
+        return not removed.ownership.may_have_dispatched(message.previous_homes, False, now)
+
+    def _had_no_owner(self, name: UpstreamName, now: Seconds) -> bool:
+        """Return whether the upstream has been out of service for a request lifetime."""
+        context = self._context
+        key = context.upstream_key(name)
+        if key is None or not context.has_full_history(now):
+            return False
+        oldest = now - context.limits.request_lifetime_s
+        owners = context.ownership.previous_owners(key, now)
+        return all(owner.until <= oldest for owner in owners)
+
     def _had_other_owner(self, service: ServiceName, owned: OwnedUpstream, now: Seconds) -> bool:
         """Return whether every failed owner could have sent to an upstream of another host."""
         lost = {owner.host for owner in owned.ownership.lost(now)}
--- a/properties/test_planned_changes.py
+++ b/properties/test_planned_changes.py
@@ -6,9 +6,18 @@
 
 import pytest
 
-from banyanline.core.home.claims import ClaimInconclusive, ClaimPending, PendingClaims
-from banyanline.core.messages import RequestKey
+from banyanline.core.context import Limits
+from banyanline.core.effects import SendToPeer
+from banyanline.core.messages import (
+    Ballot,
+    Claim,
+    ClaimObstacle,
+    Inconclusive,
+    NotDispatched,
+    RequestKey,
+)
 from banyanline.core.types import DataCentreState, Endpoint
+from properties.fleets import TAKEOVER_S
 from properties.simulation import ORDERS, Fleet, make_configuration
 
 STARTUP_S = 8.0
@@ -17,6 +26,10 @@
 PATIENCE_S = 4.0
 RETRANSMIT_AFTER_S = 0.5
 FIRST_CALLER_PORT = 4000
+PAUSE_S = 5.0
+LIFETIME_S = 12.0
+LAST_OWNER = "c-1"
+LAST_OWNER_UNCERTAIN = Inconclusive(ClaimObstacle.PREVIOUS_OWNER_LOST)
 KNOWN_RED = pytest.mark.xfail(strict=True, reason="listed in KNOWN-RED.txt")
 
 
@@ -105,10 +118,8 @@
             id="join, out, back, another out",
         ),
         pytest.param([(take_out, "c"), (leave, "a-1")], id="out, leave"),
-        pytest.param([(take_out, "c"), (join, "a-3")], id="join while out", marks=KNOWN_RED),
-        pytest.param(
-            [(take_out, "c"), (leave, "c-1")], id="leave there while out", marks=KNOWN_RED
-        ),
+        pytest.param([(take_out, "c"), (join, "a-3")], id="out, join"),
+        pytest.param([(take_out, "c"), (leave, "c-1")], id="leave while out", marks=KNOWN_RED),
     ],
 )
 def test_planned_changes_leave_no_outcome_unknown(changes):
@@ -125,19 +136,50 @@
 
 
 @pytest.mark.parametrize(
-    ("since_join_s", "expected"),
+    ("has_lease_gap", "has_full_history", "expected"),
     [
-        pytest.param(1.0, ClaimInconclusive(is_final=True), id="its view may be incomplete"),
-        pytest.param(6.0, ClaimPending(), id="its view was complete"),
+        pytest.param(False, False, NotDispatched(), id="unbroken lease"),
+        pytest.param(True, False, LAST_OWNER_UNCERTAIN, id="gap after the change"),
+        pytest.param(True, True, NotDispatched(), id="gap, but the claimer saw all changes"),
     ],
 )
-def test_joined_host_claims_only_if_it_saw_the_last_owners(since_join_s, expected):
+def test_last_owner_vouches_to_a_joined_host_with_an_unbroken_lease(
+    has_lease_gap, has_full_history, expected
+):
+    """After a partition another host may have taken over from an owner that is back."""
     fleet = Fleet()
     fleet.run(STARTUP_S)
-    fleet.add_host("a-3")
-    fleet.run(since_join_s)
+    upstream = next(name for name, owner in owners(fleet).items() if owner == LAST_OWNER)
     take_out(fleet, "c")
     fleet.run(CHANGE_INTERVAL_S)
-    claims = PendingClaims(fleet.nodes["a-3"].context)
+    if has_lease_gap:
+        fleet.pause(LAST_OWNER)
+        fleet.run(PAUSE_S)
+        fleet.resume(LAST_OWNER)
+        fleet.run(TAKEOVER_S)
+    assert verdict(fleet, upstream, has_full_history=has_full_history) == expected
+
+
+def test_upstream_out_for_a_request_lifetime_does_not_hinder_claims():
+    fleet = Fleet(limits=Limits(request_lifetime_s=LIFETIME_S))
+    fleet.run(STARTUP_S)
+    upstream = next(name for name, owner in owners(fleet).items() if owner == LAST_OWNER)
+    take_out(fleet, "c")
+    fleet.run(LIFETIME_S + CHANGE_INTERVAL_S)
+    assert verdict(fleet, upstream, has_full_history=False) == NotDispatched()
+
+
+def owners(fleet):
+    """Return the owners of the service's upstreams."""
+    context = fleet.nodes[LAST_OWNER].context
+    names = [upstream.name for upstream in context.directory.service(ORDERS).upstreams]
+    return {name: context.owner_of(name) for name in names}
+
+
+def verdict(fleet, upstream, *, has_full_history):
+    """Return the last owner's verdict on a claim of a key that was not dispatched."""
     key = RequestKey(ORDERS, *caller_of(1), 7, b"t")
-    assert claims.start(key, 0, fleet.now)[1] == expected
+    claim = Claim(key, Ballot(1, "a-3"), ("a-1",), has_full_history, (), (upstream,))
+    effects = fleet.nodes[LAST_OWNER].receive_from_peer("a-3", claim, fleet.now)
+    (reply,) = [effect.message for effect in effects if isinstance(effect, SendToPeer)]
+    return reply.verdict
