Stop refusing flows as soon as there is room, and refuse important ones later

Change: refusals end with the first report of less load, reservations still last 3 s longer. The first priority is refused from four fifths of what can be answered on, others from three fifths as before.

--- a/banyanline/core/steering/admission.py
+++ b/banyanline/core/steering/admission.py
@@ -30,7 +30,11 @@
 """Load relative to what can be answered from which a service is short of room."""
 
 REFUSE_RATIO = 0.6
-"""Load relative to what can be answered from which some flows are refused."""
+TOP_REFUSE_RATIO = 0.8
+"""Loads relative to what can be answered from which other and important flows are refused."""
+
+REFUSE_RANGE = 0.4
+"""Increase of that load over which the share of refused flows grows to its maximum."""
 
 MAX_REFUSED_SHARE = 0.9
 """Largest share of the new flows that is refused, so that no route gets nothing."""
@@ -44,7 +48,7 @@
 """The same after a change in the number of available upstreams."""
 
 REFUSED_WEIGHT = 0.5
-"""Weight of the latest share of refused flows in its moving average."""
+"""Weight of the latest share of refused flows while it grows; it falls at once."""
 
 HOLD_S = 3.0
 """How long upstreams stay reserved after the last sign of too little room."""
@@ -56,7 +60,15 @@
     ``refused_share`` is that of the most important flows (True) and of others (False).
     """
 
-    __slots__ = ("refused_share", "reserved", "short_until", "top", "updated_at", "upstreams")
+    __slots__ = (
+        "is_reserve_full",
+        "refused_share",
+        "reserved",
+        "short_until",
+        "top",
+        "updated_at",
+        "upstreams",
+    )
 
     def __init__(self) -> None:
         self.top: Importance | None = None
@@ -64,6 +76,7 @@
         self.updated_at = float("-inf")
         self.short_until = float("-inf")
         self.reserved: Collection[UpstreamName] = frozenset()
+        self.is_reserve_full = False
         self.refused_share: dict[bool, float] = {True: 0.0, False: 0.0}
 
 
@@ -100,13 +113,14 @@
         demanded = max(load.in_flight, self._demand.in_flight(service)) / load.slots
         short_per_slot = SHORT_RATIO * limit
         has_room_elsewhere = self._overflow.elsewhere(upstreams, short_per_slot * load.work_s)
-        if demanded >= short_per_slot and not has_room_elsewhere:
+        is_short = demanded >= short_per_slot and not has_room_elsewhere
+        if is_short:
             state.short_until = now + HOLD_S
         state.top = None
         state.reserved = frozenset()
         if now < state.short_until:
             self._reserve(state, here, demanded)
-        self._set_refused_shares(state, here, limit, now)
+        self._set_refused_shares(state, here, limit if is_short else float("inf"), now)
 
     def select(
         self, upstreams: Sequence[Upstream], route: Route, now: Seconds
@@ -116,7 +130,7 @@
         if state is None or now >= state.short_until or not state.reserved:
             return upstreams
         is_top = _is_top(state, route)
-        if is_top and state.refused_share[True] > state.refused_share[False]:
+        if is_top and state.is_reserve_full:
             return upstreams
         return [each for each in upstreams if (each.name in state.reserved) is is_top] or upstreams
 
@@ -146,10 +160,16 @@
     ) -> None:
         reserved = [upstream for upstream in here if upstream.name in state.reserved]
         others = [upstream for upstream in here if upstream.name not in state.reserved]
-        for is_top, allowed in ((True, reserved or others), (False, others)):
-            load = self._overflow.load(allowed, now).per_slot / limit
+        others_load = self._overflow.load(others, now).per_slot
+        top_load = self._overflow.load(reserved, now).per_slot if reserved else others_load
+        state.is_reserve_full = top_load > others_load
+        for is_top, load, start in (
+            (True, top_load / limit, TOP_REFUSE_RATIO),
+            (False, others_load / limit, REFUSE_RATIO),
+        ):
+            share = min(max((load - start) / REFUSE_RANGE, 0.0), MAX_REFUSED_SHARE)
             known = state.refused_share[is_top]
-            state.refused_share[is_top] = known + REFUSED_WEIGHT * (_refused_share(load) - known)
+            state.refused_share[is_top] = min(share, known + REFUSED_WEIGHT * (share - known))
 
 
 def _is_top(state: _ServiceState, route: Route) -> bool:
@@ -170,11 +190,5 @@
     return min(FULL_PER_SLOT, max(1.0, patience_s / load.work_s))
 
 
-def _refused_share(load: float) -> float:
-    """Return the share of flows to refuse at a load relative to what can be answered."""
-    share = (load - REFUSE_RATIO) / (1.0 - REFUSE_RATIO)
-    return min(max(share, 0.0), MAX_REFUSED_SHARE)
-
-
 def _reservation_order(name: UpstreamName) -> tuple[int, UpstreamName]:
     return zlib.crc32(name.encode()), name
