Estimate speeds without queues, and refuse only if no quarter of the upstreams has room

And in the model of unequal speeds flows were refused while the fast upstreams had room, as the mean load counted. Change: the speed compares the response time without the time in queues with the median of the group, up to 2.5 times; an upstream that responds more than three times as fast as usual counts as usual. A service is short of room, and flows are refused, by the load below which a quarter of the upstreams are. Requests at lost upstreams count only while slots are below four fifths of the usual number.

--- a/banyanline/core/steering/admission.py
+++ b/banyanline/core/steering/admission.py
@@ -110,7 +110,8 @@
         state.upstreams = len(here)
         load = self._overflow.load(here, now)
         limit = _answerable_per_slot(load, route.patience_s)
-        demanded = max(load.in_flight, self._demand.in_flight(service)) / load.slots
+        lost = self._demand.in_flight_before_loss(service, load.slots)
+        demanded = max(self._lower_load(here, now), lost / load.slots)
         short_per_slot = SHORT_RATIO * limit
         has_room_elsewhere = self._overflow.elsewhere(upstreams, short_per_slot * load.work_s)
         is_short = demanded >= short_per_slot and not has_room_elsewhere
@@ -160,8 +161,8 @@
     ) -> None:
         reserved = [upstream for upstream in here if upstream.name in state.reserved]
         others = [upstream for upstream in here if upstream.name not in state.reserved]
-        others_load = self._overflow.load(others, now).per_slot
-        top_load = self._overflow.load(reserved, now).per_slot if reserved else others_load
+        others_load = self._lower_load(others, now)
+        top_load = self._lower_load(reserved, now) if reserved else others_load
         state.is_reserve_full = top_load > others_load
         for is_top, load, start in (
             (True, top_load / limit, TOP_REFUSE_RATIO),
@@ -171,6 +172,14 @@
             known = state.refused_share[is_top]
             state.refused_share[is_top] = min(share, known + REFUSED_WEIGHT * (share - known))
 
+    def _lower_load(self, here: Sequence[Upstream], now: Seconds) -> float:
+        """Return the load per slot below which a quarter of the upstreams are.
+
+        While these have room, flows can go there.
+        """
+        loads = sorted(self._overflow.load((upstream,), now).per_slot for upstream in here)
+        return loads[len(loads) // 4]
+
 
 def _is_top(state: _ServiceState, route: Route) -> bool:
     return state.top is None or importance_of(route) <= state.top
--- a/banyanline/core/steering/demand.py
+++ b/banyanline/core/steering/demand.py
@@ -17,8 +17,11 @@
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import DataCentreName, Seconds, ServiceName
 
-IN_FLIGHT_WEIGHT = 0.3
-"""Weight of the latest number of requests in flight in its moving average."""
+LATEST_WEIGHT = 0.3
+"""Weight of the latest requests in flight and slots in their moving averages."""
+
+LOST_RATIO = 0.8
+"""Slots relative to the usual number below which upstreams were lost."""
 
 OPENINGS_MEMORY_S = 5.0
 """Time in which the weight of an opening packet falls to a third."""
@@ -42,6 +45,19 @@
     return Importance(route.priority, _KINDS.index(route.kind))
 
 
+class _Usual(NamedTuple):
+    """Moving averages of the requests in flight at a service, and of its slots."""
+
+    in_flight: float = 0.0
+    slots: float = 0.0
+
+    def moved_to(self, latest: _Usual) -> _Usual:
+        return _Usual(
+            self.in_flight + LATEST_WEIGHT * (latest.in_flight - self.in_flight),
+            self.slots + LATEST_WEIGHT * (latest.slots - self.slots),
+        )
+
+
 class TopDemand(NamedTuple):
     """The most important flows of a service, and their share of its new flows."""
 
@@ -71,15 +87,16 @@
     def __init__(self, data_centre: DataCentreName, peers: PeerReports) -> None:
         self._data_centre = data_centre
         self._peers = peers
-        self._in_flight: dict[ServiceName, float] = {}
+        self._usual: dict[ServiceName, _Usual] = {}
         self._openings: defaultdict[ServiceName, _Openings] = defaultdict(_Openings)
 
-    def in_flight(self, service: ServiceName) -> float:
-        """Return the moving average of the requests in flight in the own data centre.
+    def in_flight_before_loss(self, service: ServiceName, slots: int) -> float:
+        """Return the requests in flight before upstreams were lost, 0 if ``slots`` is as usual.
 
-        It remembers for some seconds the requests at upstreams that were lost.
+        Both are of the own data centre. The loss is remembered for some seconds.
         """
-        return self._in_flight.get(service, 0.0)
+        known = self._usual.get(service)
+        return known.in_flight if known and slots < LOST_RATIO * known.slots else 0.0
 
     def top(self, service: ServiceName) -> TopDemand | None:
         """Return the most important of several demands, or None if there is only one."""
@@ -101,13 +118,15 @@
 
     def update(self, upstreams: Iterable[Upstream], now: Seconds) -> None:
         """Add the present requests in flight; call this about once a second."""
-        totals: defaultdict[ServiceName, float] = defaultdict(float)
+        totals: defaultdict[ServiceName, _Usual] = defaultdict(_Usual)
         for upstream in upstreams:
             if upstream.entry.data_centre == self._data_centre:
-                in_flight = in_flight_from_all(upstream, self._peers, now)
-                totals[upstream.entry.service] += in_flight
-        self._in_flight = {
-            service: known + IN_FLIGHT_WEIGHT * (total - known)
+                total = totals[upstream.entry.service]
+                totals[upstream.entry.service] = _Usual(
+                    total.in_flight + in_flight_from_all(upstream, self._peers, now),
+                    total.slots + upstream.entry.slots * upstream.accepts_flows,
+                )
+        self._usual = {
+            service: self._usual.get(service, total).moved_to(total)
             for service, total in totals.items()
-            for known in (self._in_flight.get(service, total),)
         }
--- a/banyanline/core/steering/peer_responses.py
+++ b/banyanline/core/steering/peer_responses.py
@@ -2,16 +2,18 @@
 
 A report holds the number and the mean time of the responses of each upstream since the
 report before it. Both are summed over all hosts, so that the estimate of an upstream does
-not depend on the few responses that one host observes.
+not depend on the few responses that one host observes. The time in queues, which depends
+on the load, is left out of the speed: it is that of the requests in flight beyond the slots.
 """
 
 from __future__ import annotations
 
 import math
 from collections import defaultdict
+from statistics import median
 from typing import TYPE_CHECKING
 
-from banyanline.core.steering.peer_reports import ResponseSum
+from banyanline.core.steering.peer_reports import NO_RESPONSES, ResponseSum
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -27,7 +29,7 @@
 """Time in which the weight of a response falls to a third."""
 
 PRIOR_RESPONSES = 10.0
-"""Responses at the mean of its group that each upstream is credited with."""
+"""Responses at the median of its group that each upstream is credited with."""
 
 GROUP_LIFETIME_S = 2.5
 """How long the mean response time of a group is used; one or two reports may be late."""
@@ -39,7 +41,10 @@
 """Smallest relative change of a speed; a hundred responses vary by that much."""
 
 MIN_SPEED = 0.25
-MAX_SPEED = 4.0
+MAX_SPEED = 2.5
+
+PLAUSIBLE_SPEED = 3.0
+"""An upstream that responds faster than this may answer with errors; it counts as usual."""
 
 QUEUED_PER_SLOT = 2.0
 """Load per slot from which fast responses prove nothing: they may be rejections."""
@@ -58,7 +63,7 @@
         self._updated_at: Seconds = 0.0
 
     def speed(self, upstream: UpstreamName) -> float:
-        """Return an upstream's speed relative to the mean of its group, 1 if unknown."""
+        """Return an upstream's speed relative to the median of its group, 1 if unknown."""
         return self._speeds.get(upstream, 1.0)
 
     def mean_s(self, service: ServiceName, data_centre: DataCentreName) -> Seconds | None:
@@ -80,11 +85,12 @@
         for upstream, responses in latest.items():
             groups[group_of(upstream)] = groups[group_of(upstream)].plus(*responses)
         for upstream, responses in latest.items():
-            in_flight = peers.load(upstream.name).in_flight
-            is_queued = in_flight >= QUEUED_PER_SLOT * upstream.entry.slots
-            if not is_queued or responses.mean_s >= groups[group_of(upstream)].mean_s:
-                known = self._sums.get(upstream.name, ResponseSum())
-                self._sums[upstream.name] = known.plus(*responses)
+            per_slot = peers.load(upstream.name).in_flight / upstream.entry.slots
+            is_fast = responses.mean_s < groups[group_of(upstream)].mean_s
+            if per_slot < QUEUED_PER_SLOT or not is_fast:
+                known = self._sums.get(upstream.name, NO_RESPONSES)
+                work_s = responses.total_s / max(1.0, per_slot)
+                self._sums[upstream.name] = known.plus(responses.responses, work_s)
         self._keep_groups(groups, now)
         self._update_speeds(upstreams)
 
@@ -114,10 +120,12 @@
 
 def _speeds(group: dict[UpstreamName, ResponseSum]) -> Iterable[tuple[UpstreamName, float]]:
     """Return the speed of each upstream of a group, with the credited responses."""
-    mean_s = sum(each.mean_s for each in group.values()) / len(group)
+    usual_s = median(each.mean_s for each in group.values())
     for name, known in group.items():
-        credited = known.plus(PRIOR_RESPONSES, PRIOR_RESPONSES * mean_s)
-        yield name, min(max(mean_s / credited.mean_s, MIN_SPEED), MAX_SPEED)
+        credited = known.plus(PRIOR_RESPONSES, PRIOR_RESPONSES * usual_s)
+        is_plausible = usual_s <= PLAUSIBLE_SPEED * known.mean_s
+        speed = usual_s / credited.mean_s if is_plausible else 1.0
+        yield name, min(max(speed, MIN_SPEED), MAX_SPEED)
 
 
 def _damped(used: float, estimate: float) -> float:
