Name the availability of an upstream in the catalog as its type does

Catalog.standing returned an UpstreamAvailability. Values and keys that leave the process keep their words. No behaviour changes; the tests of status, documents and readiness pass.

--- a/banyanline/core/steering/catalog.py
+++ b/banyanline/core/steering/catalog.py
@@ -123,7 +123,7 @@
             and self._upstreams.owns_cookie(upstream)
         ]
 
-    def standing(self, upstream: Upstream, now: Seconds) -> UpstreamAvailability:
+    def availability(self, upstream: Upstream, now: Seconds) -> UpstreamAvailability:
         """Return the availability of an upstream as this host sees it."""
         if upstream.removed_at is not None:
             return UpstreamAvailability.REMOVED
--- a/banyanline/core/steering/report.py
+++ b/banyanline/core/steering/report.py
@@ -47,7 +47,7 @@
     detection = upstream.failure_detector.report(now)
     return UpstreamReport(
         upstream,
-        catalog.standing(upstream, now),
+        catalog.availability(upstream, now),
         upstream.responses.under_way(now),
         upstream.responses.expected_s(now),
         _finite_or_none(detection.sign_age_s),
--- a/banyanline/net/steering/change_log.py
+++ b/banyanline/net/steering/change_log.py
@@ -103,7 +103,7 @@
     def update(self, now: Seconds) -> None:
         """Log the changes since the last call."""
         for upstream in self._catalog.upstreams:
-            availability = self._catalog.standing(upstream, now)
+            availability = self._catalog.availability(upstream, now)
             before = self._unhealthy.get(upstream.name)
             if availability is before or (before is None and availability not in UNHEALTHY):
                 continue
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -168,7 +168,7 @@
         self._flows.set({}, len(steering.flows))
         states: Counter[tuple[str, UpstreamAvailability]] = Counter()
         for upstream in catalog.upstreams:
-            states[upstream.entry.service, catalog.standing(upstream, now)] += 1
+            states[upstream.entry.service, catalog.availability(upstream, now)] += 1
         for service in {upstream.entry.service for upstream in catalog.upstreams}:
             for availability in UpstreamAvailability:
                 labels = {"service": service, "state": availability.value}
--- a/banyanline/net/steering/status.py
+++ b/banyanline/net/steering/status.py
@@ -200,7 +200,7 @@
     steering: Steering, report: FlowReport, caller: str, service: str, now: Seconds
 ) -> FlowExplanation:
     flow, route = report.flow, report.route
-    standing = None if flow is None else steering.catalog.standing(flow.upstream, now).value
+    standing = None if flow is None else steering.catalog.availability(flow.upstream, now).value
     return FlowExplanation(
         caller=caller,
         service=service,
