--- a/properties/test_planned_changes.py
+++ b/properties/test_planned_changes.py
@@ -119,6 +119,7 @@
         ),
         pytest.param([(take_out, "c"), (leave, "a-1")], id="out, leave"),
         pytest.param([(take_out, "c"), (join, "a-3")], id="out, join"),
+        pytest.param([(take_out, "c"), (join, "c-4")], id="join there while out", marks=KNOWN_RED),
         pytest.param([(take_out, "c"), (leave, "c-1")], id="leave while out", marks=KNOWN_RED),
     ],
 )
