Accept paced upstreams in placement by reports

Cause: placement by reports ranked each cold upstream below all warm ones, and had no place for the cost that the pace of openings gives to upstreams that have started or recovered. Without costs nothing changes. Measured: 50 flows to a warm and a cold upstream: none, a half and a fifth go to the cold one, without pace, at no cost and at a cost of three.

--- a/banyanline/core/steering/peer_placement.py
+++ b/banyanline/core/steering/peer_placement.py
@@ -15,7 +15,12 @@
 from banyanline.core.steering.demand import Demand
 from banyanline.core.steering.overflow import Overflow, in_flight_from_all
 from banyanline.core.steering.peer_responses import PeerResponses, group_of
-from banyanline.core.steering.placement import FLOW_WEIGHT, availability_rank, slowness_of
+from banyanline.core.steering.placement import (
+    FLOW_WEIGHT,
+    NOT_PACED,
+    availability_rank,
+    slowness_of,
+)
 
 if TYPE_CHECKING:
     import random
@@ -113,23 +118,25 @@
         route: Route,
         median_response_s: Seconds | None,
         now: Seconds,
+        paced: Mapping[Upstream, float] = NOT_PACED,
     ) -> Upstream | None:
         """Return the upstream for a flow of a route, preferring one that was not tried before.
 
         ``upstreams`` are of one service, whose median response time is ``median_response_s``
-        if it is known.
+        if it is known. ``paced`` holds the extra costs of upstreams whose openings are paced,
+        in requests in flight.
         """
         if not upstreams:
             return None
         untried = [upstream for upstream in upstreams if upstream not in tried]
-        available = _most_available(untried or upstreams, now)
+        available = _most_available(untried or upstreams, paced, now)
         if not tried:
             self._admission.update(available, route, now)
         candidates = self._overflow.select(available, route.objective_s, now)
         candidates = self._admission.select(candidates, route, now)
         if len(candidates) == 1:
             return candidates[0]
-        shares = self._shares(candidates, median_response_s, now)
+        shares = self._shares(candidates, median_response_s, paced, now)
         return candidates[self._draw(candidates[0].entry.service, shares)]
 
     def _weigh(self, upstreams: UpstreamTable, now: Seconds) -> dict[UpstreamName, float]:
@@ -164,7 +171,11 @@
         return in_flight_from_all(upstream, self._peers, now) + FLOW_WEIGHT * flows
 
     def _shares(
-        self, upstreams: Sequence[Upstream], median_response_s: Seconds | None, now: Seconds
+        self,
+        upstreams: Sequence[Upstream],
+        median_response_s: Seconds | None,
+        paced: Mapping[Upstream, float],
+        now: Seconds,
     ) -> list[float]:
         """Return the relative shares of new flows.
 
@@ -175,7 +186,7 @@
         return [
             self._weights.get(upstream.name, upstream.entry.slots)
             * rates.get(group_of(upstream), 1.0)
-            / slowness_of(upstream, median_response_s, now)
+            / (slowness_of(upstream, median_response_s, now) * (1.0 + paced.get(upstream, 0.0)))
             for upstream in upstreams
         ]
 
@@ -201,7 +212,9 @@
         return len(shares) - 1
 
 
-def _most_available(upstreams: Sequence[Upstream], now: Seconds) -> list[Upstream]:
-    ranks = [availability_rank(upstream, now) for upstream in upstreams]
+def _most_available(
+    upstreams: Sequence[Upstream], paced: Collection[Upstream], now: Seconds
+) -> list[Upstream]:
+    ranks = [availability_rank(upstream, now, paced) for upstream in upstreams]
     best = min(ranks)
     return [each for each, rank in zip(upstreams, ranks, strict=True) if rank == best]
--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import DataCentreName, Seconds
@@ -27,6 +27,9 @@
 """Ratio of an upstream's response time to its service's median from which it counts as slow."""
 
 
+NOT_PACED: Mapping[Upstream, float] = {}
+
+
 class PlacementPolicy(NamedTuple):
     """Weights of the cost of an upstream, in requests in flight."""
 
@@ -88,10 +91,16 @@
         return cost
 
 
-def availability_rank(upstream: Upstream, now: Seconds) -> tuple[bool, bool, bool]:
-    """Return the rank of an upstream by what may keep it from responding, best first."""
+def availability_rank(
+    upstream: Upstream, now: Seconds, paced: Collection[Upstream] = ()
+) -> tuple[bool, bool, bool]:
+    """Return the rank of an upstream by what may keep it from responding, best first.
+
+    Cold upstreams whose openings are ``paced`` rank as others.
+    """
     has_failed_check = upstream.failure_detector.has_failed_check
-    return (has_failed_check, upstream.is_cold(now), is_suspect(upstream, now))
+    is_reserve = upstream.is_cold(now) and upstream not in paced
+    return (has_failed_check, is_reserve, is_suspect(upstream, now))
 
 
 def slowness_of(upstream: Upstream, median_response_s: Seconds | None, now: Seconds) -> float:
--- a/banyanline/tests/test_peer_placement.py
+++ b/banyanline/tests/test_peer_placement.py
@@ -10,7 +10,7 @@
 from banyanline.core.steering.peer_reports import UpstreamSample
 from banyanline.core.steering.placement import Placement
 from banyanline.tests.reports import Fleet, report
-from banyanline.tests.steering import HERE, THERE, Host, entry
+from banyanline.tests.steering import HERE, THERE, Host, entry, route
 
 HOSTS = 31
 UPSTREAMS = 20
@@ -92,6 +92,25 @@
     assert found["orders-2"] / 10 == pytest.approx(expected[1], abs=0.21)
 
 
+@pytest.mark.parametrize(
+    ("cost", "expected"),
+    [
+        pytest.param(None, 0.0, id="cold"),
+        pytest.param(0.0, 0.5, id="paced, at no cost"),
+        pytest.param(3.0, 0.2, id="paced, at the cost of three requests"),
+    ],
+)
+def test_a_cold_upstream_gets_flows_at_its_pace(cost, expected):
+    host = Host(entry("orders-1"), entry("orders-2", cold_for_s=60.0))
+    host.steering.peers.put(report(), host.now)
+    usable = host.catalog.usable("orders")
+    paced = {} if cost is None else {host.upstream("orders-2"): cost}
+    placement = host.steering.peer_placement
+    chosen = [placement.choose(usable, (), route(), None, host.now, paced) for _ in range(50)]
+    cold = sum(each is host.upstream("orders-2") for each in chosen)
+    assert cold / 50 == pytest.approx(expected, abs=0.05)
+
+
 def test_without_an_upstream_here_flows_go_elsewhere():
     host = Host(entry("orders-1", is_leaving=True), entry("orders-2", data_centre=THERE))
     host.steering.peers.put(report(), host.now)
