--- a/banyanline/core/steering/counters.py
+++ b/banyanline/core/steering/counters.py
@@ -21,7 +21,7 @@
     ``elsewhere`` counts the placed flows whose upstream is in another data centre.
     ``responses`` holds response times in seconds, from a request to the first
     acknowledgement of its response. ``refused`` counts the opening packets for which a
-    service had no upstream, with retransmissions.
+    service had no upstream or no room, with retransmissions.
     """
 
     __slots__ = (
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -191,6 +191,7 @@
             return self._refuse(route, flow)
         is_first = flow is None and not packet.ack
         if is_first and not self._peer_placement.admits(route, upstream, now):
+            self._counters.refused[upstream.entry.service] += 1
             return Reset(ResetReason.NO_ROOM)
         if upstream.is_cold(now):
             upstream.cold_openings += 1
--- a/banyanline/tests/test_admission.py
+++ b/banyanline/tests/test_admission.py
@@ -253,7 +253,9 @@
     for host in hosts:
         shortages = host.steering.peer_placement.admission.shortages(host.now)
         assert shortages.get("orders") == reserved
-        is_refusing = host.steering.counters.resets[ResetReason.NO_ROOM] > 0
+        counters = host.steering.counters
+        is_refusing = counters.resets[ResetReason.NO_ROOM] > 0
+        assert counters.refused["orders"] == counters.resets[ResetReason.NO_ROOM]
         assert is_refusing is (reserved is not None)
     first = (ORDERS, SHEETS)[priorities[1] < priorities[0]]
     places = [
