Name the time constant, hysteresis and limits of upstreams' speeds

MEMORY_S, PLAUSIBLE_SPEED, QUEUED_PER_SLOT and _damped didn't say what they are, and a pair of two times stood for a group's mean. Constants now say their unit or reason.

No behaviour changes; tests of peer_responses pass.

--- a/banyanline/core/steering/peer_responses.py
+++ b/banyanline/core/steering/peer_responses.py
@@ -1,9 +1,9 @@
-"""Learns from the reports of other hosts how fast upstreams and data centres respond.
+"""Estimates from other hosts' reports how fast upstreams and data centres respond.
 
-A report holds the number and the mean time of the responses of each upstream since the
-report before it. Both are summed over all hosts, so that the estimate of an upstream does
-not depend on the few responses that one host observes. The time in queues, which depends
-on the load, is left out of the speed: it is that of the requests in flight beyond the slots.
+A report holds the number and the mean time of each upstream's responses since the report
+before it. Both are summed over all hosts, as a single host observes few responses. The speed
+of an upstream depends on its service time only: the time in its queue, which is estimated
+from the requests in flight beyond its slots (Little's law), is left out.
 """
 
 from __future__ import annotations
@@ -11,7 +11,7 @@
 import math
 from collections import defaultdict
 from statistics import median
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from banyanline.core.steering.peer_reports import NO_RESPONSES, ResponseSum
 
@@ -25,29 +25,40 @@
 
     Group: TypeAlias = tuple[ServiceName, DataCentreName]
 
-MEMORY_S = 10.0
-"""Time in which the weight of a response falls to a third."""
+RESPONSES_TIME_CONSTANT_S = 10.0
+"""Time constant of the exponential decay of responses' weights."""
 
 PRIOR_RESPONSES = 10.0
-"""Responses at the median of its group that each upstream is credited with."""
+"""Responses with the median time of the group that are added to each upstream's sum.
+
+So the speed of an upstream with few responses stays near 1.
+"""
 
 GROUP_LIFETIME_S = 2.5
-"""How long the mean response time of a group is used; one or two reports may be late."""
+"""How long the mean response time of a group is used; longer than two report intervals."""
 
 MIN_RESPONSES = 1.0
-"""An upstream with a smaller sum of weights has the speed 1."""
+"""An upstream with a smaller sum of weights counts as one without responses: its speed is 1."""
 
 HYSTERESIS = 0.1
-"""Smallest relative change of a speed; a hundred responses vary by that much."""
+"""Relative change from which a new speed is used; smaller ones are sampling errors."""
 
 MIN_SPEED = 0.25
 MAX_SPEED = 2.5
+"""Limits of a speed, so that no upstream's share depends on an estimate alone."""
+
+MAX_PLAUSIBLE_SPEED = 3.0
+"""An upstream with a higher speed may answer with errors; its speed counts as 1."""
+
+REJECTION_SUSPECT_LOAD_PER_SLOT = 2.0
+"""Requests in flight per slot from which fast responses are ignored, as they may be rejections."""
+
 
-PLAUSIBLE_SPEED = 3.0
-"""An upstream that responds faster than this may answer with errors; it counts as usual."""
+class _GroupMean(NamedTuple):
+    """The mean response time of a group in reports that were added at ``updated_at``."""
 
-QUEUED_PER_SLOT = 2.0
-"""Load per slot from which fast responses prove nothing: they may be rejections."""
+    response_s: Seconds
+    updated_at: Seconds
 
 
 class PeerResponses:
@@ -59,7 +70,7 @@
     def __init__(self) -> None:
         self._sums: dict[UpstreamName, ResponseSum] = {}
         self._speeds: dict[UpstreamName, float] = {}
-        self._groups: dict[Group, tuple[Seconds, Seconds]] = {}
+        self._groups: dict[Group, _GroupMean] = {}
         self._updated_at: Seconds = 0.0
 
     def speed(self, upstream: UpstreamName) -> float:
@@ -69,11 +80,11 @@
     def mean_s(self, service: ServiceName, data_centre: DataCentreName) -> Seconds | None:
         """Return the mean response time in the latest reports, or None without responses."""
         known = self._groups.get((service, data_centre))
-        return known[0] if known else None
+        return known.response_s if known else None
 
     def update(self, peers: PeerReports, upstreams: UpstreamTable, now: Seconds) -> None:
         """Add the responses of the reports since the last call."""
-        weight = math.exp((self._updated_at - now) / MEMORY_S)
+        weight = math.exp((self._updated_at - now) / RESPONSES_TIME_CONSTANT_S)
         self._updated_at = now
         self._sums = {name: each.scaled(weight) for name, each in self._sums.items()}
         latest = {
@@ -87,21 +98,21 @@
         for upstream, responses in latest.items():
             per_slot = peers.load(upstream.name).in_flight / upstream.entry.slots
             is_fast = responses.mean_s < groups[group_of(upstream)].mean_s
-            if per_slot < QUEUED_PER_SLOT or not is_fast:
+            if per_slot < REJECTION_SUSPECT_LOAD_PER_SLOT or not is_fast:
                 known = self._sums.get(upstream.name, NO_RESPONSES)
-                work_s = responses.total_s / max(1.0, per_slot)
-                self._sums[upstream.name] = known.plus(responses.responses, work_s)
-        self._keep_groups(groups, now)
+                service_time_s = responses.total_s / max(1.0, per_slot)
+                self._sums[upstream.name] = known.plus(responses.responses, service_time_s)
+        self._update_groups(groups, now)
         self._update_speeds(upstreams)
 
-    def _keep_groups(self, groups: dict[Group, ResponseSum], now: Seconds) -> None:
+    def _update_groups(self, groups: dict[Group, ResponseSum], now: Seconds) -> None:
         """Use the latest mean response times; those of groups without responses expire."""
         for group, responses in groups.items():
-            self._groups[group] = (responses.mean_s, now)
+            self._groups[group] = _GroupMean(responses.mean_s, now)
         self._groups = {
             group: known
             for group, known in self._groups.items()
-            if now - known[1] < GROUP_LIFETIME_S
+            if now - known.updated_at < GROUP_LIFETIME_S
         }
 
     def _update_speeds(self, upstreams: UpstreamTable) -> None:
@@ -112,25 +123,25 @@
                 groups[group_of(upstream)][name] = known
         self._sums = {name: known for group in groups.values() for name, known in group.items()}
         self._speeds = {
-            name: _damped(self.speed(name), speed)
+            name: _with_hysteresis(self.speed(name), speed)
             for group in groups.values()
             for name, speed in _speeds(group)
         }
 
 
 def _speeds(group: dict[UpstreamName, ResponseSum]) -> Iterable[tuple[UpstreamName, float]]:
-    """Return the speed of each upstream of a group, with the credited responses."""
-    usual_s = median(each.mean_s for each in group.values())
+    """Return the speed of each upstream of a group, with ``PRIOR_RESPONSES`` added."""
+    median_s = median(each.mean_s for each in group.values())
     for name, known in group.items():
-        credited = known.plus(PRIOR_RESPONSES, PRIOR_RESPONSES * usual_s)
-        is_plausible = usual_s <= PLAUSIBLE_SPEED * known.mean_s
-        speed = usual_s / credited.mean_s if is_plausible else 1.0
+        credited = known.plus(PRIOR_RESPONSES, PRIOR_RESPONSES * median_s)
+        is_plausible = median_s <= MAX_PLAUSIBLE_SPEED * known.mean_s
+        speed = median_s / credited.mean_s if is_plausible else 1.0
         yield name, min(max(speed, MIN_SPEED), MAX_SPEED)
 
 
-def _damped(used: float, estimate: float) -> float:
-    """Return the speed to use from now on."""
-    return used if abs(estimate - used) < HYSTERESIS * used else estimate
+def _with_hysteresis(previous: float, estimate: float) -> float:
+    """Return the estimate if it differs enough from the previous speed, else the previous one."""
+    return previous if abs(estimate - previous) < HYSTERESIS * previous else estimate
 
 
 def group_of(upstream: Upstream) -> Group:
--- a/banyanline/tests/test_peer_responses.py
+++ b/banyanline/tests/test_peer_responses.py
@@ -5,7 +5,7 @@
 import pytest
 
 from banyanline.core.steering.peer_reports import UpstreamSample
-from banyanline.core.steering.peer_responses import HYSTERESIS, MEMORY_S
+from banyanline.core.steering.peer_responses import HYSTERESIS, RESPONSES_TIME_CONSTANT_S
 from banyanline.tests.reports import Fleet, report
 from banyanline.tests.steering import THERE, Host, entry
 
@@ -106,7 +106,7 @@
     ("responses", "waited_s"),
     [
         pytest.param(1, 0.0, id="a single response"),
-        pytest.param(50, 8 * MEMORY_S, id="no response for long"),
+        pytest.param(50, 8 * RESPONSES_TIME_CONSTANT_S, id="no response for long"),
     ],
 )
 def test_speeds_without_evidence_are_one(responses, waited_s):
