--- a/banyanline/core/steering/peer_placement.py
+++ b/banyanline/core/steering/peer_placement.py
@@ -1,8 +1,8 @@
-"""Chooses the upstream for a new flow by the whole load that a data centre carries.
+"""Chooses the upstream for a new flow by the load from all hosts of the data centre.
 
-The load of an upstream is this host's own part, and the parts in the latest reports of the
-other hosts. Reports are seconds old and the same at all hosts: if each host chose the
-upstream with the lowest load, all flows would go there until the next reports. Instead,
+The load of an upstream is this host's own part and the parts in the latest reports of the
+other hosts. Reports are up to two seconds old and the same at all hosts: if each host chose
+the upstream with the lowest load, all flows would go there until the next reports. Instead,
 each upstream gets a share of the flows, which is larger if its load is below the mean.
 """
 
@@ -13,7 +13,7 @@
 
 from banyanline.core.steering.admission import Admission
 from banyanline.core.steering.demand import Demand
-from banyanline.core.steering.overflow import Overflow, in_flight_from_all
+from banyanline.core.steering.overflow import Overflow, total_in_flight
 from banyanline.core.steering.peer_responses import PeerResponses, group_of
 from banyanline.core.steering.placement import (
     FLOW_WEIGHT,
@@ -33,24 +33,24 @@
     from banyanline.core.types import DataCentreName, Seconds, ServiceName, UpstreamName
 
 LOAD_GAIN = 1.0
-"""Change of an upstream's share for each change of its load, both relative to the mean."""
+"""Relative change of an upstream's share for a relative distance of its load from the mean."""
 
 LOAD_WEIGHT = 0.25
 """Weight of the latest load in its moving average; with more, shares of short flows oscillate."""
 
-MIN_FACTOR = 0.25
-MAX_FACTOR = 2.0
-"""Limits of an upstream's share of new flows, relative to its capacity."""
+MIN_LOAD_FACTOR = 0.25
+MAX_LOAD_FACTOR = 2.0
+"""Limits of the factor by which load changes an upstream's share, as reports may be old."""
 
-UPSTREAMS_PER_S = 500
-"""Upstreams whose share is computed in a second; with more, shares are updated less often."""
+MAX_WEIGHED_UPSTREAMS_PER_S = 500
+"""Limit on computed shares per second; with more upstreams, updates are less frequent."""
 
-GOLDEN_STEP = 0.618034
-"""Step whose multiples, modulo 1, fill any interval evenly."""
+LOW_DISCREPANCY_STEP = 0.618034
+"""Fraction of the golden ratio: its multiples modulo 1 are a low-discrepancy sequence."""
 
 
-class _Loaded(NamedTuple):
-    """The capacity of an upstream in slots, and its load for each of them."""
+class _SmoothedLoad(NamedTuple):
+    """The capacity of an upstream in slots of usual speed, and its average load per slot."""
 
     name: UpstreamName
     capacity: float
@@ -74,7 +74,7 @@
         self._loads: dict[UpstreamName, float] = {}
         self._weights: dict[UpstreamName, float] = {}
         self._next_update_at: Seconds = 0.0
-        self._positions: dict[ServiceName, float] = {}
+        self._draw_positions: dict[ServiceName, float] = {}
 
     @property
     def is_active(self) -> bool:
@@ -88,7 +88,7 @@
 
     @property
     def admission(self) -> Admission:
-        """Who is admitted while there is too little room."""
+        """Admission control during a shortage of capacity."""
         return self._admission
 
     def on_opening(self, route: Route, now: Seconds) -> None:
@@ -101,12 +101,12 @@
         return not self.is_active or self._admission.admits(route, upstream, now)
 
     def on_tick(self, upstreams: UpstreamTable, now: Seconds) -> None:
-        """Use the reports that arrived; call this about once a second."""
+        """Update loads and shares from the latest reports; call this about once a second."""
         if not self.is_active:
             self._loads = {}
             self._weights = {}
         elif now >= self._next_update_at:
-            self._next_update_at = now + len(upstreams) / UPSTREAMS_PER_S
+            self._next_update_at = now + len(upstreams) / MAX_WEIGHED_UPSTREAMS_PER_S
             self._responses.update(self._peers, upstreams, now)
             self._demand.update(upstreams, now)
             self._weights = self._weigh(upstreams, now)
@@ -133,52 +133,52 @@
             self._admission.update(available, route, now)
         candidates = self._overflow.select(available, route.objective_s, now)
         candidates = self._admission.select(candidates, route, now)
-        candidates = _in_turn(candidates, paced)
+        candidates = _with_lowest_cost(candidates, paced)
         if len(candidates) == 1:
             return candidates[0]
         shares = self._shares(candidates, median_response_s, now)
         return candidates[self._draw(candidates[0].entry.service, shares)]
 
     def _weigh(self, upstreams: UpstreamTable, now: Seconds) -> dict[UpstreamName, float]:
-        """Return the capacity of each upstream, corrected by its load.
+        """Return the weight of each upstream: its capacity times a factor for its load.
 
-        The load is compared with the mean of its service and data centre.
+        The factor is above 1 if the load is below the mean of its service and data centre.
         """
-        groups: defaultdict[Group, list[_Loaded]] = defaultdict(list)
+        groups: defaultdict[Group, list[_SmoothedLoad]] = defaultdict(list)
         for upstream in upstreams:
             if upstream.accepts_flows:
-                groups[group_of(upstream)].append(self._loaded(upstream, now))
+                groups[group_of(upstream)].append(self._smoothed_load(upstream, now))
         self._loads = {each.name: each.load for group in groups.values() for each in group}
         weights = {}
         for group in groups.values():
             gain = LOAD_GAIN * len(group) / (sum(each.load for each in group) or 1.0)
             for name, capacity, load in group:
                 factor = 1.0 + LOAD_GAIN - gain * load
-                weights[name] = capacity * min(max(factor, MIN_FACTOR), MAX_FACTOR)
+                weights[name] = capacity * min(max(factor, MIN_LOAD_FACTOR), MAX_LOAD_FACTOR)
         return weights
 
-    def _loaded(self, upstream: Upstream, now: Seconds) -> _Loaded:
+    def _smoothed_load(self, upstream: Upstream, now: Seconds) -> _SmoothedLoad:
         """Return an upstream's load relative to its capacity, as a moving average."""
         name = upstream.name
         capacity = upstream.entry.slots * self._responses.speed(name)
         load = self._load(upstream, now) / capacity
-        known = self._loads.get(name, load)
-        return _Loaded(name, capacity, known + LOAD_WEIGHT * (load - known))
+        previous = self._loads.get(name, load)
+        return _SmoothedLoad(name, capacity, previous + LOAD_WEIGHT * (load - previous))
 
     def _load(self, upstream: Upstream, now: Seconds) -> float:
         """Return the load from all hosts of this data centre, in requests in flight."""
         flows = upstream.open_flows + self._peers.load(upstream.name).open_flows
-        return in_flight_from_all(upstream, self._peers, now) + FLOW_WEIGHT * flows
+        return total_in_flight(upstream, self._peers, now) + FLOW_WEIGHT * flows
 
     def _shares(
         self, upstreams: Sequence[Upstream], median_response_s: Seconds | None, now: Seconds
     ) -> list[float]:
         """Return the relative shares of new flows.
 
-        Between data centres they are in proportion to how fast each responds, as the load
-        from their own hosts is unknown here.
+        Those of different data centres are also in proportion to how fast each responds,
+        as this host doesn't know the load from hosts elsewhere.
         """
-        rates = self._rates({group_of(upstream) for upstream in upstreams})
+        rates = self._response_rates({group_of(upstream) for upstream in upstreams})
         return [
             self._weights.get(upstream.name, upstream.entry.slots)
             * rates.get(group_of(upstream), 1.0)
@@ -186,8 +186,11 @@
             for upstream in upstreams
         ]
 
-    def _rates(self, groups: Collection[Group]) -> Mapping[Group, float]:
-        """Return the rates of groups of upstreams; empty if not all are known, or there is one."""
+    def _response_rates(self, groups: Collection[Group]) -> Mapping[Group, float]:
+        """Return the responses per second of one slot in each of several groups.
+
+        Empty if there is only one group, or if the response time of any is unknown.
+        """
         if len(groups) < 2:
             return {}
         times_s = {group: self._responses.mean_s(*group) for group in groups}
@@ -195,15 +198,19 @@
         return rates if len(rates) == len(groups) else {}
 
     def _draw(self, service: ServiceName, shares: Sequence[float]) -> int:
-        """Return a random index, more evenly distributed than independent ones would be."""
-        position = self._positions.get(service)
+        """Return an index drawn in proportion to the shares.
+
+        A low-discrepancy sequence varies less than independent draws. It starts at random,
+        as hosts that draw the same numbers would choose the same upstreams.
+        """
+        position = self._draw_positions.get(service)
         if position is None:
             position = self._rng.random()
-        position = self._positions[service] = (position + GOLDEN_STEP) % 1.0
-        rest = position * sum(shares)
+        position = self._draw_positions[service] = (position + LOW_DISCREPANCY_STEP) % 1.0
+        remaining = position * sum(shares)
         for idx, share in enumerate(shares):
-            rest -= share
-            if rest < 0.0:
+            remaining -= share
+            if remaining < 0.0:
                 return idx
         return len(shares) - 1
 
@@ -216,8 +223,10 @@
     return [each for each, rank in zip(upstreams, ranks, strict=True) if rank == best]
 
 
-def _in_turn(upstreams: Sequence[Upstream], paced: Mapping[Upstream, float]) -> Sequence[Upstream]:
-    """Return the paced upstreams on this host's turn, or those whose turn need not come first."""
+def _with_lowest_cost(
+    upstreams: Sequence[Upstream], paced: Mapping[Upstream, float]
+) -> Sequence[Upstream]:
+    """Return the upstreams with the lowest extra cost of pacing."""
     if not paced:
         return upstreams
     lowest = min(paced.get(upstream, 0.0) for upstream in upstreams)
--- a/banyanline/tests/test_overflow.py
+++ b/banyanline/tests/test_overflow.py
@@ -5,7 +5,7 @@
 import pytest
 
 from banyanline.core.steering.outcomes import Forward, Reset
-from banyanline.core.steering.overflow import MAX_SHARE
+from banyanline.core.steering.overflow import MAX_OVERFLOW_SHARE
 from banyanline.core.steering.peer_reports import UpstreamSample
 from banyanline.tests.reports import Fleet
 from banyanline.tests.steering import HERE, THERE, entry, opening
@@ -113,7 +113,7 @@
     found = [model.second({HERE: 1.5, THERE: 1.5}) for _ in range(12)]
     for name in (HERE, THERE):
         assert sum(each[name][1] for each in found) / len(found) < 0.15
-        assert max(each[name][1] for each in found) <= MAX_SHARE + 0.1
+        assert max(each[name][1] for each in found) <= MAX_OVERFLOW_SHARE + 0.1
 
 
 def test_flows_return_when_there_is_room_again():
