Name the pacing of openings after slow start, and its constants by unit

A newcomer met 'moment', 'usual', 'willing', 'judge', 'free window' and 'restrains nothing', and read costs and windows without units.

No behaviour changes; tests of pace, cold_limit and steering pass.

--- a/banyanline/core/steering/host_count.py
+++ b/banyanline/core/steering/host_count.py
@@ -1,4 +1,4 @@
-"""How many hosts share the upstreams, as far as this host knows."""
+"""Estimates the number of hosts that send to the same upstreams."""
 
 from __future__ import annotations
 
@@ -11,17 +11,18 @@
 
 
 class HostCount(NamedTuple):
-    """The approximate number of hosts in this data centre, and in all of them."""
+    """The approximate number of hosts in this data centre, and in all data centres."""
 
-    here: int
+    local: int
     total: int
 
 
 def count_hosts(catalog: Catalog, peers: PeerReports) -> HostCount | None:
     """Return the number of hosts, or None if this host knows of no other.
 
-    Reports come from this data centre only, and seeds count the hosts of all of them. The
-    hosts are assumed to be spread evenly over the data centres that have upstreams.
+    Reports count the hosts of this data centre, and seeds (``catalog.host_count``) those of
+    all data centres. Where one of the numbers is missing, the hosts are assumed to be spread
+    evenly over the data centres that have upstreams.
     """
     if catalog.host_count is None and not peers.hosts:
         return None
--- a/banyanline/core/steering/opening_window.py
+++ b/banyanline/core/steering/opening_window.py
@@ -1,7 +1,7 @@
 """The window of openings to one upstream that has started or recovered.
 
-As with the congestion window of a path of unknown capacity (slow start, RFC 5681), a prompt
-answer doubles it and a late or missing one halves it.
+Like the congestion window in TCP's slow start (RFC 5681) it grows from a small value towards
+an unknown capacity: a prompt answer doubles it, and a late or missing one halves it.
 """
 
 from __future__ import annotations
@@ -16,9 +16,10 @@
 """Openings per round trip at the start, from all hosts together."""
 
 MIN_WINDOW = 0.125
-"""An upstream with a queue gets at least this, so that it can show that the queue is gone."""
+"""Lower limit in openings per round trip, so that prompt answers can show a recovery."""
 
-GROWTH = 2.0
+WINDOW_FACTOR = 2.0
+"""Factor by which a window grows or shrinks."""
 
 
 class PaceCause(StrEnum):
@@ -48,42 +49,42 @@
 
 
 class OpeningWindow:
-    """One host's copy of an upstream's window.
+    """One host's estimate of an upstream's window.
 
-    ``size`` is the number of openings per round trip from all hosts together. The turn of
-    this host follows ``sent_at``, the time of its latest opening, or a random earlier one.
-    ``target`` is the number of open flows at which this host carries its part, and
-    ``willing_share`` the share of hosts that take turns with it.
+    ``size`` is the number of openings per round trip from all hosts together. ``sent_at`` is
+    the time of this host's latest opening, or a random earlier time before its first one; its
+    turns count from there. ``target`` is this host's part of the upstream's open flows, and
+    ``participating_share`` the share of hosts that take turns.
     """
 
     __slots__ = (
         "awaits_answer",
         "began_at",
         "cause",
+        "participating_share",
         "sent_at",
         "size",
         "target",
-        "willing_share",
     )
 
     def __init__(
-        self, cause: PaceCause, now: Seconds, *, target: int = 0, willing_share: float = 1.0
+        self, cause: PaceCause, now: Seconds, *, target: int = 0, participating_share: float = 1.0
     ) -> None:
         self.cause = cause
         self.began_at = now
         self.size = INITIAL_WINDOW
         self.target = target
-        self.willing_share = willing_share
+        self.participating_share = participating_share
         self.sent_at = now
         self.awaits_answer = False
 
-    def turn_s(self, hosts: int, round_trip_s: Seconds) -> Seconds:
+    def turn_interval_s(self, hosts: int, round_trip_s: Seconds) -> Seconds:
         """Return the time from one opening of this host to its next turn.
 
-        >>> OpeningWindow(PaceCause.STARTED, 0.0).turn_s(30, 0.1)
+        >>> OpeningWindow(PaceCause.STARTED, 0.0).turn_interval_s(30, 0.1)
         3.0
         """
-        return round_trip_s * max(1.0, hosts * self.willing_share / self.size)
+        return round_trip_s * max(1.0, hosts * self.participating_share / self.size)
 
     def on_opening(self, now: Seconds) -> None:
         """Record that this host sends an opening packet."""
@@ -94,7 +95,7 @@
         """Change the size after an answer, or the lack of one; return the step."""
         self.awaits_answer = False
         if is_prompt:
-            self.size = min(self.size * GROWTH, max_size)
+            self.size = min(self.size * WINDOW_FACTOR, max_size)
             return PaceStep.GROWN
-        self.size = max(self.size / GROWTH, MIN_WINDOW)
+        self.size = max(self.size / WINDOW_FACTOR, MIN_WINDOW)
         return PaceStep.HALVED
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -24,7 +24,7 @@
     Reset,
     ResetReason,
 )
-from banyanline.core.steering.pace import Pace
+from banyanline.core.steering.pace import OpeningPacer
 from banyanline.core.steering.packet import NO_COOKIE
 from banyanline.core.steering.peer_placement import PeerPlacement
 from banyanline.core.steering.peer_reports import PeerReports
@@ -74,7 +74,7 @@
         self._readiness = Readiness(catalog, self._peers, data_centre)
         self._host_path = HostPath(catalog.upstreams)
         self._cold_limiter = ColdLimiter(catalog, self._peers, rng)
-        self._pace = Pace(catalog, data_centre, self._peers, rng, self._counters)
+        self._pace = OpeningPacer(catalog, data_centre, self._peers, rng, self._counters)
 
     @property
     def catalog(self) -> Catalog:
@@ -97,7 +97,7 @@
         return self._peer_placement
 
     @property
-    def pace(self) -> Pace:
+    def pace(self) -> OpeningPacer:
         """The pace of openings at upstreams that have started or recovered."""
         return self._pace
 
--- a/banyanline/tests/test_pace.py
+++ b/banyanline/tests/test_pace.py
@@ -20,7 +20,7 @@
 from banyanline.core.steering.failure_detection import CheckResult
 from banyanline.core.steering.model import UpstreamEntry
 from banyanline.core.steering.opening_window import OpeningWindow, PaceCause, PaceStep
-from banyanline.core.steering.pace import MAX_PACED_S, TURN_COST, WAIT_COST
+from banyanline.core.steering.pace import IN_TURN_COST, MAX_PACED_S, OUT_OF_TURN_COST
 from banyanline.core.steering.peer_reports import HostReport, UpstreamSample
 from banyanline.tests.steering import HERE, Host, entry, packet
 
@@ -275,20 +275,20 @@
 
 def test_a_host_waits_for_its_turn_and_then_for_the_answer():
     host = paced_host()
-    assert cost(host) == WAIT_COST
+    assert cost(host) == OUT_OF_TURN_COST
     host.wait(2 * 30 * WORK_S)
-    assert cost(host) == TURN_COST
+    assert cost(host) == IN_TURN_COST
     assert host.place(100) == NEW
     host.wait(WORK_S)
-    assert cost(host) == WAIT_COST
+    assert cost(host) == OUT_OF_TURN_COST
 
 
 @pytest.mark.parametrize(
     ("load", "expected"),
     [
-        pytest.param({}, TURN_COST, id="others idle"),
-        pytest.param({"in_flight": 1.0}, WAIT_COST, id="requests of others in flight"),
-        pytest.param({"cold_openings": 30}, WAIT_COST, id="openings of others"),
+        pytest.param({}, IN_TURN_COST, id="others idle"),
+        pytest.param({"in_flight": 1.0}, OUT_OF_TURN_COST, id="requests of others in flight"),
+        pytest.param({"cold_openings": 30}, OUT_OF_TURN_COST, id="openings of others"),
     ],
 )
 def test_the_load_from_other_hosts_counts(load, expected):
@@ -313,7 +313,7 @@
 
 def test_a_window_ends_in_time_if_turns_are_rare():
     host = paced_host(hosts=3000)
-    assert cost(host) == WAIT_COST
+    assert cost(host) == OUT_OF_TURN_COST
     host.wait(MAX_PACED_S)
     assert cost(host) is None
 
