Name the evidence of health checks by what it is

'Host path' was a list of other upstreams' answers and 'trial' one health check. They are ReferenceAnswers and HealthCheck now; comments say what an answer shows and when a check ends.

No behaviour changes; tests of check_evidence and steering pass.

--- a/banyanline/core/steering/check_evidence.py
+++ b/banyanline/core/steering/check_evidence.py
@@ -1,10 +1,10 @@
-"""Tells an upstream that is lost from a host whose own link or processor is slow.
+"""Distinguishes a failed upstream from a slow link or processor of this host.
 
-An attempt to connect that gets no answer in time may have waited in this host's own queues.
-Packets of one host leave and arrive in order, so the answer of one upstream shows that the
-attempts at others that began before it would have been answered too. A health check
-therefore fails only if another upstream, the *reference*, has answered an attempt that began
-no earlier. Without such an answer the check goes on, and at last it is inconclusive.
+A connection attempt without an answer may be waiting in this host's own queues. Packets of
+one host leave and arrive in order: if one upstream answers, others have had the time to answer
+attempts that began earlier. A health check therefore fails only if another upstream, the
+*reference*, has answered an attempt that began no earlier. Without such an answer the check
+makes further attempts, and is inconclusive after the last one.
 """
 
 from __future__ import annotations
@@ -22,16 +22,16 @@
     from banyanline.core.types import Seconds
 
 MIN_ATTEMPTS = 2
-"""Attempts without an answer that a failure takes, as one may have been lost on the way."""
+"""Unanswered attempts before a check may fail, as the packets of one may have been lost."""
 
 MAX_ATTEMPTS = 6
-"""Attempts after which a check is inconclusive; they fit into the interval between checks."""
+"""Attempts after which a check is inconclusive; it then ends before the next one is due."""
 
-DISTANCE_MARGIN_S = 0.05
-"""By how much the round trips to two working upstreams may differ."""
+ROUND_TRIP_MARGIN_S = 0.05
+"""Largest expected difference between the round trips to two working upstreams."""
 
 EVIDENCE_LIFETIME_S = 2.0
-"""How long answers and references are kept, longer than any check."""
+"""How long answers and references are kept; longer than a check takes."""
 
 
 class Answer(NamedTuple):
@@ -42,10 +42,10 @@
     answered_at: Seconds
 
 
-class HostPath:
-    """Answers that show when this host's own link and processor worked.
+class ReferenceAnswers:
+    """Recent answers of upstreams, which show that this host's link and processor work.
 
-    ``upstreams`` are those known to the host; references are chosen among them.
+    References for health checks are chosen among ``upstreams``, those that this host knows.
     """
 
     def __init__(self, upstreams: Iterable[Upstream]) -> None:
@@ -63,7 +63,10 @@
     def answer_since(
         self, began_at: Seconds, until: Seconds, *, apart_from: Upstream
     ) -> Answer | None:
-        """Return an answer of another upstream, begun and received between the two times."""
+        """Return another upstream's answer that arrived by ``until``, or None.
+
+        Its attempt began at ``began_at`` or later.
+        """
         return next(
             (
                 answer
@@ -75,15 +78,15 @@
             None,
         )
 
-    def knows_other(self, upstream: Upstream) -> bool:
-        """Whether the host knows another upstream that has an entry."""
+    def has_other_upstream(self, upstream: Upstream) -> bool:
+        """Whether this host knows another upstream with a registration entry."""
         return any(other is not upstream and other.removed_at is None for other in self._upstreams)
 
     def choose_reference(self, checked: Collection[Upstream], now: Seconds) -> Upstream | None:
-        """Return the upstream that most probably answers now, or None.
+        """Return the upstream that is most likely to answer now, or None.
 
-        Excluded are upstreams that are being checked, and references that left an attempt
-        without an answer.
+        Upstreams that are being checked are excluded, and so are references whose latest
+        attempt has had no answer.
         """
         self._references = {
             upstream: began_at
@@ -104,15 +107,15 @@
         return chosen
 
 
-class CheckTrial:
-    """The attempts of one health check, and what they prove.
+class HealthCheck:
+    """The connection attempts of one health check, and its result.
 
-    An attempt stays open until the check ends, which it does when one is answered.
+    All attempts stay open until the check ends; the first answer ends it.
     """
 
-    def __init__(self, upstream: Upstream, path: HostPath) -> None:
+    def __init__(self, upstream: Upstream, reference_answers: ReferenceAnswers) -> None:
         self._upstream = upstream
-        self._path = path
+        self._reference_answers = reference_answers
         self._began_at: list[Seconds] = []
         self._refused = 0
         self._reference: Upstream | None = None
@@ -129,7 +132,7 @@
 
     @property
     def reference(self) -> Upstream | None:
-        """The upstream whose answer proved the failure."""
+        """The upstream whose answer showed that the checked one has failed, or None."""
         return self._reference
 
     def begin_attempt(self, now: Seconds) -> None:
@@ -141,14 +144,14 @@
         self._refused += 1
 
     def result(self, now: Seconds) -> CheckResult | None:
-        """Return the result if no attempt was answered until ``now``; None to go on."""
+        """Return the result without an answer until ``now``, or None to make another attempt."""
         if self.attempts < MIN_ATTEMPTS:
             return None
         is_refused = self._refused == self.attempts
-        if is_refused and not self._path.knows_other(self._upstream):
+        if is_refused and not self._reference_answers.has_other_upstream(self._upstream):
             return CheckResult.UNANSWERED
-        until = now if is_refused else now - DISTANCE_MARGIN_S
-        answer = self._path.answer_since(
+        until = now if is_refused else now - ROUND_TRIP_MARGIN_S
+        answer = self._reference_answers.answer_since(
             self._began_at[MIN_ATTEMPTS - 1], until, apart_from=self._upstream
         )
         if answer is not None:
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from banyanline.core.steering.check_evidence import HostPath
+from banyanline.core.steering.check_evidence import ReferenceAnswers
 from banyanline.core.steering.check_schedule import CheckScheduler
 from banyanline.core.steering.cold_limit import ColdLimiter
 from banyanline.core.steering.counters import SteeringCounters
@@ -72,7 +72,7 @@
         self._flows = FlowTable(self._counters)
         self._check_scheduler = CheckScheduler(catalog)
         self._readiness = Readiness(catalog, self._peers, data_centre)
-        self._host_path = HostPath(catalog.upstreams)
+        self._reference_answers = ReferenceAnswers(catalog.upstreams)
         self._cold_limiter = ColdLimiter(catalog, self._peers, rng)
         self._pace = OpeningPacer(catalog, data_centre, self._peers, rng, self._counters)
 
@@ -141,9 +141,9 @@
         return self._check_scheduler
 
     @property
-    def host_path(self) -> HostPath:
+    def reference_answers(self) -> ReferenceAnswers:
         """What health checks have shown about this host's own link and processor."""
-        return self._host_path
+        return self._reference_answers
 
     def on_check(self, check: DueCheck, result: CheckResult, now: Seconds) -> None:
         """Handle the result of a health check."""
--- a/banyanline/net/steering/connection_checks.py
+++ b/banyanline/net/steering/connection_checks.py
@@ -13,7 +13,7 @@
 
 import structlog
 
-from banyanline.core.steering.check_evidence import CheckTrial
+from banyanline.core.steering.check_evidence import HealthCheck
 from banyanline.core.steering.failure_detection import CheckResult
 
 if TYPE_CHECKING:
@@ -23,10 +23,10 @@
     from banyanline.core.types import Endpoint, Seconds
 
 ATTEMPT_INTERVAL_S = 0.15
-"""Time from one attempt to the next; a check whose attempts were refused does not wait."""
+"""Time from one attempt to the next, unless all attempts were refused before."""
 
 REFERENCE_TIMEOUT_S = 0.6
-"""An answer after more time comes too late for the check that it was meant for."""
+"""Time limit of an attempt at a reference; later answers don't help the check any more."""
 
 MAX_CONCURRENT_CHECKS = 64
 """Checks beyond this are skipped; the callers' retransmissions request them again."""
@@ -83,8 +83,8 @@
             task.add_done_callback(self._checks.pop)
 
     async def _run(self, check: DueCheck) -> None:
-        trial = CheckTrial(check.upstream, self._steering.host_path)
-        result = await self._check(trial)
+        health_check = HealthCheck(check.upstream, self._steering.reference_answers)
+        result = await self._check(health_check)
         now = self._loop.time()
         self._steering.on_check(check, result, now)
         log.info(
@@ -92,21 +92,21 @@
             upstream=check.upstream.name,
             result=result.value,
             took_s=round(now - check.began_at, 3),
-            attempts=trial.attempts,
-            reference=trial.reference.name if trial.reference else "",
+            attempts=health_check.attempts,
+            reference=health_check.reference.name if health_check.reference else "",
             revision=check.upstream.revision,
         )
         self.start_due()
 
-    async def _check(self, trial: CheckTrial) -> CheckResult:
-        """Make attempts until one is answered, or their failure is proved or stays unclear."""
+    async def _check(self, health_check: HealthCheck) -> CheckResult:
+        """Make attempts until there is a result."""
         attempts: set[asyncio.Task[CheckResult]] = set()
         result: CheckResult | None = None
         try:
             while result is None:
-                attempts.add(asyncio.create_task(self._attempt(trial)))
-                result = await self._wait(attempts, self._reference_for(trial))
-                result = result or trial.result(self._loop.time())
+                attempts.add(asyncio.create_task(self._attempt(health_check)))
+                result = await self._wait(attempts, self._reference_for(health_check))
+                result = result or health_check.result(self._loop.time())
         finally:
             for attempt in attempts:
                 attempt.cancel()
@@ -115,9 +115,9 @@
     async def _wait(
         self, attempts: set[asyncio.Task[CheckResult]], reference: asyncio.Task[None] | None
     ) -> CheckResult | None:
-        """Wait for the next attempt's time; return the result if an attempt is answered.
+        """Wait for an answer until the next attempt is due; return the result, or None.
 
-        Returns earlier if neither the attempts nor the reference have anything to wait for.
+        Returns earlier if all attempts were refused and the reference has ended.
         """
         until = self._loop.time() + ATTEMPT_INTERVAL_S
         while pending := {task for task in (*attempts, reference) if task and not task.done()}:
@@ -130,23 +130,25 @@
                     return attempt.result()
         return None
 
-    async def _attempt(self, trial: CheckTrial) -> CheckResult:
+    async def _attempt(self, health_check: HealthCheck) -> CheckResult:
         began_at = self._loop.time()
-        trial.begin_attempt(began_at)
-        result = await connect(trial.upstream.entry.endpoint)
+        health_check.begin_attempt(began_at)
+        result = await connect(health_check.upstream.entry.endpoint)
         if result is CheckResult.ANSWERED:
-            self._steering.host_path.on_answer(trial.upstream, began_at, self._loop.time())
+            self._steering.reference_answers.on_answer(
+                health_check.upstream, began_at, self._loop.time()
+            )
         elif result is CheckResult.UNANSWERED:
-            trial.on_refused()
+            health_check.on_refused()
         return result
 
-    def _reference_for(self, trial: CheckTrial) -> asyncio.Task[None] | None:
+    def _reference_for(self, health_check: HealthCheck) -> asyncio.Task[None] | None:
         """Return an attempt at a reference that begins after the latest attempt of a check.
 
         Checks that make an attempt at the same time share one. The first attempt of a
         check has none, as most checks are answered.
         """
-        if trial.attempts == 0:
+        if health_check.attempts == 0:
             return None
         if self._next_reference is None:
             self._next_reference = asyncio.create_task(self._try_reference())
@@ -156,16 +158,17 @@
 
     async def _try_reference(self) -> None:
         self._next_reference = None
-        # The attempts that begin in this iteration of the loop go first.
+        # Attempts of checks that start in this iteration of the loop have to begin earlier,
+        # so that this answer counts for them.
         await asyncio.sleep(0)
-        path, began_at = self._steering.host_path, self._loop.time()
-        upstream = path.choose_reference(set(self._checks.values()), began_at)
+        answers, began_at = self._steering.reference_answers, self._loop.time()
+        upstream = answers.choose_reference(set(self._checks.values()), began_at)
         if upstream is None:
             return
         result = await connect(upstream.entry.endpoint, REFERENCE_TIMEOUT_S)
         self._steering.counters.references[result] += 1
         if result is CheckResult.ANSWERED:
-            path.on_answer(upstream, began_at, self._loop.time())
+            answers.on_answer(upstream, began_at, self._loop.time())
 
 
 async def connect(endpoint: Endpoint, timeout_s: Seconds | None = None) -> CheckResult:
--- a/banyanline/tests/test_steering_check_evidence.py
+++ b/banyanline/tests/test_steering_check_evidence.py
@@ -10,10 +10,10 @@
 import pytest
 
 from banyanline.core.steering.check_evidence import (
-    DISTANCE_MARGIN_S,
     EVIDENCE_LIFETIME_S,
-    CheckTrial,
-    HostPath,
+    ROUND_TRIP_MARGIN_S,
+    HealthCheck,
+    ReferenceAnswers,
 )
 from banyanline.core.steering.failure_detection import CHECK_INTERVAL_S, CheckResult
 from banyanline.net.steering.connection_checks import ATTEMPT_INTERVAL_S, ConnectionChecker
@@ -153,7 +153,7 @@
     ("case", "proves"),
     [
         pytest.param(AnswerCase(10.15, 10.16), True, id="prompt"),
-        pytest.param(AnswerCase(10.2, 10.3 - DISTANCE_MARGIN_S), True, id="within the margin"),
+        pytest.param(AnswerCase(10.2, 10.3 - ROUND_TRIP_MARGIN_S), True, id="within the margin"),
         pytest.param(AnswerCase(10.15, 10.29), False, id="as late as the check"),
         pytest.param(AnswerCase(10.0, 10.02), False, id="before the second attempt"),
         pytest.param(AnswerCase(10.15, 10.16, of=UP[0]), False, id="its own"),
@@ -161,27 +161,27 @@
 )
 def test_a_failure_takes_an_answer_to_a_later_attempt_at_another_upstream(case, proves):
     host = Host(*map(entry, UP))
-    path = HostPath(host.catalog.upstreams)
-    trial = CheckTrial(host.upstream(UP[0]), path)
+    answers = ReferenceAnswers(host.catalog.upstreams)
+    health_check = HealthCheck(host.upstream(UP[0]), answers)
     for began_at in (10.0, 10.15):
-        trial.begin_attempt(began_at)
-    path.on_answer(host.upstream(case.of), case.began_at, case.answered_at)
-    assert (trial.result(10.3) is CheckResult.UNANSWERED) is proves
+        health_check.begin_attempt(began_at)
+    answers.on_answer(host.upstream(case.of), case.began_at, case.answered_at)
+    assert (health_check.result(10.3) is CheckResult.UNANSWERED) is proves
 
 
 def test_references_are_upstreams_that_responded_last():
     host = Host(*map(entry, UP[:5]))
-    path = HostPath(host.catalog.upstreams)
+    answers = ReferenceAnswers(host.catalog.upstreams)
     for name, responded_at in zip(UP[:5], (99.9, 99.8, 99.7, 99.6, 99.5), strict=True):
         host.upstream(name).failure_detector.on_response(responded_at)
     host.upstream(UP[1]).failure_detector.on_retransmission("flow", 99.9, 100.0, is_open=True)
     host.remove(UP[4])
 
     def choose(now: float) -> str | None:
-        chosen = path.choose_reference({host.upstream(UP[0])}, now)
+        chosen = answers.choose_reference({host.upstream(UP[0])}, now)
         return chosen.name if chosen else None
 
     assert choose(100.0) == UP[2]
-    path.on_answer(host.upstream(UP[2]), 100.0, 100.01)
+    answers.on_answer(host.upstream(UP[2]), 100.0, 100.01)
     assert [choose(100.1) for _ in range(4)] == [UP[2], UP[3], UP[1], None]
     assert choose(100.1 + EVIDENCE_LIFETIME_S) == UP[2]
