--- a/banyanline/core/steering/peer_reports.py
+++ b/banyanline/core/steering/peer_reports.py
@@ -110,7 +110,7 @@
 NO_RESPONSES = ResponseSum()
 
 
-class Reach(NamedTuple):
+class ReachabilityCount(NamedTuple):
     """How many other hosts report a service, and how many of them cannot reach it."""
 
     hosts: int
@@ -218,10 +218,10 @@
         responses, self._responses = self._responses, {}
         return responses
 
-    def reach(self, service: ServiceName) -> Reach:
+    def reachability(self, service: ServiceName) -> ReachabilityCount:
         """Return how many other hosts report a service, and how many cannot reach it."""
         samples = self._service_samples(service)
-        return Reach(len(samples), sum(sample.is_out_of_reach for sample in samples))
+        return ReachabilityCount(len(samples), sum(sample.is_out_of_reach for sample in samples))
 
     def out_of_reach(self) -> frozenset[ServiceName]:
         """Return the services that at least one other host cannot reach."""
--- a/banyanline/tests/test_steering_host_reports.py
+++ b/banyanline/tests/test_steering_host_reports.py
@@ -20,7 +20,7 @@
     SAMPLE_LIFETIME_S,
     HostReport,
     PeerReports,
-    Reach,
+    ReachabilityCount,
     ServiceSample,
     UpstreamSample,
 )
@@ -171,10 +171,10 @@
         peers.put(report(1, 1 + second, FAILED), float(second))
         peers.expire(float(second))
     assert peers.load("orders-1") == (1.25, 3, 2)
-    assert peers.reach("orders") == Reach(1, 0)
+    assert peers.reachability("orders") == ReachabilityCount(1, 0)
     peers.expire(SAMPLE_LIFETIME_S)
     assert peers.load("orders-1") == (0.0, 0, 0)
-    assert peers.reach("orders") == Reach(0, 0)
+    assert peers.reachability("orders") == ReachabilityCount(0, 0)
     assert peers.expire(SAMPLE_LIFETIME_S - 1.0 + REPORT_LIFETIME_S) == ["front-2"]
     assert not peers.samples("orders-2")
 
