Explain limits, lifetimes and retries of reports

Several constants had no unit's purpose or reason, a comment on superseded starts was a riddle, 'at' and 'reported' named a time and a state, and FORGET_AFTER_S and RECENT_S didn't say what they apply to.

No behaviour changes; tests of host_reports and report_exchange pass.

--- a/banyanline/core/steering/peer_membership.py
+++ b/banyanline/core/steering/peer_membership.py
@@ -1,8 +1,8 @@
-"""The other hosts of a data centre that a host sends its reports to.
+"""The other hosts of a data centre to which a host sends its reports.
 
-A host learns endpoints from seeds, from the reports of others and from the senders of
-reports. It sends to all hosts that it has heard recently. It tries the others less and
-less often, so that hosts find each other again after a partition without any seed.
+A host learns endpoints from seeds, from other hosts' reports and from the senders of reports.
+It sends each report to all hosts that it has heard recently. It retries the others with
+exponential backoff, so that hosts find each other again after a partition without any seed.
 """
 
 from __future__ import annotations
@@ -17,22 +17,31 @@
 
     from banyanline.core.types import Endpoint, HostName, Seconds
 
-RECENT_S = 3.0
-"""A host heard this recently may be passed on to others."""
+RECENTLY_HEARD_S = 3.0
+"""A host that was heard within this time may be named to others."""
 
 MAX_SHARED_PEERS = 3
 """Limit on the endpoints of other hosts in one report."""
 
 INITIAL_RETRY_S = 1.0
+"""Time from the first report to a silent host to the second; doubled with each further one."""
+
 MAX_RETRY_S = 10.0
-FORGET_AFTER_S = 600.0
-"""How long a host is tried that nobody has heard or named."""
+"""Largest time between reports to a silent host."""
+
+PEER_LIFETIME_S = 600.0
+"""How long a host is kept after this host last heard it or was told of it."""
 
 MAX_PEERS = 250
+"""Limit on the endpoints that are kept, which bounds memory and the size of report rounds."""
 
 
 class _Peer:
-    """What is known of one endpoint; ``host`` is empty until a report came from it."""
+    """What is known of one endpoint; ``host`` is empty until the first report from it.
+
+    ``known_at`` is when it was last heard or named, and ``attempts`` the number of reports
+    sent to it since it was heard.
+    """
 
     __slots__ = ("attempts", "heard_at", "host", "known_at", "next_attempt_at")
 
@@ -44,7 +53,7 @@
         self.next_attempt_at = now
 
     def is_heard(self, now: Seconds) -> bool:
-        """Whether reports from this endpoint arrive."""
+        """Whether a report from this endpoint arrived within the lifetime of a report."""
         return now - self.heard_at < REPORT_LIFETIME_S
 
 
@@ -58,7 +67,7 @@
         self._endpoint_by_host: dict[HostName, Endpoint] = {}
 
     def __len__(self) -> int:
-        """Return the number of endpoints, with those that do not answer."""
+        """Return the number of endpoints, including those that are silent."""
         return len(self._peers)
 
     def learn(self, endpoints: Iterable[Endpoint], now: Seconds) -> None:
@@ -96,7 +105,9 @@
     def recent(self, now: Seconds) -> list[Endpoint]:
         """Return a few random endpoints that were heard recently, to name them to others."""
         recent = [
-            endpoint for endpoint, peer in self._peers.items() if now - peer.heard_at < RECENT_S
+            endpoint
+            for endpoint, peer in self._peers.items()
+            if now - peer.heard_at < RECENTLY_HEARD_S
         ]
         return self._rng.sample(recent, min(MAX_SHARED_PEERS, len(recent)))
 
@@ -124,7 +135,7 @@
         return peer
 
     def _drop_one(self, now: Seconds) -> bool:
-        """Drop the peer known least recently, unless all are heard."""
+        """Drop the silent peer that was named least recently; return False without any."""
         unheard = [each for each, peer in self._peers.items() if not peer.is_heard(now)]
         if not unheard:
             return False
@@ -135,7 +146,7 @@
         old = [
             endpoint
             for endpoint, peer in self._peers.items()
-            if now - peer.known_at >= FORGET_AFTER_S
+            if now - peer.known_at >= PEER_LIFETIME_S
         ]
         for endpoint in old:
             self._drop(endpoint)
--- a/banyanline/core/steering/peer_reports.py
+++ b/banyanline/core/steering/peer_reports.py
@@ -1,11 +1,10 @@
 """What the hosts of one data centre report to each other, and the totals of their reports.
 
-Each host writes only its own report, and sends it to the other hosts itself. A report
-replaces the previous one of its host, so that a lost or repeated report does no harm; the
-total of a figure is the sum of one part from each host. A host that is not heard from any
-more drops out of all totals after ``REPORT_LIFETIME_S``.
+Each host sends its own report directly to the other hosts. A report replaces the previous one
+of its host, so that a lost or repeated report does no harm. A total is the sum of the hosts'
+latest values. ``REPORT_LIFETIME_S`` after its last report a host no longer counts.
 
-Without reports all totals are 0 and nothing is known of other hosts.
+Without reports all totals are 0, and no other hosts are known.
 """
 
 from __future__ import annotations
@@ -19,20 +18,20 @@
     from collections.abc import Collection, Iterable, Mapping
 
 REPORT_LIFETIME_S = 4.0
-"""How long a report is used; several reports may be lost in this time."""
+"""How long a report is used: two of the longest intervals between reports."""
 
 SAMPLE_LIFETIME_S = 6.0
-"""How long a sample is used that later reports of its host omit for lack of space."""
+"""How long a sample is used while later reports of its host omit it for lack of space."""
 
 
 class UpstreamSample(NamedTuple):
     """One host's part of the load and the responses of one upstream.
 
     ``in_flight`` is the mean number of requests in flight since the previous report, and
-    ``response_s`` the mean time of the ``responses`` in that time. ``responded_age_s`` and
-    ``failed_check_age_s`` count from the latest response and from the health check that
-    failed since; they are None if there was none. ``cold_openings`` counts the opening
-    packets sent in the last second to an upstream in its cold period.
+    ``response_s`` the mean time of the ``responses`` in that period. ``responded_age_s`` is
+    the age of the latest response, and ``failed_check_age_s`` that of a failed health check
+    since; each is None without one. ``cold_openings`` is the number of opening packets per
+    second, rounded up, to an upstream in its cold period.
     """
 
     upstream: UpstreamName
@@ -59,9 +58,10 @@
 
 
 class HostReport(NamedTuple):
-    """The report of one host. ``start`` identifies the start of its process.
+    """The report of one host.
 
-    ``sequence`` increases with each report of a start.
+    ``start`` is a random number that identifies the start of its process, and ``sequence``
+    increases with each report of a start.
     """
 
     host: HostName
@@ -73,7 +73,7 @@
 
 
 class PeerLoad(NamedTuple):
-    """The load of an upstream from other hosts, in requests in flight and open flows."""
+    """The load of an upstream from other hosts; ``cold_openings`` is a number per second."""
 
     in_flight: float = 0.0
     open_flows: int = 0
@@ -130,7 +130,7 @@
 
 
 class _Total:
-    """The load of one upstream in whole numbers, so that no rounding errors add up."""
+    """The load of one upstream, in integers so that rounding errors don't accumulate."""
 
     __slots__ = ("cold_openings", "in_flight_thousandths", "open_flows", "samples")
 
--- a/banyanline/core/steering/report_budget.py
+++ b/banyanline/core/steering/report_budget.py
@@ -1,4 +1,4 @@
-"""How often a host sends its report, and how large it may be."""
+"""Limits the size and the rate of a host's reports by the capacity of its link."""
 
 from __future__ import annotations
 
@@ -7,28 +7,30 @@
 if TYPE_CHECKING:
     from banyanline.core.types import Seconds
 
-INTERVAL_S = 1.0
+MIN_INTERVAL_S = 1.0
+"""Time between reports with few hosts; more often, a report would contain little news."""
+
 MAX_INTERVAL_S = 2.0
-"""Half of the lifetime of a report, so that one may be lost."""
+"""Half of a report's lifetime, so that one report may be lost."""
 
 MAX_REPORT_BYTES = 1_200
-"""One datagram, without fragments."""
+"""Size of a datagram that needs no IP fragmentation."""
 
 MIN_REPORT_BYTES = 300
-"""Room for the names of the host and a few upstreams."""
+"""Space for the names of the host and the data centre, and a few samples."""
 
 HEADER_BYTES = 28
 """IPv4 and UDP headers of a datagram."""
 
-LINK_SHARE = 0.02
-"""Share of the host's link that reports may use, in each direction."""
+MAX_LINK_SHARE = 0.02
+"""Largest share of the host's link that reports use, in each direction."""
 
 MAX_BYTES_PER_S = 12_000.0
-"""What a host may use for control, whatever its link."""
+"""Largest rate of a host's control traffic, whatever the capacity of its link."""
 
 
 class ReportBudget(NamedTuple):
-    """The time between two reports of a host, and the size of each without headers."""
+    """The time between reports, and the maximum size of one without IP and UDP headers."""
 
     interval_s: Seconds
     max_bytes: int
@@ -37,8 +39,8 @@
 def report_budget(peers: int, link_mbps: float) -> ReportBudget:
     """Return the budget of a host that sends to ``peers`` others.
 
-    Reports become smaller first, then rarer; a smaller report omits upstreams, which a
-    later one contains.
+    With more hosts reports become smaller first, then less frequent. A smaller report omits
+    samples, which a later one contains.
 
     >>> report_budget(8, 1000.0)
     ReportBudget(interval_s=1.0, max_bytes=1200)
@@ -46,9 +48,9 @@
     ReportBudget(interval_s=1.968, max_bytes=300)
     """
     if peers == 0:
-        return ReportBudget(INTERVAL_S, MAX_REPORT_BYTES)
-    bytes_per_s = min(MAX_BYTES_PER_S, LINK_SHARE * link_mbps * 1e6 / 8.0)
-    fitting = int(bytes_per_s * INTERVAL_S / peers) - HEADER_BYTES
-    max_bytes = max(MIN_REPORT_BYTES, min(MAX_REPORT_BYTES, fitting))
+        return ReportBudget(MIN_INTERVAL_S, MAX_REPORT_BYTES)
+    bytes_per_s = min(MAX_BYTES_PER_S, MAX_LINK_SHARE * link_mbps * 1e6 / 8.0)
+    max_fitting_bytes = int(bytes_per_s * MIN_INTERVAL_S / peers) - HEADER_BYTES
+    max_bytes = max(MIN_REPORT_BYTES, min(MAX_REPORT_BYTES, max_fitting_bytes))
     interval_s = peers * (max_bytes + HEADER_BYTES) / bytes_per_s
-    return ReportBudget(max(INTERVAL_S, min(MAX_INTERVAL_S, interval_s)), max_bytes)
+    return ReportBudget(max(MIN_INTERVAL_S, min(MAX_INTERVAL_S, interval_s)), max_bytes)
--- a/banyanline/core/steering/report_composer.py
+++ b/banyanline/core/steering/report_composer.py
@@ -1,4 +1,4 @@
-"""Composes a host's report for the other hosts from what its own packets have shown."""
+"""Composes a host's report from its own load, responses and health checks."""
 
 from __future__ import annotations
 
@@ -22,48 +22,48 @@
     from banyanline.core.types import DataCentreName, HostName, Seconds, ServiceName, UpstreamName
 
 MIN_PERIOD_S = 1.0
-"""Means and rates of a shorter time would say little."""
+"""Shortest time for means and rates; those of a shorter one would vary too much."""
 
 SERVICES_SHARE = 0.5
-"""Share of a report that services may use."""
+"""Largest share of a report's bytes for samples of services."""
 
 MIN_SAMPLE_BYTES = 4
-"""No encoded sample is smaller."""
+"""Lower limit of an encoded sample's size, which limits the samples to consider."""
 
 SampleSize: TypeAlias = Callable[[UpstreamSample | ServiceSample], int]
 """Returns the size of an encoded sample in bytes."""
 
 
 class HostIdentity(NamedTuple):
-    """The host that a report comes from; ``start`` differs between starts of its process."""
+    """The host that sends a report; ``start`` is a random number for each process start."""
 
     host: HostName
     data_centre: DataCentreName
     start: int
 
 
-class _Reported:
-    """When a service or upstream was reported last, and when it was in use last.
+class _ReportState:
+    """When a service or upstream was last reported, and when it was last in use.
 
-    ``openings`` and ``refusals`` are a service's counts at that time, ``urgency`` that of the
-    next report.
+    ``openings`` and ``refusals`` are a service's counters when it was last reported.
+    ``urgency`` orders the samples of the next report.
     """
 
-    __slots__ = ("active_at", "at", "openings", "refusals", "urgency")
+    __slots__ = ("active_at", "openings", "refusals", "reported_at", "urgency")
 
     def __init__(self, now: Seconds, openings: int = 0, refusals: int = 0) -> None:
-        self.at = now - MIN_PERIOD_S
+        self.reported_at = now - MIN_PERIOD_S
         self.active_at = now
         self.openings = openings
         self.refusals = refusals
         self.urgency = 0.0
 
     def update_urgency(self, importance: float, now: Seconds) -> None:
-        """Set the urgency: the importance, at least 1, times the time since the last report.
+        """Set the urgency: the importance, at least 1, times the time since it was reported.
 
-        It grows while an item is left out, so that none is left out for long.
+        It grows while a sample is left out of reports, so that none is left out for long.
         """
-        self.urgency = importance * (now - self.at)
+        self.urgency = importance * (now - self.reported_at)
 
 
 class ReportComposer:
@@ -83,8 +83,8 @@
         self._identity = identity
         self._is_out_of_reach = is_out_of_reach
         self._sequence = 0
-        self._services: dict[ServiceName, _Reported] = {}
-        self._upstreams: dict[UpstreamName, _Reported] = {}
+        self._services: dict[ServiceName, _ReportState] = {}
+        self._upstreams: dict[UpstreamName, _ReportState] = {}
 
     def compose(self, now: Seconds, max_bytes: int, size: SampleSize) -> HostReport:
         """Return the next report, whose samples have at most ``max_bytes`` in total.
@@ -102,13 +102,13 @@
     ) -> Iterator[ServiceSample]:
         self._update_services(now)
         for name in _most_urgent(self._services, max_bytes):
-            reported = self._services[name]
-            sample = self._service_sample(name, reported, now)
+            state = self._services[name]
+            sample = self._service_sample(name, state, now)
             max_bytes -= size(sample)
             if max_bytes < 0:
                 return
             self._services[name] = self._new_service(name, now)
-            self._services[name].at = now
+            self._services[name].reported_at = now
             yield sample
 
     def _update_services(self, now: Seconds) -> None:
@@ -122,24 +122,24 @@
             name: self._services.get(name) or self._new_service(name, now) for name in names
         }
         counters = self._steering.counters
-        for name, reported in self._services.items():
-            openings = counters.placed[name] - reported.openings
-            refusals = counters.refused[name] - reported.refusals
-            reported.update_urgency(1.0 + openings + refusals, now)
+        for name, state in self._services.items():
+            openings = counters.placed[name] - state.openings
+            refusals = counters.refused[name] - state.refusals
+            state.update_urgency(1.0 + openings + refusals, now)
 
-    def _new_service(self, name: ServiceName, now: Seconds) -> _Reported:
+    def _new_service(self, name: ServiceName, now: Seconds) -> _ReportState:
         counters = self._steering.counters
-        return _Reported(now, counters.placed[name], counters.refused[name])
+        return _ReportState(now, counters.placed[name], counters.refused[name])
 
     def _service_sample(
-        self, name: ServiceName, reported: _Reported, now: Seconds
+        self, name: ServiceName, state: _ReportState, now: Seconds
     ) -> ServiceSample:
         counters = self._steering.counters
-        period_s = max(MIN_PERIOD_S, now - reported.at)
+        period_s = max(MIN_PERIOD_S, now - state.reported_at)
         return ServiceSample(
             name,
-            (counters.placed[name] - reported.openings) / period_s,
-            (counters.refused[name] - reported.refusals) / period_s,
+            (counters.placed[name] - state.openings) / period_s,
+            (counters.refused[name] - state.refusals) / period_s,
             self._is_out_of_reach(name, now),
         )
 
@@ -151,12 +151,12 @@
             upstream = self._steering.catalog.upstreams.get(name)
             if upstream is None:
                 continue
-            reported = self._upstreams[name]
-            sample = _upstream_sample(upstream, reported, now)
+            state = self._upstreams[name]
+            sample = _upstream_sample(upstream, state, now)
             max_bytes -= size(sample)
             if max_bytes < 0:
                 return
-            reported.at = now
+            state.reported_at = now
             upstream.responses.begin_period(now)
             upstream.cold_openings = 0
             yield sample
@@ -168,27 +168,27 @@
         """
         known, self._upstreams = self._upstreams, {}
         for upstream in self._steering.catalog.upstreams:
-            reported = known.get(upstream.name)
+            state = known.get(upstream.name)
             importance = _importance(upstream)
             if importance > 0.0:
-                reported = reported or _Reported(now)
-                reported.active_at = now
-            elif reported is None or now - reported.active_at >= SAMPLE_LIFETIME_S:
+                state = state or _ReportState(now)
+                state.active_at = now
+            elif state is None or now - state.active_at >= SAMPLE_LIFETIME_S:
                 upstream.responses.begin_period(now)
                 continue
-            reported.update_urgency(max(1.0, importance), now)
-            self._upstreams[upstream.name] = reported
+            state.update_urgency(max(1.0, importance), now)
+            self._upstreams[upstream.name] = state
 
 
 def _importance(upstream: Upstream) -> float:
-    """Return 0 for an upstream that is not in use, else 1 and more with its load."""
+    """Return 0 for an upstream that is not in use, otherwise 1 plus its load."""
     load = upstream.responses.activity + upstream.cold_openings
     if upstream.failure_detector.has_failed_check:
         load += 1
     return 1.0 + load if load or upstream.open_flows > 0 else 0.0
 
 
-def _upstream_sample(upstream: Upstream, reported: _Reported, now: Seconds) -> UpstreamSample:
+def _upstream_sample(upstream: Upstream, state: _ReportState, now: Seconds) -> UpstreamSample:
     period = upstream.responses.period(now)
     detector = upstream.failure_detector
     responded_age_s = now - detector.responded_at
@@ -200,11 +200,11 @@
         period.response_s,
         responded_age_s if math.isfinite(responded_age_s) else None,
         detector.report(now).failed_check_age_s if detector.has_failed_check else None,
-        math.ceil(upstream.cold_openings / max(MIN_PERIOD_S, now - reported.at)),
+        math.ceil(upstream.cold_openings / max(MIN_PERIOD_S, now - state.reported_at)),
     )
 
 
-def _most_urgent(items: Mapping[str, _Reported], max_bytes: int) -> list[str]:
-    """Return the names of the most urgent items first, as many as may fit."""
+def _most_urgent(items: Mapping[str, _ReportState], max_bytes: int) -> list[str]:
+    """Return the names of the samples that may fit, the most urgent first."""
     number = max_bytes // MIN_SAMPLE_BYTES
     return heapq.nlargest(number, items, key=lambda name: items[name].urgency)
--- a/banyanline/core/steering/report_order.py
+++ b/banyanline/core/steering/report_order.py
@@ -1,4 +1,4 @@
-"""Tells a host's later reports from earlier ones, also across restarts, without a clock."""
+"""Tells later reports of a host from earlier ones, also after restarts, without a clock."""
 
 from __future__ import annotations
 
@@ -9,13 +9,17 @@
     from banyanline.core.types import HostName, Seconds
 
 SUPERSEDED_S = 10.0
-"""How long reports of an earlier start are refused; none is under way for longer.
+"""How long reports of a superseded start are refused; longer than a datagram is under way.
 
-The limit lets the right start win if a report of an earlier one came between.
+Start numbers have no order: if a late report of an old, unknown start supersedes the present
+start, reports of the present start are accepted again after this time.
 """
 
 MAX_SUPERSEDED_STARTS = 4
+"""Superseded starts that are remembered for each host."""
+
 MAX_HOSTS = 1_000
+"""Hosts that are remembered; beyond this, the one heard least recently is dropped."""
 
 
 class _Latest:
@@ -32,8 +36,8 @@
 class ReportOrder:
     """The order of the reports of each host.
 
-    Within a start the highest sequence wins. A start is a random number: one that was not
-    seen before is the latest, and the one before it is superseded.
+    Within a start the highest sequence number is the latest. A start is a random number: one
+    that was not seen before counts as the latest, and the previous one is superseded.
 
     >>> order = ReportOrder()
     >>> [order.accept("host-1", start, 1, 0.0) for start in (7, 7, 3, 7)]
--- a/banyanline/tests/test_steering_host_reports.py
+++ b/banyanline/tests/test_steering_host_reports.py
@@ -9,9 +9,9 @@
 
 from banyanline.core.steering.failure_detection import CheckResult
 from banyanline.core.steering.peer_membership import (
-    FORGET_AFTER_S,
     MAX_PEERS,
     MAX_RETRY_S,
+    PEER_LIFETIME_S,
     PeerMembership,
 )
 from banyanline.core.steering.peer_registry import REGISTRATION_LIFETIME_S, PeerRegistry
@@ -233,7 +233,7 @@
     assert max(b - a for a, b in itertools.pairwise(attempts)) <= MAX_RETRY_S
     assert membership.on_report("front-2", OTHER, 70.0)
     assert all(membership.due(70.0 + tenths / 10.0) for tenths in range(30))
-    assert membership.due(70.0 + FORGET_AFTER_S) == []
+    assert membership.due(70.0 + PEER_LIFETIME_S) == []
     assert len(membership) == 0
 
 
