Give the exchange of reports the usual terms, and its constants units

Steps, a drain, 'asks' and a room log are polls, batches, requests and a shortage log; codec and exchange constants say unit and reason.

No behaviour changes; tests of report_exchange, host_reports and status pass.

--- a/banyanline/net/steering/change_log.py
+++ b/banyanline/net/steering/change_log.py
@@ -129,7 +129,7 @@
 
 
 class ReadinessLog:
-    """Logs when this host stops being ready for lack of reach, and when it is ready again."""
+    """Logs when this host stops being ready as services are out of reach, and when it is again."""
 
     def __init__(self, readiness: Readiness) -> None:
         self._readiness = readiness
@@ -144,8 +144,8 @@
         log.warning("readiness_changed", ready=not cut_off, out_of_reach=",".join(sorted(cut_off)))
 
 
-class RoomLog:
-    """Logs when a service becomes short of room, and when it has room again."""
+class ShortageLog:
+    """Logs the beginning and the end of each service's shortage of capacity."""
 
     def __init__(self, admission: Admission) -> None:
         self._admission = admission
--- a/banyanline/net/steering/peer_discovery.py
+++ b/banyanline/net/steering/peer_discovery.py
@@ -1,6 +1,6 @@
-"""Finds the other hosts of this data centre: asks seeds for them, and answers such requests.
+"""Discovers the other hosts of this data centre through seeds, and responds to such requests.
 
-A request tells the seed where the asking host receives reports, so that the seed can
+A request tells the seed where the requesting host receives reports, so that the seed can
 name it to others. Hosts of earlier versions respond with status 404.
 """
 
@@ -31,19 +31,25 @@
     from banyanline.net.steering.seeds import Seeds
 
 PEERS_PATH = "/peers"
-INITIAL_DELAY_S = 0.2
+STARTUP_DELAY_S = 0.2
+"""Time from the start of the process to the first request."""
+
 INITIAL_INTERVAL_S = 1.0
+"""Time between requests while no other host is heard; doubled with each one afterwards."""
+
 MAX_INTERVAL_S = 30.0
-"""Hosts that hear each other learn of others from reports."""
+"""Largest time between requests, as hosts that hear others learn of new ones from reports."""
 
-ANSWER_TIMEOUT_S = 1.0
+RESPONSE_TIMEOUT_S = 1.0
 MAX_ENDPOINTS = 2 * MAX_NAMED_PEERS
+"""Limit on the endpoints read from a response; later versions may send more than this one."""
+
 _CONTENT_TYPE = {"Content-Type": "application/octet-stream"}
 _HTTP_OK = 200
 
 
 class PeersQuery(NamedTuple):
-    """A request for the hosts of a data centre, by the host that receives reports there."""
+    """A request for the hosts of a data centre, from the host that listens at ``endpoint``."""
 
     data_centre: DataCentreName
     endpoint: Endpoint
@@ -67,7 +73,7 @@
 
 
 class PeerDiscovery:
-    """Asks seeds for the hosts of this data centre, and answers the requests of others."""
+    """Requests the hosts of this data centre from seeds, and responds to such requests."""
 
     def __init__(
         self,
@@ -85,18 +91,18 @@
         self._registry = PeerRegistry()
 
     async def run(self) -> None:
-        """Ask seeds, forever: often at first and while no other host is heard, then rarely."""
-        await asyncio.sleep(INITIAL_DELAY_S)
+        """Request hosts from seeds forever, with backoff while other hosts are heard."""
+        await asyncio.sleep(STARTUP_DELAY_S)
         interval_s = INITIAL_INTERVAL_S
         while True:
             await self._reports.wait_until_open()
-            await self._ask()
+            await self._request_peers()
             await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
             has_peers = bool(self._reports.hosts)
             interval_s = min(MAX_INTERVAL_S, 2.0 * interval_s) if has_peers else INITIAL_INTERVAL_S
 
     def respond(self, target: str) -> PageResponse:
-        """Answer a request, and name the asking host to others from now on."""
+        """Respond to a request, and name the requesting host to others from now on."""
         query = parse_peers_query(target)
         if isinstance(query, PageResponse):
             return query
@@ -108,8 +114,8 @@
         self._registry.register(query.endpoint, query.data_centre, now)
         return PageResponse(_HTTP_OK, encode_endpoints(endpoints), _CONTENT_TYPE)
 
-    async def _ask(self) -> None:
-        """Ask any seed: hosts that always asked the nearest would not learn of the others'."""
+    async def _request_peers(self) -> None:
+        """Request hosts from a random seed; hosts of one seed alone would form their own group."""
         seed, endpoint = self._seeds.choose(), self._reports.endpoint
         if seed is None or endpoint is None:
             return
@@ -117,7 +123,7 @@
         result = await http_get(
             seed,
             f"{PEERS_PATH}?{urlencode(fields)}",
-            timeout_s=ANSWER_TIMEOUT_S,
+            timeout_s=RESPONSE_TIMEOUT_S,
             max_body_bytes=MAX_ENDPOINTS * ENDPOINT_BYTES,
         )
         if not isinstance(result, HttpFailed) and result.status == _HTTP_OK:
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -19,7 +19,7 @@
 from banyanline.net.steering.background import keep_running
 from banyanline.net.steering.change_log import (
     ReadinessLog,
-    RoomLog,
+    ShortageLog,
     UpstreamAvailabilityLog,
     log_pace,
 )
@@ -104,7 +104,7 @@
         self._set_sources(settings)
         self._availability_log = UpstreamAvailabilityLog(self._catalog)
         self._readiness_log = ReadinessLog(self._steering.readiness)
-        self._room_log = RoomLog(self._steering.peer_placement.admission)
+        self._shortage_log = ShortageLog(self._steering.peer_placement.admission)
         self._shutdown: GracefulShutdown | None = None
         self._servers = [PageServer(settings.readiness, self._respond_readiness)]
         if settings.control is not None:
@@ -206,7 +206,7 @@
             self._update_host_count()
             self._availability_log.update(now)
             self._readiness_log.update()
-            self._room_log.update(now)
+            self._shortage_log.update(now)
             for change in self._steering.pace.take_changes():
                 log_pace(change)
             if self._settings_file.has_changed():
--- a/banyanline/net/steering/report_codec.py
+++ b/banyanline/net/steering/report_codec.py
@@ -1,4 +1,4 @@
-"""Encoding of host reports: one datagram in MessagePack after a prefix with the version.
+"""Encoding of host reports: a prefix with the format's version, followed by MessagePack.
 
 Upstreams are named by their cookies, which are shorter than their names and identify
 each upstream that gets flows. Numbers are integers in fixed units. Zeros at the end of a
@@ -25,14 +25,22 @@
 """Marks a host report; the last byte is the version of its format."""
 
 MAX_NAME_CHARACTERS = 100
+"""Longest accepted name of a host, data centre or service."""
+
 ENDPOINT_BYTES = 6
+"""Size of an encoded endpoint: an IPv4 address and a port."""
+
 ENVELOPE_BYTES = 32
-"""Bytes of a report besides names, endpoints and samples, at most."""
+"""Upper limit of a report's size without names, endpoints and samples."""
 
 _HUNDREDTHS = 100.0
+"""Units per request, per second of age, and per event a second."""
+
 _TENTHS_OF_MS = 10_000.0
+"""Units per second of response time."""
+
 _NEVER = -1
-"""Age of what has not happened."""
+"""Encoded age of an event that hasn't happened."""
 
 _UPSTREAM_DEFAULTS = (0, 0, 0, _NEVER, 0, 0, _NEVER, 0)
 _SERVICE_DEFAULTS = ("", 0, 0, False)
@@ -44,7 +52,11 @@
 
 
 class _UpstreamFields(msgspec.Struct, array_like=True):
-    """An upstream's sample: hundredths of requests and of seconds, tenths of milliseconds."""
+    """An upstream's sample.
+
+    ``in_flight`` is in hundredths of requests, ages are in hundredths of a second, and
+    ``response_time`` is in tenths of a millisecond.
+    """
 
     cookie: _Count = 0
     in_flight: _Count = 0
@@ -57,7 +69,7 @@
 
 
 class _ServiceFields(msgspec.Struct, array_like=True):
-    """A service's sample, with rates in hundredths a second."""
+    """A service's sample, with rates in hundredths of events a second."""
 
     service: _Name
     openings: _Count = 0
@@ -222,7 +234,7 @@
 
 
 def decode_endpoints(data: bytes) -> tuple[Endpoint, ...]:
-    """Decode endpoints; a part of one at the end, and one without a port, are left out."""
+    """Decode endpoints; an incomplete one at the end, and those with port 0, are left out."""
     starts = range(0, len(data) - ENDPOINT_BYTES + 1, ENDPOINT_BYTES)
     endpoints = (
         Endpoint(socket.inet_ntoa(data[at : at + 4]), int.from_bytes(data[at + 4 : at + 6], "big"))
--- a/banyanline/net/steering/report_exchange.py
+++ b/banyanline/net/steering/report_exchange.py
@@ -27,16 +27,25 @@
     from banyanline.transport.datagram import SocketAddress
 
 START_BITS = 32
-STEP_S = 0.2
-"""Time between reads of the socket: one wake-up for several reports costs less."""
+"""Size of the random number that identifies a start of the process."""
 
-STEPS_PER_REPORT = 5
-"""Steps in which a report is sent to all, so that callers' packets do not queue behind it."""
+POLL_INTERVAL_S = 0.2
+"""Time between reads of the socket, so that one wake-up handles several reports."""
+
+BATCHES_PER_REPORT = 5
+"""Batches of destinations, one per poll, so that callers' packets don't queue behind a report."""
+
+MAX_READS_PER_POLL = 500
+"""Limit on datagrams read at a time, so that a flood doesn't delay callers' packets."""
+
+INTERVAL_JITTER = 0.1
+"""Largest random change of the interval, as a share, so that hosts don't send in step."""
 
-MAX_READS_PER_STEP = 500
-JITTER = 0.1
 RECEIVE_BUFFER_BYTES = 256 * 1024
+"""Space for the reports of a poll interval from all hosts of a large data centre."""
+
 REJECTION_LOG_INTERVAL_S = 10.0
+"""Minimum time between log events of rejected reports."""
 
 log = structlog.get_logger()
 
@@ -47,7 +56,7 @@
     MALFORMED = "malformed"
     DATA_CENTRE = "data_centre"
     ADDRESS = "address"
-    """The name is that of another host that is being heard, or there are too many hosts."""
+    """A host of this name is heard from another address, or there are too many hosts."""
     OUTDATED = "outdated"
     """A later report of the host was received before; not an error."""
 
@@ -93,7 +102,7 @@
         upstreams = source.steering.catalog.upstreams
         self._codec = ReportCodec(upstreams.cookie_of, upstreams.name_of)
         self._counts = ReportCounts()
-        self._unlogged: Counter[RejectReason] = Counter()
+        self._rejected_since_log: Counter[RejectReason] = Counter()
         self._next_log_at = 0.0
         self._loop = asyncio.get_running_loop()
         self._socket: socket.socket | None = None
@@ -101,7 +110,7 @@
         self._next_report_at = 0.0
         self._report = b""
         self._pending: list[Endpoint] = []
-        self._batch = 0
+        self._batch_size = 0
 
     @property
     def endpoint(self) -> Endpoint | None:
@@ -127,7 +136,7 @@
         self._link_mbps = link_mbps
 
     def open(self) -> None:
-        """Start to receive reports; without its port the host goes on without them."""
+        """Start to exchange reports; if the port is in use, log that there are none."""
         if self._socket is not None:
             return
         try:
@@ -138,7 +147,7 @@
             self._opened.set()
 
     def close(self) -> None:
-        """Stop to receive and send reports."""
+        """Stop receiving and sending reports."""
         if self._socket is not None:
             self._socket.close()
             self._socket = None
@@ -149,7 +158,7 @@
         await self._opened.wait()
 
     def learn(self, endpoints: Iterable[Endpoint]) -> None:
-        """Record the endpoints of other hosts of this data centre, as a seed names them."""
+        """Record endpoints of other hosts of this data centre, which a seed has named."""
         if self._socket is not None:
             self._membership.learn(endpoints, self._loop.time())
 
@@ -162,30 +171,30 @@
         """Receive and send reports, forever."""
         while True:
             await self._opened.wait()
-            await asyncio.sleep(STEP_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
             if self._socket is not None:
-                self._step(self._socket, self._loop.time())
+                self._poll(self._socket, self._loop.time())
 
-    def _step(self, sock: socket.socket, now: Seconds) -> None:
-        self._drain(sock)
+    def _poll(self, sock: socket.socket, now: Seconds) -> None:
+        self._read_datagrams(sock)
         out_of_reach = self._source.steering.readiness.out_of_reach
         has_changed = out_of_reach != self._reported_out_of_reach
         self._reported_out_of_reach = out_of_reach
         if has_changed or now >= self._next_report_at:
             self._begin_report(now)
         if has_changed:
-            # Sent to all at once, as the hosts of a data centre decide together.
-            self._batch = len(self._pending)
-        for _ in range(min(self._batch, len(self._pending))):
+            # Send to all hosts now: readiness depends on the findings of a majority.
+            self._batch_size = len(self._pending)
+        for _ in range(min(self._batch_size, len(self._pending))):
             self._send(sock, self._pending.pop())
 
     def _begin_report(self, now: Seconds) -> None:
         """Compose the next report and choose its destinations."""
         self._pending = self._membership.due(now)
         self._rng.shuffle(self._pending)
-        self._batch = math.ceil(len(self._pending) / STEPS_PER_REPORT)
+        self._batch_size = math.ceil(len(self._pending) / BATCHES_PER_REPORT)
         budget = report_budget(len(self._pending), self._link_mbps)
-        jitter = self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
+        jitter = self._rng.uniform(1.0 - INTERVAL_JITTER, 1.0 + INTERVAL_JITTER)
         self._next_report_at = now + budget.interval_s * jitter
         if self._pending:
             self._report = self._encode_report(budget.max_bytes, now)
@@ -208,8 +217,8 @@
         self._counts.sent += 1
         self._counts.sent_bytes += len(self._report)
 
-    def _drain(self, sock: socket.socket) -> None:
-        for _ in range(MAX_READS_PER_STEP):
+    def _read_datagrams(self, sock: socket.socket) -> None:
+        for _ in range(MAX_READS_PER_POLL):
             try:
                 data, address = sock.recvfrom(MAX_REPORT_BYTES + 1)
             except OSError:
@@ -246,8 +255,8 @@
         return None
 
     def _log_rejection(self, reason: RejectReason, sender: Endpoint) -> None:
-        """Log a rejected report, at most one in a while, with the number since the last."""
-        self._unlogged[reason] += 1
+        """Log a rejected report, at most one per interval, with the number since the last."""
+        self._rejected_since_log[reason] += 1
         now = self._loop.time()
         if now < self._next_log_at:
             return
@@ -256,6 +265,6 @@
             "report_rejected",
             reason=reason.value,
             sender=str(sender),
-            rejected=self._unlogged.total(),
+            rejected=self._rejected_since_log.total(),
         )
-        self._unlogged.clear()
+        self._rejected_since_log.clear()
