--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING
 
-from banyanline.core.steering.check_evidence import HostPath
+from banyanline.core.steering.check_evidence import ReferenceAnswers
 from banyanline.core.steering.check_schedule import CheckScheduler
 from banyanline.core.steering.cold_limit import ColdLimiter
 from banyanline.core.steering.counters import SteeringCounters
@@ -24,7 +24,7 @@
     Reset,
     ResetReason,
 )
-from banyanline.core.steering.pace import Pace
+from banyanline.core.steering.pace import OpeningPacer
 from banyanline.core.steering.packet import NO_COOKIE
 from banyanline.core.steering.peer_placement import PeerPlacement
 from banyanline.core.steering.peer_reports import PeerReports
@@ -72,9 +72,9 @@
         self._flows = FlowTable(self._counters)
         self._check_scheduler = CheckScheduler(catalog)
         self._readiness = Readiness(catalog, self._peers, data_centre)
-        self._host_path = HostPath(catalog.upstreams)
+        self._reference_answers = ReferenceAnswers(catalog.upstreams)
         self._cold_limiter = ColdLimiter(catalog, self._peers, rng)
-        self._pace = Pace(catalog, data_centre, self._peers, rng, self._counters)
+        self._pace = OpeningPacer(catalog, data_centre, self._peers, rng, self._counters)
 
     @property
     def catalog(self) -> Catalog:
@@ -97,7 +97,7 @@
         return self._peer_placement
 
     @property
-    def pace(self) -> Pace:
+    def pace(self) -> OpeningPacer:
         """The pace of openings at upstreams that have started or recovered."""
         return self._pace
 
@@ -141,9 +141,9 @@
         return self._check_scheduler
 
     @property
-    def host_path(self) -> HostPath:
+    def reference_answers(self) -> ReferenceAnswers:
         """What health checks have shown about this host's own link and processor."""
-        return self._host_path
+        return self._reference_answers
 
     def on_check(self, check: DueCheck, result: CheckResult, now: Seconds) -> None:
         """Handle the result of a health check."""
--- a/banyanline/tests/test_peer_placement.py
+++ b/banyanline/tests/test_peer_placement.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from banyanline.core.steering.pace import TURN_COST, WAIT_COST
+from banyanline.core.steering.pace import IN_TURN_COST, OUT_OF_TURN_COST
 from banyanline.core.steering.peer_reports import UpstreamSample
 from banyanline.core.steering.placement import Placement
 from banyanline.tests.reports import Fleet, report
@@ -97,9 +97,9 @@
     ("cost", "expected"),
     [
         pytest.param(None, 0.0, id="cold and not paced"),
-        pytest.param(WAIT_COST, 0.0, id="out of turn"),
+        pytest.param(OUT_OF_TURN_COST, 0.0, id="out of turn"),
         pytest.param(0.0, 0.5, id="carries its part"),
-        pytest.param(TURN_COST, 1.0, id="on this host's turn"),
+        pytest.param(IN_TURN_COST, 1.0, id="on this host's turn"),
     ],
 )
 def test_a_cold_upstream_gets_flows_at_its_pace(cost, expected):
--- a/banyanline/tests/test_steering_host_reports.py
+++ b/banyanline/tests/test_steering_host_reports.py
@@ -9,9 +9,9 @@
 
 from banyanline.core.steering.failure_detection import CheckResult
 from banyanline.core.steering.peer_membership import (
-    FORGET_AFTER_S,
     MAX_PEERS,
     MAX_RETRY_S,
+    PEER_LIFETIME_S,
     PeerMembership,
 )
 from banyanline.core.steering.peer_registry import REGISTRATION_LIFETIME_S, PeerRegistry
@@ -20,7 +20,7 @@
     SAMPLE_LIFETIME_S,
     HostReport,
     PeerReports,
-    Reach,
+    ReachabilityCount,
     ServiceSample,
     UpstreamSample,
 )
@@ -171,10 +171,10 @@
         peers.put(report(1, 1 + second, FAILED), float(second))
         peers.expire(float(second))
     assert peers.load("orders-1") == (1.25, 3, 2)
-    assert peers.reach("orders") == Reach(1, 0)
+    assert peers.reachability("orders") == ReachabilityCount(1, 0)
     peers.expire(SAMPLE_LIFETIME_S)
     assert peers.load("orders-1") == (0.0, 0, 0)
-    assert peers.reach("orders") == Reach(0, 0)
+    assert peers.reachability("orders") == ReachabilityCount(0, 0)
     assert peers.expire(SAMPLE_LIFETIME_S - 1.0 + REPORT_LIFETIME_S) == ["front-2"]
     assert not peers.samples("orders-2")
 
@@ -233,7 +233,7 @@
     assert max(b - a for a, b in itertools.pairwise(attempts)) <= MAX_RETRY_S
     assert membership.on_report("front-2", OTHER, 70.0)
     assert all(membership.due(70.0 + tenths / 10.0) for tenths in range(30))
-    assert membership.due(70.0 + FORGET_AFTER_S) == []
+    assert membership.due(70.0 + PEER_LIFETIME_S) == []
     assert len(membership) == 0
 
 
