List the upstreams that a new flow may go to, and why not to the others

It now lists all upstreams of the route with their load from all hosts, speed and window, and what excludes them. It reads what the decisions read and changes none of it.

--- a/banyanline/cli/status.py
+++ b/banyanline/cli/status.py
@@ -52,6 +52,17 @@
     "failed_check_age_s",
 )
 
+_CANDIDATE_COLUMNS = (
+    "upstream",
+    "data_centre",
+    "standing",
+    "excluded",
+    "total_in_flight",
+    "total_open_flows",
+    "speed",
+    "window",
+)
+
 _TOTAL_COLUMNS = ("total_in_flight", "total_open_flows", "speed")
 """Columns of hosts that hear others of their data centre."""
 
@@ -72,7 +83,8 @@
     On the operators' platform ADMIN_ADDR is the address of the metrics, and SERVICE is
     the service address of the flow, ip:port. The first form shows the status of the
     upstreams as seen by the host, with the evidence and its age. The second form shows
-    the host's state of the flow, and where a new flow would go.
+    the host's state of the flow, where a new flow would go, and which upstreams it may
+    go to or why not. Nothing is sent to an upstream.
 
     Example:
       banyanline-status 127.0.0.1:7102 --why 192.0.2.7:40000 orders
@@ -182,8 +194,9 @@
     """Return exit status and text; raise msgspec.MsgspecError if the body has another schema."""
     is_steering = bool(_STEERING_FIELDS & msgspec.json.decode(body, type=dict).keys())
     if query.caller is not None:
-        explained = msgspec.json.decode(body, type=FlowExplanation if is_steering else Explanation)
-        return ExitCode.OK, _render_fields(explained)
+        if is_steering:
+            return ExitCode.OK, render_flow(msgspec.json.decode(body, type=FlowExplanation))
+        return ExitCode.OK, _render_fields(msgspec.json.decode(body, type=Explanation))
     if is_steering:
         steering = msgspec.json.decode(body, type=SteeringStatus)
         is_ready = steering["state"] == "ready"
@@ -221,6 +234,16 @@
     return "\n\n".join(parts)
 
 
+def render_flow(explanation: FlowExplanation) -> str:
+    """Render the explanation of a flow, and the upstreams that a new flow may go to."""
+    fields = {name: value for name, value in explanation.items() if name != "candidates"}
+    candidates = explanation.get("candidates", [])
+    if not candidates:
+        return _render_fields(fields)
+    section = _render_section("Upstreams for a new flow", candidates, _CANDIDATE_COLUMNS)
+    return f"{_render_fields(fields)}\n\n{section}"
+
+
 def _render_unreadable(rows: Sequence[Mapping[str, Any]]) -> list[str]:
     if not rows:
         return []
--- a/banyanline/net/steering/status.py
+++ b/banyanline/net/steering/status.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING, NotRequired, TypedDict
 
+from banyanline.core.steering.candidates import find_candidates
 from banyanline.core.steering.peer_reports import NO_LOAD, PeerLoad
 from banyanline.core.steering.report import report_flow, report_upstream
 from banyanline.net.admin import parse_endpoint
@@ -16,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from banyanline.core.steering.candidates import Candidate
     from banyanline.core.steering.model import RoutingTable
     from banyanline.core.steering.opening_window import OpeningWindow
     from banyanline.core.steering.report import FlowReport, UpstreamReport
@@ -80,6 +82,19 @@
     checks: dict[str, int]
 
 
+class CandidateRow(TypedDict):
+    """An upstream of a route, and why a new flow would not go there; None if it may."""
+
+    upstream: str
+    data_centre: str
+    standing: str
+    excluded: str | None
+    total_in_flight: float
+    total_open_flows: int
+    speed: float
+    window: float | None
+
+
 class FlowExplanation(TypedDict):
     """Content of ``/why``: the state of a flow, and the upstream a new flow would get."""
 
@@ -93,6 +108,8 @@
     standing: str | None
     seen_age_s: float | None
     new_flow: str
+    candidates: NotRequired[list[CandidateRow]]
+    """Not present on pages of earlier versions."""
 
 
 def upstream_row(
@@ -214,6 +231,22 @@
         new_flow=report.next_upstream.name
         if report.next_upstream
         else f"refused: {report.refusal}",
+        candidates=[_candidate_row(each) for each in find_candidates(steering, route, now)]
+        if route
+        else [],
+    )
+
+
+def _candidate_row(candidate: Candidate) -> CandidateRow:
+    return CandidateRow(
+        upstream=candidate.upstream.name,
+        data_centre=candidate.upstream.entry.data_centre,
+        standing=candidate.availability.value,
+        excluded=candidate.exclusion.value if candidate.exclusion else None,
+        total_in_flight=round(candidate.in_flight, 3),
+        total_open_flows=candidate.open_flows,
+        speed=round(candidate.speed, 2),
+        window=candidate.window,
     )
 
 
--- a/banyanline/tests/test_steering_status.py
+++ b/banyanline/tests/test_steering_status.py
@@ -10,6 +10,7 @@
 from banyanline.cli.status import StatusQuery, render_response
 from banyanline.core.steering.failure_detection import CheckResult
 from banyanline.core.steering.model import Defect
+from banyanline.core.steering.outcomes import Forward
 from banyanline.core.steering.upstreams import UpstreamAvailability
 from banyanline.core.types import Endpoint
 from banyanline.net.steering.status import (
@@ -145,6 +146,49 @@
     assert explain_flow(started().steering, CALLER, service, 0.0) is None
 
 
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        pytest.param(lambda host: None, [("orders-1", None), ("orders-2", None)], id="both"),
+        pytest.param(
+            lambda host: host.put(entry("orders-1", is_leaving=True)),
+            [("orders-2", None), ("orders-1", "leaving")],
+            id="leaving",
+        ),
+        pytest.param(
+            lambda host: host.take_out(THERE),
+            [("orders-1", None), ("orders-2", "data_centre_out")],
+            id="data centre out",
+        ),
+        pytest.param(
+            lambda host: host.put(entry("orders-1", cold_for_s=5.0)),
+            [("orders-2", None), ("orders-1", "less_available")],
+            id="cold",
+        ),
+        pytest.param(
+            lambda host: host.put(entry("orders-2", data_centre=THERE, cookie=entry().cookie)),
+            [("orders-1", None), ("orders-2", "shared_cookie")],
+            id="same cookie",
+        ),
+    ],
+)
+def test_why_lists_the_upstreams_that_a_new_flow_may_go_to(change, expected):
+    host = started(entry("orders-1"), entry("orders-2", data_centre=THERE))
+    change(host)
+    page = explained(host)
+    assert [(row["upstream"], row["excluded"]) for row in page["candidates"]] == expected
+    assert (page["new_flow"], None) in expected
+    assert "Upstreams for a new flow" in rendered(page, CALLER)
+
+
+def test_why_shows_an_upstream_at_its_cold_limit():
+    host = Host(entry("orders-1", cold_for_s=5.0))
+    host.configure(table(2, [route(ADDRESS)], cold_rate=1.0))
+    assert isinstance(host.send(opening()._replace(flow=FLOW, destination=ADDRESS)), Forward)
+    (row,) = explained(host)["candidates"]
+    assert row["excluded"] == "cold_limit"
+
+
 def test_explaining_a_flow_changes_nothing():
     host = started(entry("orders-1", cold_for_s=5.0))
     before = status_of(host)
