--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -70,26 +70,13 @@
         self._steering = Steering(self._catalog, settings.data_centre, rng)
         self._packet_path = PacketPath(loop, settings.packets, self._steering, packets)
         self._seeds = Seeds(settings.control, rng, settings.data_centre)
-        # Its own source: placement draws the same numbers with and without reports.
+        # Reports have their own generator, so that placement draws the same numbers without them.
         reports_rng = random.Random()
-        self._reports = ReportExchange(
-            ReportSource(settings.host, settings.data_centre, self._steering),
-            Endpoint(settings.packets.ip, settings.internal_ports.start),
-            settings.link_mbps,
-            reports_rng,
-        )
+        self._reports = _report_exchange(settings, self._steering, reports_rng)
         self._discovery = PeerDiscovery(
             settings.data_centre, self._seeds, self._reports, self._clock, reports_rng
         )
-        self._feed = StoreFeed(
-            StoreClient(settings.store, self._clock),
-            self._catalog,
-            self._clock,
-            rng,
-            self._seeds,
-            self._on_change,
-            settings.host,
-        )
+        self._feed = self._store_feed(rng)
         self._peers = PeerReader(
             self._catalog,
             self._seeds,
@@ -106,11 +93,7 @@
         self._readiness_log = ReadinessLog(self._steering.readiness)
         self._shortage_log = ShortageLog(self._steering.peer_placement.admission)
         self._shutdown: GracefulShutdown | None = None
-        self._servers = [PageServer(settings.readiness, self._respond_readiness)]
-        if settings.control is not None:
-            self._servers.append(
-                PageServer(settings.control, self._respond_control, MAX_CONNECTIONS)
-            )
+        self._servers = self._page_servers()
         self._output = output
         self._admin: AdminPages | None = None
         metrics = Endpoint(settings.packets.ip, METRICS_PORT)
@@ -179,6 +162,26 @@
         self._reports.close()
         log.info("host_stopped", after_s=round(self._clock() - began_at, 3), checks=shutdown.checks)
 
+    def _store_feed(self, rng: random.Random) -> StoreFeed:
+        return StoreFeed(
+            StoreClient(self._settings.store, self._clock),
+            self._catalog,
+            self._clock,
+            rng,
+            self._seeds,
+            self._on_change,
+            self._settings.host,
+        )
+
+    def _page_servers(self) -> list[PageServer]:
+        """Return the servers of the readiness page and, if it is configured, the control port."""
+        servers = [PageServer(self._settings.readiness, self._respond_readiness)]
+        if self._settings.control is not None:
+            servers.append(
+                PageServer(self._settings.control, self._respond_control, MAX_CONNECTIONS)
+            )
+        return servers
+
     def _apply_settings(self, settings: HostSettings) -> None:
         """Apply the settings that may change at run time; the others need a restart."""
         applied = settings._replace(
@@ -317,3 +320,14 @@
     await stop.wait()
     log.info("host_leaving", grace_s=settings.stop_grace_s)
     await process.stop()
+
+
+def _report_exchange(
+    settings: HostSettings, steering: Steering, rng: random.Random
+) -> ReportExchange:
+    return ReportExchange(
+        ReportSource(settings.host, settings.data_centre, steering),
+        Endpoint(settings.packets.ip, settings.internal_ports.start),
+        settings.link_mbps,
+        rng,
+    )
