--- a/banyanline/tests/test_overflow.py
+++ b/banyanline/tests/test_overflow.py
@@ -1,4 +1,4 @@
-"""Flows to other data centres while the own one has too little room."""
+"""Overflow of new flows to other data centres while the own one is overloaded."""
 
 from __future__ import annotations
 
