Say what tests, registers and properties hold

AS_FAST_AS_EVER_S, Model.second and a comment on four requests in flight needed a second reading; two limits of the register of peers had no reason.

--- a/banyanline/core/steering/peer_registry.py
+++ b/banyanline/core/steering/peer_registry.py
@@ -1,4 +1,4 @@
-"""The hosts that have told a seed where they receive reports."""
+"""A seed's register of the hosts of each data centre, and where they receive reports."""
 
 from __future__ import annotations
 
@@ -11,8 +11,10 @@
 """How long a host is named to others after its last request."""
 
 MAX_REGISTRATIONS = 2_000
+"""Limit on the hosts of all data centres, which bounds memory."""
+
 MAX_NAMED_PEERS = 64
-"""Limit on the endpoints in one response; the others are learned from reports."""
+"""Limit on the endpoints in one response; hosts learn the others from reports."""
 
 
 class _Registration(NamedTuple):
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -98,7 +98,7 @@
 
     @property
     def pace(self) -> OpeningPacer:
-        """The pace of openings at upstreams that have started or recovered."""
+        """The pacing of openings to upstreams that have started or recovered."""
         return self._pace
 
     @property
@@ -142,7 +142,7 @@
 
     @property
     def reference_answers(self) -> ReferenceAnswers:
-        """What health checks have shown about this host's own link and processor."""
+        """Recent answers of upstreams, with which health checks exclude a fault of this host."""
         return self._reference_answers
 
     def on_check(self, check: DueCheck, result: CheckResult, now: Seconds) -> None:
--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -145,7 +145,7 @@
 
     @property
     def uses_relays(self) -> bool:
-        """Whether hosts have the time to poll seeds in place of the store."""
+        """Whether the bounds on changes are long enough for hosts to poll seeds, not the store."""
         return self._uses_relays
 
     def set_source(self, store: Endpoint, contact_s: Seconds, change_bound_s: Seconds) -> None:
--- a/banyanline/tests/test_overflow.py
+++ b/banyanline/tests/test_overflow.py
@@ -36,7 +36,7 @@
         self._flow = 0
         self._served: dict[str, dict[str, UpstreamSample]] = {HERE: {}, THERE: {}}
 
-    def second(self, demand: dict[str, float]) -> dict[str, tuple[float, float]]:
+    def simulate_second(self, demand: dict[str, float]) -> dict[str, tuple[float, float]]:
         """Return the share of the capacity that is demanded, and the share of its callers' flows
         that went elsewhere, for each data centre.
 
@@ -100,7 +100,7 @@
 )
 def test_flows_go_where_there_is_room(demand, is_sent):
     model = Model()
-    found = [model.second(demand) for _ in range(12)]
+    found = [model.simulate_second(demand) for _ in range(12)]
     for name, expected in is_sent.items():
         assert (max(each[name][1] for each in found) > 0.0) is expected
     mean = {name: sum(each[name][0] for each in found[-6:]) / 6 for name in is_sent}
@@ -110,7 +110,7 @@
 
 def test_data_centres_without_room_exchange_few_flows():
     model = Model()
-    found = [model.second({HERE: 1.5, THERE: 1.5}) for _ in range(12)]
+    found = [model.simulate_second({HERE: 1.5, THERE: 1.5}) for _ in range(12)]
     for name in (HERE, THERE):
         assert sum(each[name][1] for each in found) / len(found) < 0.15
         assert max(each[name][1] for each in found) <= MAX_OVERFLOW_SHARE + 0.1
@@ -119,6 +119,6 @@
 def test_flows_return_when_there_is_room_again():
     model = Model()
     for _ in range(6):
-        model.second({HERE: 1.3, THERE: 0.4})
-    found = [model.second({HERE: 0.6, THERE: 0.6}) for _ in range(8)]
+        model.simulate_second({HERE: 1.3, THERE: 0.4})
+    found = [model.simulate_second({HERE: 0.6, THERE: 0.6}) for _ in range(8)]
     assert found[-1][HERE][1] == 0.0
--- a/banyanline/tests/test_pace.py
+++ b/banyanline/tests/test_pace.py
@@ -36,7 +36,7 @@
 SEEDS = range(4)
 
 MAX_IN_FLIGHT = 8
-"""With these a request waits for three others, also at a cold upstream of two slots."""
+"""Requests in flight at an upstream of two slots with which each waits for three others."""
 
 
 def upstream_entry(number: int, cold_for_s: float = 0.0) -> UpstreamEntry:
--- a/banyanline/tests/test_steering_check_evidence.py
+++ b/banyanline/tests/test_steering_check_evidence.py
@@ -23,7 +23,7 @@
 UP = [f"orders-{number}" for number in range(1, 11)]
 DOWN = [f"orders-{number}" for number in range(11, 26)]
 ROUND_TRIP_S = 0.003
-AS_FAST_AS_EVER_S = 2 * ATTEMPT_INTERVAL_S + 0.001
+MAX_DETECTION_S = 2 * ATTEMPT_INTERVAL_S + 0.001
 
 
 class Network(NamedTuple):
@@ -109,9 +109,9 @@
 @pytest.mark.parametrize(
     ("network", "within_s"),
     [
-        pytest.param(Network(UP, DOWN[:1]), AS_FAST_AS_EVER_S, id="one"),
-        pytest.param(Network(UP, DOWN), AS_FAST_AS_EVER_S, id="a data centre is cut off"),
-        pytest.param(Network(UP[:1], DOWN), AS_FAST_AS_EVER_S, id="all but one"),
+        pytest.param(Network(UP, DOWN[:1]), MAX_DETECTION_S, id="one"),
+        pytest.param(Network(UP, DOWN), MAX_DETECTION_S, id="a data centre is cut off"),
+        pytest.param(Network(UP[:1], DOWN), MAX_DETECTION_S, id="all but one"),
         pytest.param(Network(UP, refusing=DOWN), 0.02, id="refused"),
         pytest.param(Network(refusing=DOWN[:1]), 0.02, id="the only upstream refuses"),
         pytest.param(Network(UP, DOWN, queue_s=0.1), 0.451, id="slow link"),
