Name the limits from which flows overflow, and document the last bare constants

MAX_WAIT_SHARE and MAX_IN_FLIGHT_PER_SLOT are no maxima: flows overflow from them on. Refusal ratios, the assumed link and a bound of the soak run say what they are.

No behaviour changes; tests of overflow, pace, admission, status, settings and docs pass.

--- a/banyanline/core/steering/admission.py
+++ b/banyanline/core/steering/admission.py
@@ -33,8 +33,10 @@
 """Share of the maximum load from which a service has a shortage of capacity."""
 
 REFUSAL_LOAD_RATIO = 0.6
+"""Share of the maximum load from which new flows are refused."""
+
 TOP_REFUSAL_LOAD_RATIO = 0.8
-"""Shares of the maximum load from which flows are refused: the most important ones later."""
+"""Share of the maximum load from which the most important new flows are refused."""
 
 REFUSAL_LOAD_RANGE = 0.4
 """The refused share of flows grows from 0 to 1 over this increase of the load ratio."""
--- a/banyanline/core/steering/overflow.py
+++ b/banyanline/core/steering/overflow.py
@@ -18,10 +18,10 @@
     from banyanline.core.steering.upstreams import Upstream
     from banyanline.core.types import DataCentreName, Seconds, ServiceName
 
-MAX_WAIT_SHARE = 0.1
+OVERFLOW_WAIT_SHARE = 0.1
 """Share of a route's objective that requests may spend in local queues before flows overflow."""
 
-MAX_IN_FLIGHT_PER_SLOT = 2.0
+OVERFLOW_IN_FLIGHT_PER_SLOT = 2.0
 """Local requests in flight per slot from which flows overflow, whatever the response times."""
 
 REMOTE_RESPONSE_SHARE = 0.2
@@ -198,10 +198,10 @@
 
     An objective of 0 is unknown: then the load alone counts.
     """
-    load_ratio = load.per_slot / MAX_IN_FLIGHT_PER_SLOT
+    load_ratio = load.per_slot / OVERFLOW_IN_FLIGHT_PER_SLOT
     if objective_s <= 0.0:
         return load_ratio
-    return max(load_ratio, load.queue_time_s / (MAX_WAIT_SHARE * objective_s))
+    return max(load_ratio, load.queue_time_s / (OVERFLOW_WAIT_SHARE * objective_s))
 
 
 def _max_remote_response_s(load: DataCentreLoad, objective_s: Seconds) -> Seconds:
--- a/banyanline/core/steering/pace.py
+++ b/banyanline/core/steering/pace.py
@@ -41,7 +41,7 @@
 IN_TURN_COST = -0.25
 """Extra cost of an upstream on this host's turn, in requests in flight.
 
-It is preferred to others with the same load, but not to those with one request less.
+It is preferred to others with the same load.
 """
 
 MAX_WINDOW_PER_SLOT = 2.0
--- a/banyanline/net/steering/status.py
+++ b/banyanline/net/steering/status.py
@@ -44,9 +44,9 @@
     total_in_flight: NotRequired[float]
     total_open_flows: NotRequired[int]
     speed: NotRequired[float]
-    """Relative to its service and data centre, as shown by response times; 1 if unknown."""
+    """Speed relative to the upstreams of the same service and data centre; 1 if unknown."""
     window: NotRequired[float | None]
-    """Openings per round trip from all hosts; None if they are not paced."""
+    """Openings per round trip from all hosts together; None if they are not paced."""
 
 
 class DefectRow(TypedDict):
--- a/banyanline/platform/host_settings.py
+++ b/banyanline/platform/host_settings.py
@@ -16,6 +16,7 @@
 
 DEFAULT_HEARTBEAT_MS = 1200.0
 DEFAULT_LINK_MBPS = 5.0
+"""Assumed capacity of the host's link, in Mbit/s, if the settings don't contain it."""
 
 _MAX_PORT = 65_535
 
--- a/bench/steering/soak.py
+++ b/bench/steering/soak.py
@@ -45,10 +45,12 @@
 """Without faults, a draining upstream gets no new flows this long after its store entry changed."""
 
 PEERS_HEARD_S = 15.0
-"""Time from the recovery until the hosts hear each other; longer than they pause between tries."""
+"""Time limit after the recovery until the hosts hear each other; longer than a retry interval."""
 
 CHANGE_BOUND_MS = 3000
 CHANGE_BOUND_WITH_REPORTS_MS = 5000
+"""Hosts exchange reports from this bound on changes on."""
+
 FAULT_INTERVAL_S = (0.1, 1.2)
 DEREGISTRATION_DELAY_S = 2.0
 
