Mend faults found in reading the decisions under load

- The retry time of a silent peer overflowed after 1,024 attempts, and no report was sent from then on.
The backoff is capped.
- Response times that are reported as 0 divided by zero in each tick.
- With reports, paced upstreams out of turn got nothing however full the others were, and one on this host's turn got the flow however loaded it was.
- The patience of one route decided the refusals of all routes of its service; the state is kept by service and patience.
- Suspect and cold upstreams counted as lost, so that a few retransmissions declared a shortage.
- A small excess of load never overflowed to another data centre.

--- a/banyanline/core/steering/admission.py
+++ b/banyanline/core/steering/admission.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import zlib
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from banyanline.core.steering.demand import importance_of
 
@@ -92,6 +92,13 @@
         self.refused_share: dict[bool, float] = {True: 0.0, False: 0.0}
 
 
+class _StateKey(NamedTuple):
+    """A service, and the patience of the routes for which its capacity is judged."""
+
+    service: ServiceName
+    patience_s: Seconds
+
+
 class Admission:
     """Reserves upstreams and refuses new flows of each service with a shortage."""
 
@@ -99,20 +106,21 @@
         self._rng = rng
         self._overflow = overflow
         self._demand = demand
-        self._states: dict[ServiceName, _ServiceAdmission] = {}
+        self._states: dict[_StateKey, _ServiceAdmission] = {}
 
     def shortages(self, now: Seconds) -> Mapping[ServiceName, int]:
         """Return the number of reserved upstreams of each service with a shortage."""
-        return {
-            service: len(state.reserved)
-            for service, state in self._states.items()
-            if now < state.shortage_until
-        }
+        shortages: dict[ServiceName, int] = {}
+        for key, state in self._states.items():
+            if now < state.shortage_until:
+                reserved = len(state.reserved)
+                shortages[key.service] = max(reserved, shortages.get(key.service, 0))
+        return shortages
 
     def update(self, upstreams: Sequence[Upstream], route: Route, now: Seconds) -> None:
         """Update the state of a service from the load of its available upstreams."""
         service = upstreams[0].entry.service
-        state = self._states.setdefault(service, _ServiceAdmission())
+        state = self._states.setdefault(_state_key(upstreams[0], route), _ServiceAdmission())
         local = self._overflow.local(upstreams)
         is_changed = len(local) != state.upstreams
         interval_s = UPDATE_INTERVAL_AFTER_CHANGE_S if is_changed else UPDATE_INTERVAL_S
@@ -144,7 +152,7 @@
 
         The most important flows use all if the reserved upstreams are fuller than the others.
         """
-        state = self._states.get(upstreams[0].entry.service)
+        state = self._states.get(_state_key(upstreams[0], route))
         if state is None or now >= state.shortage_until or not state.reserved:
             return upstreams
         is_top = _is_top(state, route)
@@ -154,7 +162,7 @@
 
     def admits(self, route: Route, upstream: Upstream, now: Seconds) -> bool:
         """Whether a new flow of the route is admitted to the upstream chosen for it."""
-        state = self._states.get(upstream.entry.service)
+        state = self._states.get(_state_key(upstream, route))
         if state is None or now >= state.shortage_until:
             return True
         return self._rng.random() >= state.refused_share[_is_top(state, route)]
@@ -202,6 +210,10 @@
         return loads[len(loads) // 4]
 
 
+def _state_key(upstream: Upstream, route: Route) -> _StateKey:
+    return _StateKey(upstream.entry.service, route.patience_s)
+
+
 def _is_top(state: _ServiceAdmission, route: Route) -> bool:
     return state.top is None or importance_of(route) <= state.top
 
--- a/banyanline/core/steering/overflow.py
+++ b/banyanline/core/steering/overflow.py
@@ -188,7 +188,8 @@
         elif not (share.is_overloaded and was_overloaded):
             share.adjust(1.0, 0.0, now)
         elif self.remote(upstreams, _max_remote_response_s(load, objective_s)):
-            share.adjust(1.0, MAX_SHARE_INCREASE * min(pressure - 1.0, 1.0), now)
+            increase = MAX_SHARE_INCREASE * min(pressure - 1.0, 1.0)
+            share.adjust(1.0, max(MIN_OVERFLOW_SHARE, increase), now)
         else:
             share.adjust(SHARE_DECREASE_FACTOR, 0.0, now)
 
--- a/banyanline/core/steering/peer_membership.py
+++ b/banyanline/core/steering/peer_membership.py
@@ -27,6 +27,9 @@
 """Time from the first report to a silent host to the second; doubled with each further one."""
 
 MAX_RETRY_S = 10.0
+MAX_BACKOFF_DOUBLINGS = 10
+"""More would not make the time between attempts longer."""
+
 """Largest time between reports to a silent host."""
 
 PEER_LIFETIME_S = 600.0
@@ -117,7 +120,7 @@
         if now < peer.next_attempt_at:
             return False
         retry_s = min(MAX_RETRY_S, INITIAL_RETRY_S * 2.0**peer.attempts)
-        peer.attempts += 1
+        peer.attempts = min(peer.attempts + 1, MAX_BACKOFF_DOUBLINGS)
         peer.next_attempt_at = now + retry_s * self._rng.uniform(0.75, 1.0)
         return True
 
--- a/banyanline/core/steering/peer_placement.py
+++ b/banyanline/core/steering/peer_placement.py
@@ -130,15 +130,41 @@
         untried = [upstream for upstream in upstreams if upstream not in tried]
         available = _most_available(untried or upstreams, now, paced)
         if not tried:
-            self._admission.update(available, route, now)
+            self._admission.update(_without_failed_check(upstreams) or available, route, now)
         candidates = self._overflow.select(available, route.objective_s, now)
         candidates = self._admission.select(candidates, route, now)
-        candidates = _with_lowest_cost(candidates, paced)
+        candidates = self._in_turn(candidates, paced, now)
         if len(candidates) == 1:
             return candidates[0]
         shares = self._shares(candidates, median_response_s, now)
         return candidates[self._draw(candidates[0].entry.service, shares)]
 
+    def _in_turn(
+        self, upstreams: Sequence[Upstream], paced: Mapping[Upstream, float], now: Seconds
+    ) -> Sequence[Upstream]:
+        """Return the upstreams to draw from, when the openings to some are paced.
+
+        A paced upstream is left out if its load and its cost exceed the load of another. On
+        this host's turn it is preferred, unless another has less load.
+        """
+        if not any(paced.get(upstream) for upstream in upstreams):
+            return upstreams
+        loads = {each: self._in_flight_per_slot(each, now) for each in upstreams}
+        lowest = min((loads[each] for each in upstreams if each not in paced), default=None)
+        if lowest is None:
+            return upstreams
+        preferred = [
+            each for each in upstreams if paced.get(each, 0.0) < 0.0 and loads[each] <= lowest
+        ]
+        return preferred or [
+            each
+            for each in upstreams
+            if paced.get(each, 0.0) <= 0.0 or loads[each] + paced[each] <= lowest
+        ]
+
+    def _in_flight_per_slot(self, upstream: Upstream, now: Seconds) -> float:
+        return total_in_flight(upstream, self._peers, now) / upstream.entry.slots
+
     def _weigh(self, upstreams: UpstreamTable, now: Seconds) -> dict[UpstreamName, float]:
         """Return the weight of each upstream: its capacity times a factor for its load.
 
@@ -223,11 +249,6 @@
     return [each for each, rank in zip(upstreams, ranks, strict=True) if rank == best]
 
 
-def _with_lowest_cost(
-    upstreams: Sequence[Upstream], paced: Mapping[Upstream, float]
-) -> Sequence[Upstream]:
-    """Return the upstreams with the lowest extra cost of pacing."""
-    if not paced:
-        return upstreams
-    lowest = min(paced.get(upstream, 0.0) for upstream in upstreams)
-    return [each for each in upstreams if paced.get(each, 0.0) == lowest]
+def _without_failed_check(upstreams: Sequence[Upstream]) -> list[Upstream]:
+    """Return the upstreams that may have capacity: suspect and cold ones answer requests too."""
+    return [each for each in upstreams if not each.failure_detector.has_failed_check]
--- a/banyanline/core/steering/peer_responses.py
+++ b/banyanline/core/steering/peer_responses.py
@@ -134,7 +134,7 @@
     median_s = median(each.mean_s for each in group.values())
     for name, known in group.items():
         credited = known.plus(PRIOR_RESPONSES, PRIOR_RESPONSES * median_s)
-        is_plausible = median_s <= MAX_PLAUSIBLE_SPEED * known.mean_s
+        is_plausible = 0.0 < median_s <= MAX_PLAUSIBLE_SPEED * known.mean_s
         speed = median_s / credited.mean_s if is_plausible else 1.0
         yield name, min(max(speed, MIN_SPEED), MAX_SPEED)
 
--- a/banyanline/tests/test_admission.py
+++ b/banyanline/tests/test_admission.py
@@ -302,3 +302,34 @@
 def test_copies_of_an_opening_packet_are_never_refused():
     host = loaded_host(4.9)
     assert {type(host.send(opening(flow, copy=1))) for flow in range(4000, 4100)} == {Forward}
+
+
+def test_the_patience_of_one_route_does_not_refuse_the_flows_of_another():
+    host = Host(*(entry(f"orders-{number}") for number in range(8)))
+    patient = route(ORDERS, ("orders",))._replace(patience_s=5.0, objective_s=0.3)
+    hasty = route(SHEETS, ("orders",))._replace(patience_s=0.05, objective_s=0.3)
+    host.configure(table(2, [patient, hasty]))
+    samples = [UpstreamSample(f"orders-{number}", 4.0, 4, 40, 0.09) for number in range(8)]
+    host.steering.peers.put(report(*samples), host.now)
+    host.wait(1.0)
+    for flow in range(40):
+        host.now += 0.1
+        host.send(opening(flow, to=SHEETS))
+    before = host.steering.counters.resets[ResetReason.NO_ROOM]
+    for flow in range(100, 140):
+        host.place(flow)
+    assert before > 0
+    assert host.steering.counters.resets[ResetReason.NO_ROOM] == before
+
+
+def test_suspect_upstreams_are_no_shortage():
+    host = Host(*(entry(f"orders-{number}") for number in range(10)))
+    host.configure(table(2, ROUTES))
+    samples = [UpstreamSample(f"orders-{number}", 3.8, 4, 40, 0.04) for number in range(10)]
+    host.steering.peers.put(report(*samples), host.now)
+    host.wait(1.0)
+    for number in range(3):
+        detector = host.upstream(f"orders-{number}").failure_detector
+        detector.on_retransmission("flow", host.now, host.now, is_open=True)
+    host.place(1)
+    assert host.steering.peer_placement.admission.shortages(host.now) == {}
--- a/banyanline/tests/test_overflow.py
+++ b/banyanline/tests/test_overflow.py
@@ -7,8 +7,8 @@
 from banyanline.core.steering.outcomes import Forward, Reset
 from banyanline.core.steering.overflow import MAX_OVERFLOW_SHARE
 from banyanline.core.steering.peer_reports import UpstreamSample
-from banyanline.tests.reports import Fleet
-from banyanline.tests.steering import HERE, THERE, entry, opening
+from banyanline.tests.reports import Fleet, report
+from banyanline.tests.steering import HERE, THERE, Host, entry, opening
 
 HOSTS = 4
 UPSTREAMS = 8
@@ -122,3 +122,16 @@
         model.simulate_second({HERE: 1.3, THERE: 0.4})
     found = [model.simulate_second({HERE: 0.6, THERE: 0.6}) for _ in range(8)]
     assert found[-1][HERE][1] == 0.0
+
+
+def test_a_small_excess_overflows_after_some_time():
+    host = Host(entry("orders-1"), entry("orders-2", data_centre=THERE))
+    for second in range(10):
+        samples = (
+            UpstreamSample("orders-1", 4.4, 4, 50, 0.02),
+            UpstreamSample("orders-2", 0.1, 1, 5, 0.01),
+        )
+        host.steering.peers.put(report(*samples, sequence=second + 1), host.now)
+        host.wait(1.0)
+        names = {host.open(100 * second + flow) for flow in range(50)}
+    assert names == {"orders-1", "orders-2"}
--- a/banyanline/tests/test_peer_placement.py
+++ b/banyanline/tests/test_peer_placement.py
@@ -94,17 +94,20 @@
 
 
 @pytest.mark.parametrize(
-    ("cost", "expected"),
+    ("cost", "in_flight", "expected"),
     [
-        pytest.param(None, 0.0, id="cold and not paced"),
-        pytest.param(OUT_OF_TURN_COST, 0.0, id="out of turn"),
-        pytest.param(0.0, 0.5, id="carries its part"),
-        pytest.param(IN_TURN_COST, 1.0, id="on this host's turn"),
+        pytest.param(None, (0.0, 0.0), 0.0, id="cold and not paced"),
+        pytest.param(OUT_OF_TURN_COST, (8.0, 0.0), 0.0, id="out of turn"),
+        pytest.param(OUT_OF_TURN_COST, (40.0, 0.0), 0.5, id="out of turn, the other overloaded"),
+        pytest.param(0.0, (0.0, 0.0), 0.5, id="carries its part"),
+        pytest.param(IN_TURN_COST, (0.0, 0.0), 1.0, id="on this host's turn"),
+        pytest.param(IN_TURN_COST, (0.0, 8.0), 0.5, id="on this host's turn, with more load"),
     ],
 )
-def test_a_cold_upstream_gets_flows_at_its_pace(cost, expected):
+def test_a_cold_upstream_gets_flows_at_its_pace(cost, in_flight, expected):
     host = Host(entry("orders-1"), entry("orders-2", cold_for_s=60.0))
-    host.steering.peers.put(report(), host.now)
+    samples = [UpstreamSample(f"orders-{number}", load) for number, load in enumerate(in_flight, 1)]
+    host.steering.peers.put(report(*samples), host.now)
     usable = host.catalog.usable("orders")
     paced = {} if cost is None else {host.upstream("orders-2"): cost}
     placement = host.steering.peer_placement
--- a/banyanline/tests/test_peer_responses.py
+++ b/banyanline/tests/test_peer_responses.py
@@ -123,3 +123,12 @@
     host.steering.peers.put(report(*samples), host.now)
     host.wait(1.0)
     assert host.steering.peer_placement.responses.speed("orders-1") == 1.0
+
+
+def test_response_times_of_zero_leave_the_speed_unknown():
+    """Times below the resolution of reports are received as 0."""
+    host = Host(entry("orders-1"), entry("orders-2"))
+    samples = [UpstreamSample(f"orders-{number}", 1.0, 1, 50, 0.0) for number in (1, 2)]
+    host.steering.peers.put(report(*samples), host.now)
+    host.wait(1.0)
+    assert host.steering.peer_placement.responses.speed("orders-1") == 1.0
--- a/banyanline/tests/test_steering_host_reports.py
+++ b/banyanline/tests/test_steering_host_reports.py
@@ -261,3 +261,13 @@
     assert registry.endpoints("north", 30.0) == [OTHER]
     assert registry.endpoints("north", REGISTRATION_LIFETIME_S) == []
     assert registry.endpoints("south", REGISTRATION_LIFETIME_S) == [OWN]
+
+
+def test_a_peer_that_never_answers_is_tried_for_hours():
+    """One direction of a link fails, while others keep naming the peer."""
+    membership = PeerMembership(OWN, random.Random(1))
+    attempts = 0
+    for now in range(0, 12 * 3600, 5):
+        membership.learn([OTHER], float(now))
+        attempts += membership.due(float(now)) == [OTHER]
+    assert attempts > 1_100
