--- a/banyanline/core/steering/report.py
+++ b/banyanline/core/steering/report.py
@@ -59,7 +59,11 @@
 def report_flow(
     steering: Steering, flow_id: FlowId, address: ServiceAddress, now: Seconds
 ) -> FlowReport:
-    """Return the state of a flow, without changing it."""
+    """Return the state of a flow, without changing it.
+
+    The choice for a new flow may begin a window of a paced upstream, or draw from the random
+    source, as a choice for an opening packet does.
+    """
     flow = steering.flows.get(flow_id)
     route = steering.catalog.route(address)
     seen_age_s = None if flow is None else round(now - flow.seen_at, 3)
--- a/banyanline/core/steering/report_budget.py
+++ b/banyanline/core/steering/report_budget.py
@@ -11,7 +11,10 @@
 """Time between reports with few hosts; more often, a report would contain little news."""
 
 MAX_INTERVAL_S = 2.0
-"""Half of a report's lifetime, so that one report may be lost."""
+"""Half of a report's lifetime.
+
+With its jitter, a lost report may still let the host expire for a moment.
+"""
 
 MAX_REPORT_BYTES = 1_200
 """Size of a datagram that needs no IP fragmentation."""
