Fail over when most hosts of a data centre are silent

Cause: when fewer than half of a data centre's hosts are in rotation, routers send to all of them again, so half of the packets and more are lost for as long as the others are paused or down, while other data centres have idle hosts.

A host that hears fewer than half of its data centre, and an available one elsewhere, is not ready, so that routers send the callers there. Hosts that read the store themselves now exchange reports too, as the heartbeats use the same socket and the same discovery.

--- a/banyanline/core/steering/peer_membership.py
+++ b/banyanline/core/steering/peer_membership.py
@@ -105,13 +105,13 @@
         self._forget_old(now)
         return [endpoint for endpoint, peer in self._peers.items() if self._is_due(peer, now)]
 
+    def heard_within(self, age_s: Seconds, now: Seconds) -> list[Endpoint]:
+        """Return the endpoints that were heard in the last ``age_s``."""
+        return [endpoint for endpoint, peer in self._peers.items() if now - peer.heard_at < age_s]
+
     def recent(self, now: Seconds) -> list[Endpoint]:
         """Return a few random endpoints that were heard recently, to name them to others."""
-        recent = [
-            endpoint
-            for endpoint, peer in self._peers.items()
-            if now - peer.heard_at < RECENTLY_HEARD_S
-        ]
+        recent = self.heard_within(RECENTLY_HEARD_S, now)
         return self._rng.sample(recent, min(MAX_SHARED_PEERS, len(recent)))
 
     def _is_due(self, peer: _Peer, now: Seconds) -> bool:
--- a/banyanline/core/steering/peer_registry.py
+++ b/banyanline/core/steering/peer_registry.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from banyanline.core.types import DataCentreName, Endpoint, Seconds
 
 REGISTRATION_LIFETIME_S = 60.0
@@ -16,6 +19,9 @@
 MAX_NAMED_PEERS = 64
 """Limit on the endpoints in one response; hosts learn the others from reports."""
 
+MAX_NAMED_REMOTE_HOSTS = 16
+"""The same for hosts of other data centres, of which a sample is enough."""
+
 
 class _Registration(NamedTuple):
     data_centre: DataCentreName
@@ -37,11 +43,17 @@
 
     def endpoints(self, data_centre: DataCentreName, now: Seconds) -> list[Endpoint]:
         """Return where hosts of a data centre receive reports, the latest first."""
-        endpoints: list[Endpoint] = []
+        found = (each for each, where in self._recent(now) if where == data_centre)
+        return list(itertools.islice(found, MAX_NAMED_PEERS))
+
+    def remote_endpoints(self, data_centre: DataCentreName, now: Seconds) -> list[Endpoint]:
+        """Return where a few hosts of other data centres receive reports, the latest first."""
+        found = (each for each, where in self._recent(now) if where != data_centre)
+        return list(itertools.islice(found, MAX_NAMED_REMOTE_HOSTS))
+
+    def _recent(self, now: Seconds) -> Iterator[tuple[Endpoint, DataCentreName]]:
+        """Return the hosts with a recent request, the latest first."""
         for endpoint, registration in reversed(self._registrations.items()):
-            is_old = now - registration.registered_at >= REGISTRATION_LIFETIME_S
-            if is_old or len(endpoints) == MAX_NAMED_PEERS:
-                break
-            if registration.data_centre == data_centre:
-                endpoints.append(endpoint)
-        return endpoints
+            if now - registration.registered_at >= REGISTRATION_LIFETIME_S:
+                return
+            yield endpoint, registration.data_centre
--- a/banyanline/core/steering/steering.py
+++ b/banyanline/core/steering/steering.py
@@ -13,8 +13,10 @@
 from banyanline.core.steering.check_schedule import CheckScheduler
 from banyanline.core.steering.cold_limit import ColdLimiter
 from banyanline.core.steering.counters import SteeringCounters
+from banyanline.core.steering.failover import Failover
 from banyanline.core.steering.failure_detection import is_gone
 from banyanline.core.steering.flows import FlowTable
+from banyanline.core.steering.host_liveness import HostLiveness
 from banyanline.core.steering.outcomes import (
     HOLD,
     Drop,
@@ -72,6 +74,8 @@
         self._flows = FlowTable(self._counters)
         self._check_scheduler = CheckScheduler(catalog)
         self._readiness = Readiness(catalog, self._peers, data_centre)
+        self._liveness = HostLiveness(data_centre)
+        self._failover = Failover(self._liveness)
         self._reference_answers = ReferenceAnswers(catalog.upstreams)
         self._cold_limiter = ColdLimiter(catalog, self._peers, rng)
         self._pace = OpeningPacer(catalog, data_centre, self._peers, rng, self._counters)
@@ -86,11 +90,26 @@
         """The reports of the other hosts in this data centre."""
         return self._peers
 
+    @property
+    def liveness(self) -> HostLiveness:
+        """The hosts that send heartbeats to this one."""
+        return self._liveness
+
+    @property
+    def failover(self) -> Failover:
+        """Whether callers should go to other data centres because hosts here are silent."""
+        return self._failover
+
     @property
     def readiness(self) -> Readiness:
-        """Whether this host should take new callers."""
+        """Whether the services are in reach of this host's data centre."""
         return self._readiness
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether this host should take new callers."""
+        return self._readiness.is_ready and not self._failover.is_active
+
     @property
     def peer_placement(self) -> PeerPlacement:
         """The placement of flows by the reports of the other hosts."""
@@ -168,6 +187,7 @@
         self._pace.on_tick(now)
         self._peer_placement.on_tick(self._catalog.upstreams, now)
         self._update_readiness(now)
+        self._failover.update(now)
 
     def _update_readiness(self, now: Seconds) -> None:
         for upstream in self._readiness.update(now):
--- a/banyanline/net/steering/change_log.py
+++ b/banyanline/net/steering/change_log.py
@@ -23,7 +23,7 @@
     from banyanline.core.steering.admission import Admission
     from banyanline.core.steering.catalog import Catalog
     from banyanline.core.steering.opening_window import PaceChange
-    from banyanline.core.steering.readiness import Readiness
+    from banyanline.core.steering.steering import Steering
     from banyanline.core.types import Seconds, ServiceName, UpstreamName
 
 UNHEALTHY = (UpstreamAvailability.SUSPECT, UpstreamAvailability.LOST)
@@ -129,19 +129,33 @@
 
 
 class ReadinessLog:
-    """Logs when this host stops being ready as services are out of reach, and when it is again."""
+    """Logs why this host stops being ready, with what it has heard, and when it is ready again."""
 
-    def __init__(self, readiness: Readiness) -> None:
-        self._readiness = readiness
+    def __init__(self, steering: Steering) -> None:
+        self._steering = steering
         self._cut_off: frozenset[ServiceName] = frozenset()
+        self._has_failed_over = False
 
-    def update(self) -> None:
+    def update(self, now: Seconds) -> None:
         """Log the change since the last call, if there is one."""
-        cut_off = self._readiness.cut_off
-        if cut_off == self._cut_off:
+        cut_off = self._steering.readiness.cut_off
+        has_failed_over = self._steering.failover.is_active
+        if (cut_off, has_failed_over) == (self._cut_off, self._has_failed_over):
             return
         self._cut_off = cut_off
-        log.warning("readiness_changed", ready=not cut_off, out_of_reach=",".join(sorted(cut_off)))
+        self._has_failed_over = has_failed_over
+        liveness = self._steering.liveness
+        count = liveness.count(now)
+        silent = liveness.silent(now)
+        log.warning(
+            "readiness_changed",
+            ready=self._steering.is_ready,
+            out_of_reach=",".join(sorted(cut_off)),
+            failed_over=has_failed_over,
+            hosts=count.known,
+            alive=count.alive,
+            silent=",".join(f"{host}:{age_s:.1f}" for host, age_s in sorted(silent.items())),
+        )
 
 
 class ShortageLog:
--- a/banyanline/net/steering/metrics.py
+++ b/banyanline/net/steering/metrics.py
@@ -131,8 +131,9 @@
             "services_out_of_reach",
             "Services of which this host reaches no upstream although there are some elsewhere.",
         )
-        self._ready = _gauge(
-            registry, "ready", "1 unless this host's data centre is cut off from a service, then 0."
+        self._ready = _gauge(registry, "ready", "1 if this host should take new callers, else 0.")
+        self._hosts = _gauge(
+            registry, "hosts", "Hosts of this data centre by state, as this host hears them."
         )
         self._flows = _gauge(registry, "flows", "Flows that this host tracks.")
         self._upstreams = _gauge(registry, "upstreams", "Upstreams by service and state.")
@@ -147,7 +148,10 @@
         catalog = steering.catalog
         self._version.set({}, catalog.version)
         self._out_of_reach.set({}, len(steering.readiness.out_of_reach))
-        self._ready.set({}, int(steering.readiness.is_ready))
+        self._ready.set({}, int(steering.is_ready))
+        hosts = steering.liveness.count(now)
+        self._hosts.set({"state": "alive"}, hosts.alive)
+        self._hosts.set({"state": "silent"}, hosts.known - hosts.alive)
         self._flows.set({}, len(steering.flows))
         states: Counter[tuple[str, UpstreamAvailability]] = Counter()
         for upstream in catalog.upstreams:
--- a/banyanline/net/steering/peer_discovery.py
+++ b/banyanline/net/steering/peer_discovery.py
@@ -24,9 +24,10 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from banyanline.core.types import DataCentreName, Seconds
+    from banyanline.net.steering.heartbeat_exchange import HeartbeatExchange
     from banyanline.net.steering.report_exchange import ReportExchange
     from banyanline.net.steering.seeds import Seeds
 
@@ -49,10 +50,14 @@
 
 
 class PeersQuery(NamedTuple):
-    """A request for the hosts of a data centre, from the host that listens at ``endpoint``."""
+    """A request for the hosts of a data centre, from the host that listens at ``endpoint``.
+
+    With ``is_remote`` it is for hosts of the other data centres.
+    """
 
     data_centre: DataCentreName
     endpoint: Endpoint
+    is_remote: bool = False
 
 
 def parse_peers_query(target: str) -> PeersQuery | PageResponse:
@@ -69,7 +74,7 @@
         return PageResponse(400, f"{error}\n".encode())
     if not 0 < len(data_centre) <= MAX_NAME_CHARACTERS:
         return PageResponse(400, b"data_centre is missing or too long\n")
-    return PeersQuery(data_centre, endpoint)
+    return PeersQuery(data_centre, endpoint, fields.get("remote") == "1")
 
 
 class PeerDiscovery:
@@ -80,12 +85,14 @@
         data_centre: DataCentreName,
         seeds: Seeds,
         reports: ReportExchange,
+        heartbeats: HeartbeatExchange,
         clock: Callable[[], Seconds],
         rng: random.Random,
     ) -> None:
         self._data_centre = data_centre
         self._seeds = seeds
         self._reports = reports
+        self._heartbeats = heartbeats
         self._clock = clock
         self._rng = rng
         self._registry = PeerRegistry()
@@ -96,7 +103,7 @@
         interval_s = INITIAL_INTERVAL_S
         while True:
             await self._reports.wait_until_open()
-            await self._request_peers()
+            await self._request_hosts()
             await asyncio.sleep(interval_s * self._rng.uniform(0.8, 1.2))
             has_peers = bool(self._reports.hosts)
             interval_s = min(MAX_INTERVAL_S, 2.0 * interval_s) if has_peers else INITIAL_INTERVAL_S
@@ -107,24 +114,45 @@
         if isinstance(query, PageResponse):
             return query
         now = self._clock()
+        find = self._remote_endpoints if query.is_remote else self._local_endpoints
+        endpoints = find(query, now)
+        self._registry.register(query.endpoint, query.data_centre, now)
+        return PageResponse(_HTTP_OK, encode_endpoints(endpoints), _CONTENT_TYPE)
+
+    def _local_endpoints(self, query: PeersQuery, now: Seconds) -> list[Endpoint]:
+        """Return hosts of the requesting host's data centre."""
         endpoints = self._registry.endpoints(query.data_centre, now)
         if query.data_centre == self._data_centre and self._reports.endpoint is not None:
             endpoints += [self._reports.endpoint, *self._reports.recent_peers()]
             self._reports.learn([query.endpoint])
-        self._registry.register(query.endpoint, query.data_centre, now)
-        return PageResponse(_HTTP_OK, encode_endpoints(endpoints), _CONTENT_TYPE)
+        return endpoints
+
+    def _remote_endpoints(self, query: PeersQuery, now: Seconds) -> list[Endpoint]:
+        """Return a few hosts of other data centres than the requesting host's."""
+        endpoints = self._registry.remote_endpoints(query.data_centre, now)
+        if query.data_centre != self._data_centre and self._reports.endpoint is not None:
+            endpoints.append(self._reports.endpoint)
+        return endpoints
 
-    async def _request_peers(self) -> None:
+    async def _request_hosts(self) -> None:
         """Request hosts from a random seed; hosts of one seed alone would form their own group."""
         seed, endpoint = self._seeds.choose(), self._reports.endpoint
         if seed is None or endpoint is None:
             return
         fields = {"data_centre": self._data_centre, "endpoint": str(endpoint)}
-        result = await http_get(
-            seed,
-            f"{PEERS_PATH}?{urlencode(fields)}",
-            timeout_s=RESPONSE_TIMEOUT_S,
-            max_body_bytes=MAX_ENDPOINTS * ENDPOINT_BYTES,
-        )
-        if not isinstance(result, HttpFailed) and result.status == _HTTP_OK:
-            self._reports.learn(decode_endpoints(result.body))
+        self._reports.learn(await _request(seed, fields))
+        remote = await _request(seed, {**fields, "remote": "1"})
+        self._heartbeats.learn_remote(remote, self._clock())
+
+
+async def _request(seed: Endpoint, fields: Mapping[str, str]) -> tuple[Endpoint, ...]:
+    """Return the hosts that a seed names, none if it doesn't respond."""
+    result = await http_get(
+        seed,
+        f"{PEERS_PATH}?{urlencode(fields)}",
+        timeout_s=RESPONSE_TIMEOUT_S,
+        max_body_bytes=MAX_ENDPOINTS * ENDPOINT_BYTES,
+    )
+    if isinstance(result, HttpFailed) or result.status != _HTTP_OK:
+        return ()
+    return decode_endpoints(result.body)
--- a/banyanline/net/steering/process.py
+++ b/banyanline/net/steering/process.py
@@ -12,6 +12,7 @@
 
 from banyanline.core.steering.catalog import Catalog
 from banyanline.core.steering.graceful_shutdown import GracefulShutdown
+from banyanline.core.steering.host_liveness import HostState
 from banyanline.core.steering.steering import Steering
 from banyanline.core.types import Endpoint
 from banyanline.net.logs import log_loop_error
@@ -24,6 +25,7 @@
     log_pace,
 )
 from banyanline.net.steering.feed import StoreFeed
+from banyanline.net.steering.heartbeat_exchange import HeartbeatExchange
 from banyanline.net.steering.packet_path import PacketPath
 from banyanline.net.steering.peer_discovery import PEERS_PATH, PeerDiscovery
 from banyanline.net.steering.peers import PeerReader
@@ -72,9 +74,17 @@
         self._seeds = Seeds(settings.control, rng, settings.data_centre)
         # Reports have their own generator, so that placement draws the same numbers without them.
         reports_rng = random.Random()
-        self._reports = _report_exchange(settings, self._steering, reports_rng)
+        self._heartbeats = HeartbeatExchange(
+            settings.data_centre, self._steering, self._host_state, reports_rng
+        )
+        self._reports = _report_exchange(settings, self._steering, reports_rng, self._heartbeats)
         self._discovery = PeerDiscovery(
-            settings.data_centre, self._seeds, self._reports, self._clock, reports_rng
+            settings.data_centre,
+            self._seeds,
+            self._reports,
+            self._heartbeats,
+            self._clock,
+            reports_rng,
         )
         self._feed = self._store_feed(rng)
         self._peers = PeerReader(
@@ -90,7 +100,7 @@
         )
         self._set_sources(settings)
         self._availability_log = UpstreamAvailabilityLog(self._catalog)
-        self._readiness_log = ReadinessLog(self._steering.readiness)
+        self._readiness_log = ReadinessLog(self._steering)
         self._shortage_log = ShortageLog(self._steering.peer_placement.admission)
         self._shutdown: GracefulShutdown | None = None
         self._servers = self._page_servers()
@@ -103,11 +113,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether routers should send packets here."""
-        return (
-            self._catalog.is_configured
-            and self._shutdown is None
-            and self._steering.readiness.is_ready
-        )
+        return self._catalog.is_configured and self._shutdown is None and self._steering.is_ready
 
     async def start(self) -> None:
         """Start the background tasks and HTTP servers; raises OSError if an address is in use."""
@@ -208,7 +214,7 @@
             self._reports.on_tick(now)
             self._update_host_count()
             self._availability_log.update(now)
-            self._readiness_log.update()
+            self._readiness_log.update(now)
             self._shortage_log.update(now)
             for change in self._steering.pace.take_changes():
                 log_pace(change)
@@ -223,7 +229,7 @@
     def _respond_readiness(self, target: str, _accepts: Sequence[str]) -> PageResponse:
         if target != READY_TARGET:
             return PageResponse(404, b"no such page\n")
-        self._readiness_log.update()
+        self._readiness_log.update(self._clock())
         if self.is_ready:
             return PageResponse(200, b"ready\n")
         if self._shutdown is not None:
@@ -257,7 +263,16 @@
             return "leaving"
         if not self._catalog.is_configured:
             return "not configured"
-        return "ready" if self._steering.readiness.is_ready else "cut off"
+        if not self._steering.readiness.is_ready:
+            return "cut off"
+        return "failed over" if self._steering.failover.is_active else "ready"
+
+    def _host_state(self) -> HostState:
+        """Return what this host says of itself in heartbeats."""
+        if self._shutdown is not None:
+            return HostState.LEAVING
+        is_able = self._catalog.is_configured and self._steering.readiness.is_ready
+        return HostState.AVAILABLE if is_able else HostState.UNAVAILABLE
 
     def _explain(self, caller: Endpoint, service: str) -> FlowExplanation | None:
         from banyanline.net.steering.status import explain_flow
@@ -292,7 +307,7 @@
         self._seeds.set(settings.seeds)
         self._feed.set_source(settings.store, settings.contact_s, settings.change_bound_s)
         self._reports.set_link(settings.link_mbps)
-        if self._feed.uses_relays and settings.internal_ports:
+        if settings.internal_ports:
             self._reports.open()
         else:
             self._reports.close()
@@ -323,11 +338,15 @@
 
 
 def _report_exchange(
-    settings: HostSettings, steering: Steering, rng: random.Random
+    settings: HostSettings,
+    steering: Steering,
+    rng: random.Random,
+    heartbeats: HeartbeatExchange,
 ) -> ReportExchange:
     return ReportExchange(
         ReportSource(settings.host, settings.data_centre, steering),
         Endpoint(settings.packets.ip, settings.internal_ports.start),
         settings.link_mbps,
         rng,
+        heartbeats,
     )
--- a/banyanline/net/steering/report_exchange.py
+++ b/banyanline/net/steering/report_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 import socket
 from collections import Counter
@@ -11,6 +12,7 @@
 
 import structlog
 
+from banyanline.core.steering.host_liveness import COUNTED_S
 from banyanline.core.steering.peer_membership import MAX_SHARED_PEERS, PeerMembership
 from banyanline.core.steering.report_budget import MAX_REPORT_BYTES, report_budget
 from banyanline.core.steering.report_composer import HostIdentity, ReportComposer
@@ -24,6 +26,7 @@
 
     from banyanline.core.steering.steering import Steering
     from banyanline.core.types import DataCentreName, HostName, Seconds, ServiceName
+    from banyanline.net.steering.heartbeat_exchange import HeartbeatExchange
     from banyanline.transport.datagram import SocketAddress
 
 START_BITS = 32
@@ -89,12 +92,18 @@
     """
 
     def __init__(
-        self, source: ReportSource, endpoint: Endpoint, link_mbps: float, rng: random.Random
+        self,
+        source: ReportSource,
+        endpoint: Endpoint,
+        link_mbps: float,
+        rng: random.Random,
+        heartbeats: HeartbeatExchange,
     ) -> None:
         self._source = source
         self._endpoint = endpoint
         self._link_mbps = link_mbps
         self._rng = rng
+        self._heartbeats = heartbeats
         self._membership = PeerMembership(endpoint, rng)
         identity = HostIdentity(source.host, source.data_centre, rng.getrandbits(START_BITS))
         self._composer = ReportComposer(source.steering, identity, self._is_out_of_reach)
@@ -176,7 +185,15 @@
                 self._poll(self._socket, self._loop.time())
 
     def _poll(self, sock: socket.socket, now: Seconds) -> None:
+        steering = self._source.steering
+        steering.liveness.update(now)
         self._read_datagrams(sock)
+        steering.failover.update(now)
+        hosts = self._membership.heard_within(COUNTED_S, now)
+        self._heartbeats.send(hosts, functools.partial(_send, sock), now)
+        self._send_reports(sock, now)
+
+    def _send_reports(self, sock: socket.socket, now: Seconds) -> None:
         out_of_reach = self._source.steering.readiness.out_of_reach
         has_changed = out_of_reach != self._reported_out_of_reach
         self._reported_out_of_reach = out_of_reach
@@ -186,7 +203,7 @@
             # Send to all hosts now: readiness depends on the findings of a majority.
             self._batch_size = len(self._pending)
         for _ in range(min(self._batch_size, len(self._pending))):
-            self._send(sock, self._pending.pop())
+            self._send_report(sock, self._pending.pop())
 
     def _begin_report(self, now: Seconds) -> None:
         """Compose the next report and choose its destinations."""
@@ -208,14 +225,10 @@
         report = self._composer.compose(now, max_bytes - envelope, self._codec.size)
         return self._codec.encode(report, self._membership.recent(now))
 
-    def _send(self, sock: socket.socket, destination: Endpoint) -> None:
-        """Send the report once, without waiting; one that cannot be sent counts as lost."""
-        try:
-            sock.sendto(self._report, destination)
-        except OSError:
-            return
-        self._counts.sent += 1
-        self._counts.sent_bytes += len(self._report)
+    def _send_report(self, sock: socket.socket, destination: Endpoint) -> None:
+        if _send(sock, self._report, destination):
+            self._counts.sent += 1
+            self._counts.sent_bytes += len(self._report)
 
     def _read_datagrams(self, sock: socket.socket) -> None:
         for _ in range(MAX_READS_PER_POLL):
@@ -226,6 +239,8 @@
             self._on_datagram(data, address)
 
     def _on_datagram(self, data: bytes, address: SocketAddress) -> None:
+        if self._heartbeats.receive(data, Endpoint(*address), self._loop.time()):
+            return
         self._counts.received += 1
         self._counts.received_bytes += len(data)
         rejected = self._receive(data, Endpoint(*address))
@@ -268,3 +283,12 @@
             rejected=self._rejected_since_log.total(),
         )
         self._rejected_since_log.clear()
+
+
+def _send(sock: socket.socket, data: bytes, destination: Endpoint) -> bool:
+    """Send a datagram once, without waiting; return False if it cannot be sent."""
+    try:
+        sock.sendto(data, destination)
+    except OSError:
+        return False
+    return True
