--- a/banyanline/core/steering/peer_placement.py
+++ b/banyanline/core/steering/peer_placement.py
@@ -4,6 +4,9 @@
 other hosts. Reports are up to two seconds old and the same at all hosts: if each host chose
 the upstream with the lowest load, all flows would go there until the next reports. Instead,
 each upstream gets a share of the flows, which is larger if its load is below the mean.
+
+A host among few sends a large part of the load itself. It knows that part at once, and decides
+by it alone (``placement.py``).
 """
 
 from __future__ import annotations
@@ -32,6 +35,9 @@
     from banyanline.core.steering.upstreams import Upstream, UpstreamTable
     from banyanline.core.types import DataCentreName, Seconds, ServiceName, UpstreamName
 
+MIN_PEERS = 5
+"""Number of other hosts from which their reports say more than this host's own part."""
+
 LOAD_GAIN = 1.0
 """Relative change of an upstream's share for a relative distance of its load from the mean."""
 
@@ -78,8 +84,8 @@
 
     @property
     def is_active(self) -> bool:
-        """Whether there are reports of other hosts."""
-        return bool(self._peers.hosts)
+        """Whether there are reports of enough other hosts."""
+        return len(self._peers.hosts) >= MIN_PEERS
 
     @property
     def responses(self) -> PeerResponses:
--- a/banyanline/tests/reports.py
+++ b/banyanline/tests/reports.py
@@ -5,6 +5,7 @@
 import random
 
 from banyanline.core.steering.model import UpstreamEntry
+from banyanline.core.steering.peer_placement import MIN_PEERS
 from banyanline.core.steering.peer_reports import HostReport, UpstreamSample
 from banyanline.tests.steering import HERE, Host, packet
 
@@ -15,6 +16,14 @@
     return HostReport(host, data_centre, 1, sequence, (), samples)
 
 
+def hear_all(host: Host, latest: HostReport) -> None:
+    """Let a host hear a report, and other hosts that have no load."""
+    host.steering.peers.put(latest, host.now)
+    for number in range(1, MIN_PEERS):
+        idle = report(host=f"idle-{number}", sequence=latest.sequence)
+        host.steering.peers.put(idle, host.now)
+
+
 class Fleet:
     """Hosts that see the same upstreams; routers spread the openings over the hosts."""
 
