--- a/bench/steering/ablation.py
+++ b/bench/steering/ablation.py
@@ -58,7 +58,7 @@
 
     G: float
     served: float
-    rules: dict[str, int]
+    breaks: dict[str, int]
 
 
 class Result(NamedTuple):
@@ -151,7 +151,7 @@
 def read_result(path: Path) -> Result:
     """Read a report of the bench."""
     report: Report = json.loads(path.read_text(encoding="utf-8"))
-    return Result(report["G"], report["served"], sum(report["rules"].values()))
+    return Result(report["G"], report["served"], sum(report["breaks"].values()))
 
 
 def _run(command: list[str], folder: Path | None = None) -> None:
--- a/bench/tests/test_ablation.py
+++ b/bench/tests/test_ablation.py
@@ -63,5 +63,5 @@
 
 def test_broken_rules_of_a_report_are_added_up(tmp_path):
     report = tmp_path / "report.json"
-    report.write_text(json.dumps({"G": 0.9, "served": 0.99, "rules": {"FLOW": 2, "DRAIN": 1}}))
+    report.write_text(json.dumps({"G": 0.9, "served": 0.99, "breaks": {"FLOW": 2, "DRAIN": 1}}))
     assert read_result(report) == Result(0.9, 0.99, 3)
