--- a/banyanline/core/steering/report_composer.py
+++ b/banyanline/core/steering/report_composer.py
@@ -77,7 +77,7 @@
         self,
         steering: Steering,
         identity: HostIdentity,
-        is_out_of_reach: Callable[[ServiceName, Seconds], bool] = lambda _service, _now: False,
+        is_out_of_reach: Callable[[ServiceName], bool] = lambda _service: False,
     ) -> None:
         self._steering = steering
         self._identity = identity
@@ -140,7 +140,7 @@
             name,
             (counters.placed[name] - state.openings) / period_s,
             (counters.refused[name] - state.refusals) / period_s,
-            self._is_out_of_reach(name, now),
+            self._is_out_of_reach(name),
         )
 
     def _report_upstreams(
--- a/banyanline/net/steering/report_exchange.py
+++ b/banyanline/net/steering/report_exchange.py
@@ -216,7 +216,7 @@
         if self._pending:
             self._report = self._encode_report(budget.max_bytes, now)
 
-    def _is_out_of_reach(self, service: ServiceName, _now: Seconds) -> bool:
+    def _is_out_of_reach(self, service: ServiceName) -> bool:
         return service in self._source.steering.readiness.out_of_reach
 
     def _encode_report(self, max_bytes: int, now: Seconds) -> bytes:
--- a/banyanline/tests/test_cold_limit.py
+++ b/banyanline/tests/test_cold_limit.py
@@ -26,6 +26,7 @@
     seed: int = 5,
     *,
     is_counted: bool = True,
+    has_reports: bool = False,
     rate: float = COLD_RATE,
     openings_per_s: int = OPENINGS_PER_S,
 ) -> list[tuple[float, str]]:
@@ -36,6 +37,9 @@
         host.configure(table(2, cold_rate=rate))
         if is_counted:
             host.catalog.set_host_count(hosts_count)
+        if has_reports:
+            for number in range(hosts_count - 1):
+                host.steering.peers.put(HostReport(f"peer-{number}", HERE, 1, 1), host.now)
     found = []
     for flow in range(int(openings_per_s * COLD_S)):
         host = rng.choice(hosts)
@@ -100,6 +104,13 @@
     assert isinstance(outcome, Forward) is (others < COLD_RATE)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_hosts_that_read_the_store_themselves_count_each_other_by_their_reports(seed):
+    cold = [entry(f"orders-{number}", cold_for_s=COLD_S) for number in range(3)]
+    found = run_openings(cold, 30, seed, is_counted=False, has_reports=True)
+    assert 0 < busiest_second(found) <= LIMIT
+
+
 @pytest.mark.xfail(strict=True, reason="listed in KNOWN-RED.txt")
 def test_cold_upstreams_are_spared_by_hosts_that_each_read_the_store_themselves():
     cold = [entry(f"orders-{number}", cold_for_s=COLD_S) for number in range(3)]
--- a/banyanline/tests/test_steering_host_reports.py
+++ b/banyanline/tests/test_steering_host_reports.py
@@ -87,7 +87,7 @@
 
 def test_a_report_contains_failed_checks_cold_openings_demand_and_refusals():
     host = Host(entry("orders-1"), entry("orders-2", cold_for_s=9.0))
-    composer = ReportComposer(host.steering, IDENTITY, lambda service, _now: service == "sheets")
+    composer = ReportComposer(host.steering, IDENTITY, lambda service: service == "sheets")
     compose(composer, host.now)
     host.open(1)
     upstream = host.upstream("orders-1")
