--- a/banyanline/net/steering/heartbeat_exchange.py
+++ b/banyanline/net/steering/heartbeat_exchange.py
@@ -18,7 +18,7 @@
 MIN_INTERVAL_S = 0.2
 """Time between heartbeats in a small data centre."""
 
-MAX_HEARTBEATS_PER_S = 80.0
+MAX_HEARTBEATS_PER_S = 40.0
 """Limit on the heartbeats of one host; in a large data centre they are less frequent."""
 
 
