--- a/banyanline/core/steering/peer_membership.py
+++ b/banyanline/core/steering/peer_membership.py
@@ -27,11 +27,11 @@
 """Time from the first report to a silent host to the second; doubled with each further one."""
 
 MAX_RETRY_S = 10.0
+"""Largest time between reports to a silent host."""
+
 MAX_BACKOFF_DOUBLINGS = 10
 """More would not make the time between attempts longer."""
 
-"""Largest time between reports to a silent host."""
-
 PEER_LIFETIME_S = 600.0
 """How long a host is kept after this host last heard it or was told of it."""
 
--- a/banyanline/core/steering/placement.py
+++ b/banyanline/core/steering/placement.py
@@ -22,11 +22,9 @@
 JITTER_WEIGHT = 0.05
 """Random extra load, in requests in flight, so that hosts with the same view choose differently."""
 
-
 SLOW_RATIO = 2.0
 """Ratio of an upstream's response time to its service's median from which it counts as slow."""
 
-
 NOT_PACED: Mapping[Upstream, float] = {}
 
 
