--- a/banyanline/cli/status.py
+++ b/banyanline/cli/status.py
@@ -47,8 +47,8 @@
     "open_flows",
     "under_way",
     "expected_ms",
-    "sign_age_s",
-    "doubt_age_s",
+    "response_age_s",
+    "retransmission_age_s",
     "failed_check_age_s",
 )
 
--- a/banyanline/core/steering/failure_detection.py
+++ b/banyanline/core/steering/failure_detection.py
@@ -58,15 +58,15 @@
 class FailureEvidence(NamedTuple):
     """Evidence of an upstream's failure, with ages in seconds, for logs and admin pages.
 
-    ``silent_for_s`` counts from the first unanswered packet, ``doubt_age_s`` from the latest
-    retransmission and ``sign_age_s`` from the latest response.
+    ``silent_for_s`` counts from the first unanswered packet, ``retransmission_age_s`` from
+    the latest retransmission and ``response_age_s`` from the latest response.
     """
 
     open_flows: int
     opening_flows: int
     silent_for_s: Seconds
-    doubt_age_s: Seconds
-    sign_age_s: Seconds
+    retransmission_age_s: Seconds
+    response_age_s: Seconds
     failed_check_age_s: Seconds
 
 
--- a/banyanline/core/steering/peer_membership.py
+++ b/banyanline/core/steering/peer_membership.py
@@ -139,10 +139,10 @@
 
     def _drop_one(self, now: Seconds) -> bool:
         """Drop the silent peer that was named least recently; return False without any."""
-        unheard = [each for each, peer in self._peers.items() if not peer.is_heard(now)]
-        if not unheard:
+        silent = [each for each, peer in self._peers.items() if not peer.is_heard(now)]
+        if not silent:
             return False
-        self._drop(min(unheard, key=lambda each: self._peers[each].known_at))
+        self._drop(min(silent, key=lambda each: self._peers[each].known_at))
         return True
 
     def _forget_old(self, now: Seconds) -> None:
--- a/banyanline/core/steering/report.py
+++ b/banyanline/core/steering/report.py
@@ -24,8 +24,8 @@
     availability: UpstreamAvailability
     under_way: int
     expected_s: Seconds | None
-    sign_age_s: Seconds | None
-    doubt_age_s: Seconds | None
+    response_age_s: Seconds | None
+    retransmission_age_s: Seconds | None
     failed_check_age_s: Seconds | None
 
 
@@ -50,8 +50,8 @@
         catalog.availability(upstream, now),
         upstream.responses.under_way(now),
         upstream.responses.expected_s(now),
-        _finite_or_none(detection.sign_age_s),
-        _finite_or_none(detection.doubt_age_s),
+        _finite_or_none(detection.response_age_s),
+        _finite_or_none(detection.retransmission_age_s),
         _finite_or_none(detection.failed_check_age_s),
     )
 
--- a/banyanline/net/steering/status.py
+++ b/banyanline/net/steering/status.py
@@ -39,8 +39,8 @@
     open_flows: int
     under_way: int
     expected_ms: float | None
-    sign_age_s: float | None
-    doubt_age_s: float | None
+    response_age_s: float | None
+    retransmission_age_s: float | None
     failed_check_age_s: float | None
     revision: int
     total_in_flight: NotRequired[float]
@@ -129,8 +129,8 @@
         open_flows=upstream.open_flows,
         under_way=report.under_way,
         expected_ms=None if expected_s is None else round(expected_s * 1000.0, 1),
-        sign_age_s=report.sign_age_s,
-        doubt_age_s=report.doubt_age_s,
+        response_age_s=report.response_age_s,
+        retransmission_age_s=report.retransmission_age_s,
         failed_check_age_s=report.failed_check_age_s,
         revision=upstream.revision,
         total_in_flight=round(report.under_way + peers.in_flight, 3),
--- a/banyanline/tests/test_steering_status.py
+++ b/banyanline/tests/test_steering_status.py
@@ -74,10 +74,10 @@
     rows = {row["upstream"]: row for row in status_of(host)["upstreams"]}
     assert rows[name]["standing"] == UpstreamAvailability.LOST
     assert rows[name]["under_way"] == 1
-    assert rows[name]["doubt_age_s"] == 0.0
+    assert rows[name]["retransmission_age_s"] == 0.0
     assert rows[name]["failed_check_age_s"] == 0.0
     assert rows["orders-3"]["standing"] == UpstreamAvailability.LEAVING
-    assert rows["orders-2"]["sign_age_s"] is None
+    assert rows["orders-2"]["response_age_s"] is None
 
 
 def test_the_window_of_a_paced_upstream_is_shown():
