--- a/banyanline/core/steering/host_liveness.py
+++ b/banyanline/core/steering/host_liveness.py
@@ -54,7 +54,7 @@
     interval_s: Seconds
 
 
-class HostCount(NamedTuple):
+class AliveCount(NamedTuple):
     """The hosts of a data centre, this one included, and how many of them are alive."""
 
     known: int
@@ -64,7 +64,7 @@
     def has_majority(self) -> bool:
         """Whether at least half of the hosts are alive.
 
-        >>> [HostCount(4, alive).has_majority for alive in (1, 2)]
+        >>> [AliveCount(4, alive).has_majority for alive in (1, 2)]
         [False, True]
         """
         return 2 * self.alive >= self.known
@@ -106,14 +106,14 @@
         if endpoint in self._heard or len(self._heard) < MAX_HOSTS:
             self._heard[endpoint] = _Heard(heartbeat, now)
 
-    def count(self, now: Seconds) -> HostCount:
+    def count(self, now: Seconds) -> AliveCount:
         """Return the hosts of this data centre."""
         others = [
             heard
             for heard in self._heard.values()
             if heard.heartbeat.data_centre == self._data_centre
         ]
-        return HostCount(1 + len(others), 1 + sum(self._is_alive(each, now) for each in others))
+        return AliveCount(1 + len(others), 1 + sum(self._is_alive(each, now) for each in others))
 
     def silent(self, now: Seconds) -> Mapping[Endpoint, Seconds]:
         """Return how long ago each host of this data centre that isn't alive was heard."""
