--- a/banyanline/net/steering/feed.py
+++ b/banyanline/net/steering/feed.py
@@ -143,11 +143,6 @@
         known = [at for at in (self._synced_at, self._client.answered_at) if at is not None]
         return max(known, default=None)
 
-    @property
-    def uses_relays(self) -> bool:
-        """Whether the bounds on changes are long enough for hosts to poll seeds, not the store."""
-        return self._uses_relays
-
     def set_source(self, store: Endpoint, contact_s: Seconds, change_bound_s: Seconds) -> None:
         """Set the store endpoint and time bounds for the next calls.
 
--- a/bench/steering/soak.py
+++ b/bench/steering/soak.py
@@ -49,7 +49,7 @@
 
 CHANGE_BOUND_MS = 3000
 CHANGE_BOUND_WITH_REPORTS_MS = 5000
-"""Hosts exchange reports from this bound on changes on."""
+"""Hosts poll seeds in place of the store from this bound on changes on."""
 
 FAULT_INTERVAL_S = (0.1, 1.2)
 DEREGISTRATION_DELAY_S = 2.0
