--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -19,6 +19,14 @@
     revision: int
 
 
+class StoreCopy(NamedTuple):
+    """A copy of the store's state, from which it can be restored."""
+
+    revision: int
+    items: dict[str, _Item]
+    created: dict[str, int]
+
+
 class _Event(NamedTuple):
     at: float
     key: str
@@ -27,9 +35,10 @@
 
 
 class Store:
-    """A store that keeps the events of the last ``history_s``; nothing that it took is lost.
+    """A store that keeps the events of the last ``history_s``.
 
-    It has one listener for each host, so that it can reject the calls of one of them.
+    It loses nothing that it took, unless it is restored from a copy. While it ``is_away`` it
+    resets all connections.
     """
 
     def __init__(self, history_s: float) -> None:
@@ -42,8 +51,8 @@
         self._changed = asyncio.Event()
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
-        self.rejected: set[int] = set()
-        self.calls = 0
+        self._era = 1
+        self.is_away = False
 
     async def listen(self, ip: str) -> tuple[str, int]:
         """Open a listener on a free port; return its address."""
@@ -79,6 +88,21 @@
         self._publish(key, text)
         return self._revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present state."""
+        return StoreCopy(self._revision, dict(self._items), dict(self._created))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: later writes are lost, and their revisions are used again."""
+        self._era += 1
+        self._revision = copy.revision
+        self._history_start = copy.revision
+        self._items = dict(copy.items)
+        self._created = dict(copy.created)
+        self._events.clear()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def close(self) -> None:
         """Close all listeners and connections."""
         for server in self._servers:
@@ -104,18 +128,22 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
-            head = await reader.readuntil(b"\r\n\r\n")
-            self.calls += 1
-            port = writer.get_extra_info("sockname")[1]
-            if port in self.rejected:
-                status, body = 503, "{}"
-            else:
-                status, body = await self._respond(head.split()[1].decode())
+            request = await reader.readuntil(b"\r\n\r\n")
+            status, body = 0, ""
+            if not self.is_away:
+                status, body = await self._respond(request.split()[1].decode())
+            if self.is_away:
+                writer.transport.abort()
+                return
             data = body.encode()
-            writer.write(
-                f"HTTP/1.1 {status} x\r\nContent-Type: application/json\r\n"
-                f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n".encode()
+            head = (
+                f"HTTP/1.1 {status} x",
+                "Content-Type: application/json",
+                f"Store-Era: {self._era}",
+                f"Content-Length: {len(data)}",
+                "Connection: close",
             )
+            writer.write("\r\n".join((*head, "", "")).encode())
             writer.write(data)
             await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
