--- a/review/standins/client.py
+++ b/review/client.py
@@ -9,8 +9,8 @@
 from enum import Enum
 from typing import Any, cast
 
-from standins.packets import ACK, FIN, RST, SYN, Address, Packet, decode, encode
-from standins.record import Record
+from packets import ACK, FIN, RST, SYN, Address, Packet, decode, encode
+from record import Record
 
 COPIES_AT_S = (0.2, 0.6)
 OPEN_TIMEOUT_S = 1.4
--- a/review/standins/cold_start.py
+++ b/review/cold_start.py
@@ -13,12 +13,13 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from standins.client import Client, Result
-from standins.fleet import SMALL_BOUNDS, Host, Network, configuration, route
-from standins.packets import Address, Packet
-from standins.record import Record
-from standins.store import Store
-from standins.target import Target
+from client import Client, Result
+from fleet import SMALL_BOUNDS, Host, Network, configuration, route
+from packets import Address, Packet
+from record import Record
+from store import Store
+
+from target import Target
 
 WARMUP_S = 2.0
 WARMUP_PER_S = 10.0
--- a/review/standins/target.py
+++ b/review/target.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from standins.packets import ACK, FIN, PREFIX_BYTES, RST, SYN, Address, Packet, decode, encode
-from standins.record import Record
+from packets import ACK, FIN, PREFIX_BYTES, RST, SYN, Address, Packet, decode, encode
+from record import Record
 
 PENDING_S = 2.0
 """How long a target keeps a flow whose handshake doesn't end."""
