review: show that a planned restart cuts flows of callers that reuse a port

The last ACK of a closed flow leaves an entry marked open in the flow table. While it is there, later packets from that port go to the old flow's upstream, whatever upstream their cookie names.

The test restarts one of three hosts by plan while callers, each of which has closed a flow before, hold a second flow from the same port. FLOW is broken if a caller is reset while its target holds the flow.

The module target is now targets: its old name was sorted as the build folder's when that exists.

--- a/review/client.py
+++ b/review/client.py
@@ -44,6 +44,7 @@
         self._ack = 0
         self._echo = 0
         self._was_reset = False
+        self._is_finished = False
         self._response = b""
         self._event = asyncio.Event()
 
@@ -84,6 +85,16 @@
             self._send(FIN | ACK)
         self._client.flows.pop(self.caller[1], None)
 
+    async def finish(self) -> None:
+        """Send a FIN, acknowledge the target's, and forget the flow."""
+        self._is_finished = False
+        deadline = asyncio.get_running_loop().time() + OPEN_TIMEOUT_S
+        self._send(FIN | ACK)
+        self._seq += 1
+        if await self._wait(deadline, lambda: self._is_finished):
+            self._send(ACK)
+        self._client.flows.pop(self.caller[1], None)
+
     def receive(self, packet: Packet) -> None:
         """Process a packet from the route's address."""
         if packet.flags & RST:
@@ -94,6 +105,9 @@
                 self._seq += 1
                 self._ack = packet.seq + 1
                 self._echo = packet.echo
+        elif packet.flags & FIN:
+            self._ack = packet.seq + 1
+            self._is_finished = True
         elif packet.data and packet.seq == self._ack:
             self._ack += len(packet.data)
             self._echo = packet.echo
@@ -130,7 +144,7 @@
 
 
 class Client(asyncio.DatagramProtocol):
-    """A client machine; each flow has a port number of its own, used once."""
+    """A client machine; each flow has a port number of its own."""
 
     def __init__(self, ip: str, caller_port: int, record: Record) -> None:
         self.ip = ip
@@ -152,9 +166,9 @@
         if self._transport is not None:
             self._transport.close()
 
-    def flow(self, route: Address, pick: PickHost) -> Flow:
-        """Return a new flow to a route, from a port that was not used before."""
-        port = next(self._ports)
+    def flow(self, route: Address, pick: PickHost, port: int = 0) -> Flow:
+        """Return a new flow to a route, from a port that was not used before unless given."""
+        port = port or next(self._ports)
         flow = self.flows[port] = Flow(self, port, route, pick)
         return flow
 
--- a/review/cold_start.py
+++ b/review/cold_start.py
@@ -18,8 +18,7 @@
 from packets import Address, Packet
 from record import Record
 from store import Store
-
-from target import Target
+from targets import Target
 
 WARMUP_S = 2.0
 WARMUP_PER_S = 10.0
