--- a/review/targets.py
+++ b/review/targets.py
@@ -228,7 +228,7 @@
     def _send(self, packet: Packet, flags: int, seq: int, data: bytes = b"") -> None:
         if self._transport is None:
             return
-        ack = packet.seq + len(packet.data) + bool(packet.flags & (SYN | FIN))
+        ack = (packet.seq + len(packet.data) + bool(packet.flags & (SYN | FIN))) & 0xFFFFFFFF
         reply = Packet(flags, packet.dst, packet.src, seq & 0xFFFFFFFF, ack, packet.echo, data)
         self._transport.sendto(encode(reply), (packet.src[0], self._caller_port))
 
