--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,97 +1,74 @@
-"""Large configurations come in quick succession, and a target drains after the last one.
+"""All hosts are killed at the same time while the targets of a service are cold.
 
-CONFIG is broken if, later than ``config_apply_ms`` after the acknowledgement of the last
-version, a request runs on the route that this version drops, or is refused on the route that it
-adds. DRAIN is broken if an opening packet reaches the draining target later than ``drain_ms``
-after the acknowledgement of its entry. Without the disruption there is only the last version.
+The targets were replaced by plan some seconds before: the new ones start first, then the old
+ones drain. FAILBACK is broken if a new target gets more opening packets in one second of its
+cold period than ``warmup_per_s`` x ``cold_overage`` + ``cold_slack``.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 from pathlib import Path
-from typing import Any
 
-from client import Result
 from fleet import configuration, route
-from packets import Address, Packet
-from scene import TROUBLE, Scene, run_case
-from targets import Target
+from scene import TROUBLE, Scene, busiest_second, run_case
 
-HOSTS = {"a": 2, "b": 1}
-IDLE_ROUTES = 5700
-VALUE_BYTES = 1_048_576
-"""Largest value of the store; each configuration has this size."""
+HOSTS = {"a": 3, "b": 4, "c": 2}
+ROUTE = ("198.18.0.1", 8443)
+FLOWS_PER_S = 20.0
+"""New flows per second in each data centre."""
 
-GAP_S = 0.33
-VERSIONS = 12
 BUDGET_S = 1.2
-CONFIG_APPLY_S = 3.0
-DRAIN_S = 3.0
-OBSERVED_S = 18.0
-DROPPED = ("198.18.0.1", 8443)
-KEPT = ("198.18.0.2", 8443)
-ADDED = ("198.18.0.3", 8443)
+WARMUP_S = 10
+WARMUP_PER_S = 1.0
+COLD_OVERAGE = 1.5
+COLD_SLACK = 5
+DOWN_S = 0.7
 
 
-def document(version: int, addresses: list[Address]) -> dict[str, Any]:
-    """Return a configuration with some routes that are used, and many that are not."""
-    routes = [route(f"r-{address[0]}", address, "svc") for address in addresses]
-    routes += [
-        route(f"r-idle-{idx}", (f"198.19.{idx // 250}.{idx % 250 + 1}", 8080), "svc")
-        for idx in range(IDLE_ROUTES)
-    ]
-    found = configuration(version, routes, ["svc"])
-    routes[-1]["name"] += "-" * (VALUE_BYTES - len(json.dumps(found)))
-    return found
-
-
-async def publish(scene: Scene) -> float:
-    """Write the versions; return when the last one was acknowledged."""
-    for idx in range(VERSIONS if TROUBLE else 0):
-        scene.store.put("op/config", document(10 + 3 * idx, [DROPPED, KEPT]))
-        scene.record.write("configuration", version=10 + 3 * idx)
-        await asyncio.sleep(GAP_S)
-    version = 10 + 3 * VERSIONS
-    scene.store.put("op/config", document(version, [KEPT, ADDED]))
-    return scene.record.write("configuration", version=version)
+async def kill_all(scene: Scene) -> None:
+    """Kill all hosts, and start them again."""
+    scene.record.write("kill-all")
+    for host in scene.hosts:
+        host.kill()
+    await asyncio.sleep(DOWN_S)
+    for host in scene.hosts:
+        scene.start_host(host)
 
 
 async def play(scene: Scene) -> None:
     """Play the case."""
     record = scene.record
     await scene.open_store()
-    first = document(7, [DROPPED, KEPT])
-    record.write("size", bytes=len(json.dumps(first)))
-    scene.store.put("op/config", first)
-    targets = [scene.target(f"i-1{idx:07x}", "svc", zone) for idx, zone in enumerate(HOSTS)]
-    for target in targets:
+    document = configuration(7, [route("r", ROUTE, "svc")], ["svc"], warmup_per_s=WARMUP_PER_S)
+    document["services"][0]["warmup_s"] = WARMUP_S
+    scene.store.put("op/config", document)
+    old = [scene.target(f"i-1{idx:07x}", "svc", zone) for idx, zone in enumerate(HOSTS)]
+    for target in old:
         await scene.start_target(target)
     await scene.start_hosts()
-    await asyncio.sleep(3.0)
-    acked_at = await publish(scene)
-    scene.register(targets[0], state="draining", sequence=2)
-    drained_at = record.now()
-
-    def on_taken(target: Target, packet: Packet, host: str, at: float) -> None:
-        if target is targets[0] and at > drained_at + DRAIN_S:
-            record.violate("DRAIN", target=target.name, caller=packet.src[1])
-
-    scene.on_taken = on_taken  # type: ignore[method-assign]
-    client = await scene.client("a")
-    while record.now() < acked_at + OBSERVED_S:
-        for address in (DROPPED, KEPT, ADDED):
-            sent_at = record.now()
-            result = await scene.ask(client, "a", address, BUDGET_S)
-            if sent_at <= acked_at + CONFIG_APPLY_S:
-                continue
-            if address is DROPPED and result is Result.SERVED:
-                record.violate("CONFIG", seen="run with a dropped route")
-            if address is ADDED and result is Result.RESET:
-                record.violate("CONFIG", seen="refused, though the route is there")
-        await asyncio.sleep(0.2)
+    for zone in HOSTS:
+        scene.spawn(scene.load(zone, ROUTE, FLOWS_PER_S, BUDGET_S))
+    await asyncio.sleep(4.0)
+    new = [scene.target(f"i-2{idx:07x}", "svc", zone) for idx, zone in enumerate(HOSTS)]
+    released_at = record.now()
+    for target in new:
+        scene.register(target, cold_remaining_ms=WARMUP_S * 1000)
+        await target.start()
+    for target in old:
+        scene.register(target, state="draining", sequence=2)
+    await asyncio.sleep(3.5)
+    if TROUBLE:
+        await kill_all(scene)
+    await asyncio.sleep(5.0)
+    bound = WARMUP_PER_S * COLD_OVERAGE + COLD_SLACK
+    for target in new:
+        openings = scene.openings.get(target.name, [])
+        most, at = busiest_second(openings, released_at, released_at + WARMUP_S)
+        record.write("busiest-second", target=target.name, openings=most, at=f"{at:.3f}")
+        if most > bound:
+            record.violate("FAILBACK", target=target.name, openings=most, bound=bound)
 
 
 sys.exit(run_case(Path(__file__).parent, HOSTS, play))
