--- a/review/client.py
+++ b/review/client.py
@@ -38,6 +38,7 @@
         self.route = route
         self.is_open = False
         self.reset_by_system = False
+        self.sent_at = 0.0
         self._client = client
         self._pick = pick
         self._seq = client.rng.getrandbits(30)
@@ -50,7 +51,7 @@
 
     async def open(self) -> Result:
         """Send the opening packet and its two copies until a target accepts it."""
-        self._client.record.write("syn", caller=self.caller[1], route=self.route[0])
+        self.sent_at = self._client.record.write("syn", caller=self.caller[1], route=self.route[0])
         began_at = asyncio.get_running_loop().time()
         for copy, until_s in enumerate((*COPIES_AT_S, OPEN_TIMEOUT_S)):
             self._send(SYN, ack=copy)
--- a/review/scene.py
+++ b/review/scene.py
@@ -8,10 +8,9 @@
 import tempfile
 import traceback
 import zlib
-from collections import deque
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any, TypeAlias
+from typing import Any, NamedTuple, TypeAlias
 
 from client import Client, Flow, Result
 from fleet import SMALL_BOUNDS, Host, Network
@@ -28,6 +27,13 @@
 Play: TypeAlias = "Callable[[Scene], Awaitable[None]]"
 
 
+class Opening(NamedTuple):
+    """When a flow's first opening packet was sent, and when its target took one."""
+
+    sent_at: float
+    taken_at: float
+
+
 class Router:
     """Forwards each packet to a host of the client's zone, by a hash over the hosts in rotation.
 
@@ -99,7 +105,7 @@
             for _ in range(count):
                 self.add_host(zone)
         self.router = Router(list(self.hosts), self.record)
-        self.openings: dict[str, list[float]] = {}
+        self.openings: dict[str, list[Opening]] = {}
         self.counts_ports_once = True
         self._seen: set[tuple[str, Address]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -237,25 +243,25 @@
         at = self.record.write(
             "taken", target=target.name, caller=packet.src[1], host=self.host_name(host)
         )
-        self.openings.setdefault(target.name, []).append(at)
+        client = next(each for each in self.clients.values() if each.ip == packet.src[0])
+        flow = client.flows.get(packet.src[1])
+        opening = Opening(flow.sent_at if flow else at, at)
+        self.openings.setdefault(target.name, []).append(opening)
         self.on_taken(target, packet, host, at)
 
     def on_taken(self, target: Target, packet: Packet, host: str, at: float) -> None:
         """Handle an opening packet that a target has taken; replaced by a case."""
 
 
-def busiest_second(times: list[float], since: float, until: float) -> tuple[int, float]:
-    """Return the largest number of events in one second, and when that second began."""
-    window: deque[float] = deque()
+def busiest_second(openings: list[Opening], since: float, until: float) -> tuple[int, float]:
+    """Return the most openings that were sent and taken in one second, and when it began."""
+    judged = [each for each in openings if since <= each.taken_at <= until]
     most, began_at = 0, since
-    for at in times:
-        if not since <= at <= until:
-            continue
-        window.append(at)
-        while at - window[0] >= 1.0:
-            window.popleft()
-        if len(window) > most:
-            most, began_at = len(window), window[0]
+    for start in (each.sent_at for each in judged):
+        end = start + 1.0
+        count = sum(start <= each.sent_at and each.taken_at < end for each in judged)
+        if count > most:
+            most, began_at = count, start
     return most, began_at
 
 
