--- a/review/4/case.py
+++ b/review/4/case.py
@@ -19,7 +19,7 @@
 HOSTS = {"a": 3, "b": 4, "c": 2}
 LOST_ZONE = "b"
 LOST_TARGETS = 3
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.198.0.1", 8443)
 FLOWS_PER_S = 20.0
 """New flows per second in each data centre."""
 
@@ -61,7 +61,7 @@
     await scene.open_store()
     document = configuration(
         7,
-        [route("r", ROUTE, "svc"), route("other", ("198.18.0.2", 8443), "other")],
+        [route("r", ROUTE, "svc"), route("other", ("127.198.0.2", 8443), "other")],
         ["svc", "other"],
         warmup_per_s=WARMUP_PER_S,
     )
--- a/review/cold_start.py
+++ b/review/cold_start.py
@@ -36,8 +36,8 @@
 CALM_S = 8.0
 
 ZONES = ("north", "centre", "south")
-LAMPS = ("198.18.0.1", 443)
-SHEETS = ("198.18.0.2", 443)
+LAMPS = ("127.198.0.1", 443)
+SHEETS = ("127.198.0.2", 443)
 
 
 class Plan(NamedTuple):
