--- /dev/null
+++ b/review/6/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, its targets, clients and routers, on loopback addresses."""
