review: show that an upstream that returns cold during a store outage is flooded

Cause: an upstream is cold only by the entry that the host read last; the warm-up time of the configuration is used by nothing, although the host sees the upstream fail and return.

The script starts 9 hosts and six upstreams, lets one crash, stops the store and starts the upstream again, cold. The hosts send it 10 to 16 openings in a second; the rule allows 8 at a limit of 2 a second.

--- a/review/6/standins/store.py
+++ b/review/6/standins/store.py
@@ -30,8 +30,22 @@
         self._events: list[dict[str, Any]] = []
         self._revision = 100
         self._changed = asyncio.Event()
+        self._is_down = False
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the store answers all calls with 503 and takes no writes."""
+        return self._is_down
+
+    def set_down(self, *, is_down: bool) -> None:
+        """Go down, which cuts waiting watches, or come back; nothing acknowledged is lost."""
+        self._is_down = is_down
+        if is_down:
+            for writer in self._writers:
+                writer.transport.abort()
+
     async def start(self) -> None:
         """Start to serve; raises OSError if the address is in use."""
         self._server = await asyncio.start_server(self._serve, *self.address)
@@ -61,9 +75,14 @@
         self._changed = asyncio.Event()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         try:
             head = await reader.readuntil(b"\r\n\r\n")
-            status, body = await self._answer(head.split()[1].decode())
+            if self._is_down:
+                status: int = 503
+                body: dict[str, Any] = {"error": "down"}
+            else:
+                status, body = await self._answer(head.split()[1].decode())
             await asyncio.sleep(ANSWER_S)
             writer.write(_response(status, body))
             await writer.drain()
@@ -73,6 +92,7 @@
             # The case has ended while a watch was waiting.
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, target: str) -> tuple[int, dict[str, Any]]:
--- a/review/6/standins/target.py
+++ b/review/6/standins/target.py
@@ -100,8 +100,10 @@
             await asyncio.sleep(HEARTBEAT_S)
 
     def _write_entry(self) -> None:
-        """Write the entry if more than its sequence number has changed."""
+        """Write the entry if more than its sequence number has changed, and the store is up."""
         self._sequence += 1
+        if self._store.is_down:
+            return
         cold_ms = max(0, int(1000 * (self._cold_until - self._clock())))
         if self._written == ("ready", cold_ms):
             return
