--- a/review/6/standins/client.py
+++ b/review/6/standins/client.py
@@ -18,6 +18,10 @@
 FIRST_PORT = 1_024
 MAX_PORT = 60_000
 FIRST_SEQ = 1_000
+SEQ_STEP = 100_000
+"""Distance between the first numbers of two flows, so that a port used again has later ones."""
+
+FIN_TRIES = 3
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -37,12 +41,13 @@
         self, address: Address, route: Address, pick: Callable[[Address, Address], Address]
     ) -> None:
         self.attempts: list[Attempt] = []
-        self.syn_sent_at: dict[Address, float] = {}
+        self.syn_sent_at: dict[Address, list[float]] = {}
         self._ip = address[0]
         self._route = route
         self._pick = pick
         self._clock = asyncio.get_running_loop().time
         self._next_port = FIRST_PORT
+        self._first_seq = FIRST_SEQ
         self._inbox: dict[int, asyncio.Queue[Packet]] = {}
         self._udp = Udp(address, self._on_datagram)
 
@@ -50,11 +55,16 @@
         """Close the socket."""
         self._udp.close()
 
-    async def request(self) -> bool:
-        """Send one request with its retries; return whether it was answered."""
+    async def request(self, port: int | None = None) -> bool:
+        """Send one request with its retries; return whether it was answered.
+
+        The first try comes from ``port`` if it is given; all others come from new ports.
+        """
         ends_at = self._clock() + BUDGET_S
         for _ in range(1 + RETRIES):
-            outcome = await self._attempt(ends_at)
+            flow = self._new_flow() if port is None else (self._ip, port)
+            port = None
+            outcome = await self._attempt(flow, ends_at)
             if outcome == "answered":
                 return True
             await asyncio.sleep(RETRY_PAUSE_S)
@@ -62,8 +72,7 @@
                 break
         return False
 
-    async def _attempt(self, ends_at: float) -> str:
-        flow = self._new_flow()
+    async def _attempt(self, flow: Address, ends_at: float) -> str:
         sent_at = self._clock()
         inbox = self._inbox[flow[1]] = asyncio.Queue()
         try:
@@ -76,12 +85,14 @@
     async def _open_and_ask(
         self, flow: Address, inbox: asyncio.Queue[Packet], ends_at: float
     ) -> str:
-        opened = await self._open(flow, inbox)
+        self._first_seq += SEQ_STEP
+        first_seq = self._first_seq
+        opened = await self._open(flow, inbox, first_seq)
         if isinstance(opened, str):
             return opened
         ack, echo = opened.seq + 1, opened.echo
         while self._clock() < ends_at:
-            self._send(Packet(ACK, flow, self._route, FIRST_SEQ + 1, ack, echo, REQUEST))
+            self._send(Packet(ACK, flow, self._route, first_seq + 1, ack, echo, REQUEST))
             packet = await _next(inbox, RETRANSMIT_S)
             while packet is not None and not packet.data and not packet.flags & RST:
                 packet = await _next(inbox, RETRANSMIT_S)
@@ -89,20 +100,39 @@
                 continue
             if packet.flags & RST:
                 return "reset"
-            last = FIRST_SEQ + 1 + len(REQUEST)
-            closing = Packet(
-                FIN | ACK, flow, self._route, last, packet.seq + len(packet.data), packet.echo
+            last = Packet(
+                FIN | ACK,
+                flow,
+                self._route,
+                first_seq + 1 + len(REQUEST),
+                packet.seq + len(packet.data),
+                packet.echo,
             )
-            self._send(closing)
+            await self._close_flow(last, inbox)
             return "answered"
         return "timeout"
 
-    async def _open(self, flow: Address, inbox: asyncio.Queue[Packet]) -> Packet | str:
+    async def _close_flow(self, fin: Packet, inbox: asyncio.Queue[Packet]) -> None:
+        """Send a FIN until the target has sent its own, and acknowledge that."""
+        for _ in range(FIN_TRIES):
+            self._send(fin)
+            packet = await _next(inbox, RETRANSMIT_S)
+            while packet is not None and not packet.flags & (FIN | RST):
+                packet = await _next(inbox, RETRANSMIT_S)
+            if packet is not None:
+                if packet.flags & FIN:
+                    self._send(fin._replace(flags=ACK, seq=fin.seq + 1, ack=packet.seq + 1))
+                return
+
+    async def _open(
+        self, flow: Address, inbox: asyncio.Queue[Packet], first_seq: int
+    ) -> Packet | str:
         """Send the opening packet and its copies; return the SYN+ACK, or the outcome."""
         began_at = self._clock()
         for copy, until_s in enumerate((*COPIES_AT_S, ATTEMPT_LIMIT_S)):
-            self._send(Packet(SYN, flow, self._route, FIRST_SEQ, copy))
-            self.syn_sent_at.setdefault(flow, self._clock())
+            if not copy:
+                self.syn_sent_at.setdefault(flow, []).append(self._clock())
+            self._send(Packet(SYN, flow, self._route, first_seq, copy))
             packet = await _next(inbox, began_at + until_s - self._clock())
             if packet is not None:
                 return "reset" if packet.flags & RST else packet
@@ -117,7 +147,7 @@
     def _send(self, packet: Packet) -> None:
         self._udp.send(encode(packet), self._pick(packet.src, packet.dst))
 
-    def _on_datagram(self, datagram: bytes) -> None:
+    def _on_datagram(self, datagram: bytes, _source: Address) -> None:
         packet = decode(datagram)
         inbox = self._inbox.get(packet.dst[1])
         if inbox is not None and packet.src == self._route:
--- a/review/6/standins/target.py
+++ b/review/6/standins/target.py
@@ -32,12 +32,24 @@
     was_cold: bool
 
 
+class Refusal(NamedTuple):
+    """A reset that a target sent; ``host`` is the address that the packet came from."""
+
+    target: str
+    flow: Address
+    host: str
+    at: float
+
+
 class _Flow:
+    """A flow: numbers of the next bytes in each direction, and the latest response."""
+
     def __init__(self, first_seq: int) -> None:
-        self.first_seq = first_seq
+        self.next_seq = first_seq + 1
+        self.expected_seq: int | None = None
         self.is_open = False
-        self.response: bytes | None = None
         self.is_running = False
+        self.response = b""
 
 
 class Target:
@@ -59,9 +71,11 @@
         self.address = address
         self.altered = 0
         self.runs: list[Address] = []
+        self.opened: dict[Address, float] = {}
+        self.refusals: list[Refusal] = []
         self._number = int(name.rpartition("-")[2], 16)
+        self.zone = zone
         self._service = service
-        self._zone = zone
         self._store = store
         self._on_opening = on_opening
         self._clock = loop.time
@@ -70,6 +84,7 @@
         self._sequence = 0
         self._written: tuple[str, int] | None = None
         self._flows: dict[Address, _Flow] = {}
+        self._ended: set[Address] = set()
         self._slots = asyncio.Semaphore(SLOTS)
         self._pending = 0
         self._udp = Udp(address, self._on_datagram)
@@ -112,7 +127,7 @@
         entry = {
             "service": self._service,
             "address": f"{ip}:{port}",
-            "zone": self._zone,
+            "zone": self.zone,
             "version": "v1",
             "slots": SLOTS,
             "state": "ready",
@@ -134,43 +149,67 @@
         finally:
             writer.close()
 
-    def _on_datagram(self, datagram: bytes) -> None:
+    def _on_datagram(self, datagram: bytes, source: Address) -> None:
         number = int.from_bytes(datagram[:ID_BYTES], "big")
         if number not in (0, self._number):
             return
         packet = decode(datagram[ID_BYTES:])
         if not is_genuine(packet):
             self.altered += 1
-        if packet.flags & SYN:
-            self._on_syn(packet)
-            return
         flow = self._flows.get(packet.src)
-        if flow is None:
-            if not packet.flags & (RST | FIN):
-                self._reply(packet, RST, packet.ack)
+        if packet.flags & SYN:
+            self._on_syn(packet, flow)
+        elif flow is None:
+            self._on_unknown_flow(packet, source)
         elif packet.flags & RST:
-            del self._flows[packet.src]
+            self._end(packet)
+        elif not flow.is_open and packet.ack != flow.next_seq:
+            # The end of a handshake with another target.
+            self._end(packet)
+            self._refuse(packet, source)
         elif packet.flags & FIN:
-            del self._flows[packet.src]
+            self._end(packet)
             self._reply(packet, FIN | ACK, packet.ack)
-        elif packet.ack > flow.first_seq:
+        else:
             self._on_data(flow, packet)
 
-    def _on_syn(self, packet: Packet) -> None:
-        flow = self._flows.get(packet.src)
+    def _end(self, packet: Packet) -> None:
+        del self._flows[packet.src]
+        self._ended.add(packet.src)
+
+    def _on_unknown_flow(self, packet: Packet, source: Address) -> None:
+        """Answer a packet of a flow that has ended here, or that was never open here."""
+        if packet.flags & RST:
+            return
+        if packet.src not in self._ended or packet.data:
+            self._refuse(packet, source)
+        elif packet.flags & FIN:
+            self._reply(packet, ACK, packet.ack)
+
+    def _refuse(self, packet: Packet, source: Address) -> None:
+        self.refusals.append(Refusal(self.name, packet.src, source[0], self._clock()))
+        self._reply(packet, RST, packet.ack)
+
+    def _on_syn(self, packet: Packet, flow: _Flow | None) -> None:
         if flow is None:
+            self._ended.discard(packet.src)
             flow = self._flows[packet.src] = _Flow(next(_FIRST_SEQUENCES) % (1 << 31))
             self._on_opening(Opening(self.name, packet.src, self._clock(), self.is_cold))
-        self._reply(packet, SYN | ACK, flow.first_seq)
+        if not flow.is_open:
+            self._reply(packet, SYN | ACK, flow.next_seq - 1)
 
     def _on_data(self, flow: _Flow, packet: Packet) -> None:
-        flow.is_open = True
+        if not flow.is_open:
+            flow.is_open = True
+            self.opened[packet.src] = self._clock()
         if not packet.data:
             return
-        if flow.response is not None:
-            self._reply(packet, ACK, flow.first_seq + 1, flow.response)
-        elif not flow.is_running and self._pending < SLOTS + MAX_QUEUED:
+        if flow.expected_seq is not None and packet.seq < flow.expected_seq:
+            if flow.response and not flow.is_running:
+                self._reply(packet, ACK, flow.next_seq - len(flow.response), flow.response)
+        elif self._pending < SLOTS + MAX_QUEUED:
             flow.is_running = True
+            flow.expected_seq = packet.seq + len(packet.data)
             self._pending += 1
             self._spawn(self._run(flow, packet))
 
@@ -179,8 +218,10 @@
             self.runs.append(packet.src)
             await asyncio.sleep(WORK_S * (COLD_WORK_FACTOR if self.is_cold else 1.0))
         self._pending -= 1
+        flow.is_running = False
         flow.response = self.name.encode().ljust(BODY_BYTES, b".")
-        self._reply(packet, ACK, flow.first_seq + 1, flow.response)
+        self._reply(packet, ACK, flow.next_seq, flow.response)
+        flow.next_seq += BODY_BYTES
 
     def _reply(self, packet: Packet, flags: int, seq: int, data: bytes = b"") -> None:
         ack = packet.seq + len(packet.data) + bool(packet.flags & (SYN | FIN))
--- a/review/6/standins/udp.py
+++ b/review/6/standins/udp.py
@@ -13,9 +13,9 @@
 
 
 class Udp:
-    """A bound UDP socket that passes each datagram to ``on_datagram``."""
+    """A bound UDP socket that passes each datagram and its source to ``on_datagram``."""
 
-    def __init__(self, address: Address, on_datagram: Callable[[bytes], None]) -> None:
+    def __init__(self, address: Address, on_datagram: Callable[[bytes, Address], None]) -> None:
         self._on_datagram = on_datagram
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -38,7 +38,7 @@
     def _read(self) -> None:
         while True:
             try:
-                data = self._socket.recv(MAX_DATAGRAM_BYTES)
+                data, source = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError:
                 return
-            self._on_datagram(data)
+            self._on_datagram(data, source)
